--- /dev/null
+++ b/admission/admission.go
@@ -0,0 +1,903 @@
+// The module: every decision of one server. New is given what a server is told at its start; Decide is
+// called once a round with all that came in and writes its decisions, in order, into the Writer passed
+// along. Deployment, Req, Round and Writer are in interface.go; ring.go and slab.go only keep state.
+//
+// One FIFO holds what was read; a slot is taken when a run starts, kept through calls, freed when it ends.
+package admission
+
+import (
+	"fmt"
+	"math"
+	"slices"
+)
+
+// tick is the one timer's period while anything is in hand, rest while nothing is: short beside every
+// response target and the half second of the gauges, long beside a round.
+const (
+	tick = 20 * Second / 1000
+	rest = 5 * tick
+)
+
+// handler is what is derived for one handler, with its recent times.
+type handler struct {
+	Handler
+	laps ring    // time of runs, calls included, over stated work
+	lap  float64 // the last known ratio
+	work ring    // time of runs less their calls, over runs
+	own  float64
+	unit float64 // stands in where a req states no work
+}
+
+// tenant is one tenant's fair arrivals on this server, with what arrived lately.
+type tenant struct {
+	fair float64
+	came ring
+	full float64 // mean worth of its reqs as a share of their handler's, from what it sends beyond its share
+}
+
+// cell is one handler of one tenant: its recent work, what that earns, and where it stands among all.
+type cell struct {
+	work  ring
+	earns float64
+	stand float64 // share of recent work that earns less
+}
+
+// Controller decides for one server.
+type Controller struct {
+	w       Writer
+	now     Time
+	h       []handler
+	t       []tenant
+	cells   []cell
+	byRank  []int
+	s       slab
+	due     wheel
+	granule Time
+	byWork  bool
+	beyond  float64
+	awake   bool
+
+	hold  list
+	long  Time // how long the hold has been long
+	lap   Time // how long the last one to start had waited
+	press float64
+
+	cores, onCores        float64
+	running, limit        int
+	cold                  float64 // share of speed at the start
+	warmAt, born          Time
+	fall                  float64
+	mem, memTop, runKB    float64
+	keyKB                 float64
+	stop                  Stop
+	fresh                 Time
+	maxPause              Time
+	voice                 Voice
+	senders               float64
+	said                  float64
+	stage                 float64
+	shared, tiered        bool
+	allowed               float64
+	linger                Time
+	calls                 list
+	out                   int // calls in hand
+	outAt                 Time
+	hands                 ring
+	took, refused, passed ring
+	callTime              float64
+	nextCall              Time
+
+	hung     bool
+	stuck    Time // how long started work has not moved
+	lastTick Time
+	slowTick Time
+	drain    bool
+	graceEnd Time
+	kill     Time
+	grace    Time
+	greeted  bool
+}
+
+// New readies a controller for a server that starts now.
+func New(d *Deployment) *Controller {
+	c := &Controller{
+		s: newSlab(), hold: newList(), calls: newList(), granule: d.Granule, byWork: d.ByWork, beyond: d.Beyond,
+		cores: float64(d.Cores), limit: d.Cores, cold: 1, born: d.Start, warmAt: d.Start, fall: max(d.Fall, 1),
+		runKB: d.RunFactor, keyKB: d.KeyKB, stop: d.Stop, fresh: d.Fresh, maxPause: d.MaxPause,
+		voice: d.Voice, senders: float64(d.Senders), stage: float64(d.Stage), linger: d.Linger,
+		shared: d.Below == BelowShared && d.CallsOut > 0, tiered: d.Below != BelowNone,
+		grace: d.DrainGrace, lastTick: d.Start, slowTick: d.Start, outAt: d.Start,
+		// 4096 buckets of a tick reach 80 s, past every client timeout; what lies further is filed again.
+		due: newWheel(4096, tick, d.Start),
+		// Two seconds of calls, in steps short beside a trouble: long enough for a mean at a few calls a second.
+		took: newRing(8, Second/4), refused: newRing(8, Second/4), passed: newRing(8, Second/4),
+		hands: newRing(10, max(d.Span, Second)/10),
+	}
+	if d.Cold && d.ColdSpeed > 0 && d.ColdSpeed < 1 {
+		c.cold, c.warmAt = d.ColdSpeed, d.Start+d.WarmAfter
+	}
+	// A twentieth of memory is left free: what a round brings in is counted only after it was read.
+	c.memTop = d.MemKB * 0.95
+	// Of what the shared dependency survives each server means to use under a half: it slows long before.
+	c.allowed = d.CallsOut * 0.45
+	for _, h := range d.Handlers {
+		c.h = append(c.h, handler{Handler: h, laps: newRing(8, Second/2), work: newRing(8, Second/2),
+			unit: 1, own: float64(h.Target) / 8})
+	}
+	for _, t := range d.Tenants {
+		// Five seconds of arrivals: some dozens at a server's rate, and shorter than a surge lasts.
+		came := newRing(10, Second/2)
+		c.t = append(c.t, tenant{came: came, full: 1,
+			fair: t.Quota / float64(d.Fleet) * float64(came.span()) / float64(Second)})
+	}
+	if len(c.t) == 0 {
+		c.t = append(c.t, tenant{came: newRing(1, Second), full: 1, fair: math.Inf(1)})
+	}
+	c.cells = make([]cell, len(c.h)*len(c.t))
+	for k := range c.cells {
+		c.cells[k].work = newRing(10, Second/2)
+		c.byRank = append(c.byRank, k)
+	}
+	return c
+}
+
+// Handlers is the number of handlers known.
+func (c *Controller) Handlers() int { return len(c.h) }
+
+// Decide takes a round and writes what is decided.
+func (c *Controller) Decide(r *Round, w Writer) {
+	c.now, c.w = max(r.Now, c.now), w
+	if !c.greeted {
+		c.greeted = true
+		w.Health(true)
+	}
+	if r.Drain {
+		c.leave(r.Kill)
+	}
+	for k := range r.Arrived {
+		c.enter(&r.Arrived[k])
+	}
+	for k := range r.Arrived {
+		c.door(c.s.find(r.Arrived[k].ID), r.Arrived[k].Prior)
+	}
+	for _, b := range r.Returned {
+		c.returned(b)
+	}
+	for _, id := range r.Needs {
+		c.needs(c.s.find(id))
+	}
+	for _, e := range r.Ended {
+		c.ended(e)
+	}
+	for _, id := range r.Gone {
+		c.gone(c.s.find(id))
+	}
+	if r.Woke {
+		c.awake = false
+		c.onTick(r)
+	}
+	for i := c.due.next(&c.s, c.now); i != none; i = c.due.next(&c.s, c.now) {
+		c.look(i)
+	}
+	c.makeCalls()
+	c.start()
+	if !c.awake {
+		c.awake = true
+		if len(c.s.ids) > 0 {
+			w.Wake(c.now + tick)
+		} else {
+			w.Wake(c.now + rest)
+		}
+	}
+}
+
+// ---- 1. Door: repeats, memory, join the tail.
+
+// enter gives a req its index and counts it as arrived.
+func (c *Controller) enter(q *Req) {
+	i := c.s.take(q.ID)
+	it, h := &c.s.at[i], &c.h[q.Handler]
+	it.h, it.kb, it.came, it.again = int32(q.Handler), q.KB, min(q.Came, c.now), q.Again
+	if q.Tenant > 0 && q.Tenant < len(c.t) {
+		it.t = int32(q.Tenant)
+	}
+	if it.due = q.Due; it.due == 0 {
+		it.due = it.came + h.Timeout
+	}
+	it.due = max(it.due, c.now)
+	if q.Hint > 0 {
+		h.unit = float64(q.Hint)
+	}
+	it.cost = h.unit
+	c.mem += it.kb
+	c.t[it.t].came.add(c.now, 1, 0)
+	c.cell(it).work.add(c.now, h.own, 1)
+}
+
+func (c *Controller) cell(it *item) *cell { return &c.cells[int(it.h)*len(c.t)+int(it.t)] }
+
+// door settles a repeat, sheds what can't be afforded, and lets the rest join the tail.
+func (c *Controller) door(i int32, prior uint32) {
+	it := &c.s.at[i]
+	h := &c.h[it.h]
+	if prior != 0 && c.repeat(i, c.s.find(prior)) {
+		return
+	}
+	key := 0.0
+	if h.Repeat == Uniqued {
+		key = c.keyKB
+	}
+	switch {
+	case c.drain && it.came > c.graceEnd, c.hung && !c.trial(it):
+		c.shed(i, false)
+	case it.prior == none && c.mem+key+it.kb*(c.runKB-1) > c.memTop:
+		// Guards against a hold that fills the memory its own runs need. Could harm where waiting would have
+		// freed it in time.
+		c.shed(i, false)
+	default:
+		c.hold.insertAfter(&c.s, i, c.hold.tail)
+		it.phase = held
+		if it.prior == none {
+			c.remember(i)
+		}
+		c.look(i)
+	}
+}
+
+// ---- 2. Wait bounds.
+
+// bound is how long a held req may wait: half its response target at first, then what its run will leave
+// of it. Past the first tier only that tier's part of the target can be used.
+func (c *Controller) bound(it *item) Time {
+	h := &c.h[it.h]
+	target := float64(h.Target) / (1 + c.stage)
+	b := target / 2
+	if est := c.est(it); est > 0 {
+		// An eighth stays even when runs take longer than the target: what shows recovery must be let in.
+		b = min(max(target-1.3*est, target/8), target*0.6)
+	}
+	// While the hold is long, what earns least for its work (beyond a tenant's share above all) waits least,
+	// down to a fifth: the lap then settles where the least of what the cores can do still gets its turn.
+	if c.long > 0 {
+		b *= 0.2 + 0.8*min(1, c.cell(it).stand/0.7)
+	}
+	return Time(b)
+}
+
+// est is how long the run of a req should take, calls included; 0 while no run has been seen.
+func (c *Controller) est(it *item) float64 {
+	h := &c.h[it.h]
+	h.lap = h.laps.mean(c.now, h.lap)
+	return h.lap * it.cost
+}
+
+// rank finds what each handler of each tenant earns for its work and how much work earns less.
+func (c *Controller) rank() {
+	for k := range c.t {
+		t := &c.t[k]
+		n, _ := t.came.sums(c.now)
+		t.full = 1
+		if n > t.fair {
+			t.full = c.beyond + (1-c.beyond)*t.fair/n
+		}
+	}
+	total := 0.0
+	for k := range c.cells {
+		l, h := &c.cells[k], &c.h[k/len(c.t)]
+		h.own = h.work.mean(c.now, h.own)
+		l.earns = h.Value * c.t[k%len(c.t)].full
+		if !c.byWork {
+			l.earns /= max(h.own, 1)
+		}
+		w, _ := l.work.sums(c.now)
+		total += w
+	}
+	slices.SortStableFunc(c.byRank, func(a, b int) int {
+		switch {
+		case c.cells[a].earns < c.cells[b].earns:
+			return -1
+		case c.cells[a].earns > c.cells[b].earns:
+			return 1
+		}
+		return 0
+	})
+	sum := 0.0
+	for _, k := range c.byRank {
+		l := &c.cells[k]
+		w, _ := l.work.sums(c.now)
+		l.stand = (sum + w/2) / max(total, 1)
+		sum += w
+	}
+}
+
+// ---- 3. Slots.
+
+// start gives free slots to the longest waiting, in strict arrival order.
+func (c *Controller) start() {
+	top := c.ceiling()
+	for c.hold.head != none && c.running < min(c.limit, top) {
+		i := c.hold.head
+		it := &c.s.at[i]
+		if c.mem+it.kb*(c.runKB-1) > c.memTop || c.hung && c.running > 0 {
+			return
+		}
+		if c.drain && c.now+Time(c.est(it)*1.5)+2*tick > c.kill {
+			c.shed(i, false)
+			continue
+		}
+		c.lap = c.now - it.came
+		c.hold.remove(&c.s, i)
+		it.phase, it.ran, it.start = running, true, c.now
+		c.running++
+		c.mem += it.kb * (c.runKB - 1)
+		c.w.Run(it.id)
+		for k := it.heir; k != none; k = it.heir {
+			it.lent = true
+			c.part(k)
+			c.share(k)
+		}
+		c.look(i)
+	}
+}
+
+// ceiling is how many runs this server survives on its cores, whatever stands at calls now: all may come
+// back at once. A fifth is kept off as margin; a cold start counts at its slowest lawful pace.
+func (c *Controller) ceiling() int {
+	speed := 1.0
+	if c.now < c.warmAt {
+		speed = c.cold + (1-c.cold)*float64(c.now-c.born)/float64(c.warmAt-c.born)
+	}
+	return max(1, int(0.8*c.cores*(1+(c.fall-1)*speed)))
+}
+
+// grow moves the running limit by the gauge of the cores: up while they idle and work is held, down while
+// more wants them than they are.
+func (c *Controller) grow() {
+	switch idle := c.cores - c.onCores; {
+	case c.hold.n > 0 && c.running >= c.limit && idle > 0:
+		c.limit = min(c.running+int(math.Ceil(idle/2)), c.ceiling())
+	case idle < -c.cores/2:
+		c.limit--
+	}
+	c.limit = max(c.limit, int(c.cores))
+}
+
+// ---- 4. Calls below.
+
+// needs takes a run that stands at a call.
+func (c *Controller) needs(i int32) {
+	if i == none {
+		return
+	}
+	it := &c.s.at[i]
+	it.phase = calling
+	c.moved()
+	if !it.answered {
+		c.queueCall(i)
+	}
+}
+
+// queueCall lines up a call in the arrival order of the reqs.
+func (c *Controller) queueCall(i int32) {
+	p := c.calls.tail
+	for p != none && c.s.at[p].came > c.s.at[i].came {
+		p = c.s.at[p].queue.prev
+	}
+	c.calls.insertAfter(&c.s, i, p)
+	c.s.at[i].called = 0
+	c.look(i)
+}
+
+// makeCalls makes the calls that the pace allows.
+func (c *Controller) makeCalls() {
+	gap := c.callGap()
+	for c.calls.head != none && c.nextCall <= c.now {
+		if c.shared && c.meanHands() > 2*c.allowed {
+			return
+		}
+		i := c.calls.head
+		it := &c.s.at[i]
+		c.calls.remove(&c.s, i)
+		c.countHands()
+		c.out++
+		it.phase, it.called = outside, c.now
+		c.w.Call(it.id, c.callUntil(it))
+		// Unused turns are saved up to a few calls, so that calls which come in a bunch need not wait.
+		c.nextCall = max(c.nextCall, c.now-4*gap) + gap
+	}
+}
+
+// callGap is the time between calls: the allowed number in hand over the recent time of a call. What lies
+// in a tier states no allowance: while it refuses, the pace follows what comes back from it.
+func (c *Controller) callGap() Time {
+	c.callTime = c.took.mean(c.now, c.callTime)
+	if c.shared {
+		return Time(c.callTime / c.allowed)
+	}
+	if n, _ := c.refused.sums(c.now); n > 0 {
+		ok, _ := c.passed.sums(c.now)
+		return Time(float64(c.passed.span()) / (1.25*ok + 4))
+	}
+	return 0
+}
+
+// callUntil is when a call is given up: while the answer can still come within the target without it, if
+// it can be skipped; never before its due time if it must not be repeated.
+func (c *Controller) callUntil(it *item) Time {
+	h := &c.h[it.h]
+	last := it.due - c.spare()
+	if h.Repeat != Replayable {
+		return max(last, c.now+1)
+	}
+	by := it.came + h.Target - Time(c.est(it)/2)
+	by = max(by, c.now+Time(2*c.callTime)+Second/5)
+	return max(min(by, last), c.now+1)
+}
+
+// countHands brings the mean number of calls in hand up to now.
+func (c *Controller) countHands() {
+	c.hands.add(c.now, float64(c.out)*float64(c.now-c.outAt), 0)
+	c.outAt = c.now
+}
+
+func (c *Controller) meanHands() float64 {
+	c.countHands()
+	sum, _ := c.hands.sums(c.now)
+	return sum / float64(c.hands.span())
+}
+
+// returned takes the end of a call.
+func (c *Controller) returned(b Return) {
+	i := c.s.find(b.ID)
+	if i == none || c.s.at[i].phase != outside {
+		return
+	}
+	it := &c.s.at[i]
+	h := &c.h[it.h]
+	c.countHands()
+	c.out--
+	it.spent += b.Took
+	it.phase = calling
+	switch b.How {
+	case OK:
+		c.took.add(c.now, float64(b.Took), 1)
+		c.passed.add(c.now, 1, 0)
+		it.phase = running
+		c.moved()
+		return
+	case Unrun:
+		c.refused.add(c.now, 1, 0)
+	default:
+		c.took.add(c.now, float64(b.Took), 1)
+		// A call given up stays in the dependency's hands for its linger.
+		c.hands.add(c.now, float64(c.linger), 0)
+	}
+	if it.answered {
+		return
+	}
+	it.tries++
+	switch {
+	case h.LeanValue > 0 && (b.How != Unrun || it.tries > 2):
+		c.skip(i)
+	case b.How != Unrun && (h.Repeat != Replayable || it.tries > 3):
+		c.fail(i)
+	default:
+		// Again after a wait that doubles, so that refusals don't become a storm.
+		c.due.put(&c.s, i, c.now+tick<<min(it.tries, 5))
+		it.called = -1
+	}
+}
+
+func (c *Controller) skip(i int32) {
+	it := &c.s.at[i]
+	it.phase = running
+	c.w.Skip(it.id)
+	c.look(i)
+}
+
+// ---- 5. Uniqued table and shared reads.
+
+// repeat settles a req that repeats prior; false lets it through the door as a new one.
+func (c *Controller) repeat(i, p int32) bool {
+	it := &c.s.at[i]
+	uniq := c.h[it.h].Repeat != Replayable
+	if p == none {
+		c.share(i) // the table knows of a run that this module has let go of
+		return true
+	}
+	switch pr := &c.s.at[p]; {
+	case p == i || pr.phase == read:
+		return false // the later of two in one round takes the earlier one's answer
+	case !pr.ran && pr.phase == over:
+		return false // the first try was shed after this one reached the machine
+	case pr.phase == held:
+		if pr.prior != none {
+			p = pr.prior
+			pr = &c.s.at[p]
+		}
+		it.prior, it.kin = p, link{none, pr.heir}
+		if pr.heir != none {
+			c.s.at[pr.heir].kin.prev = i
+		}
+		pr.heir = i
+		return false // it waits in its own place until the first one runs or leaves
+	case !uniq && (pr.failed || pr.answered && pr.phase != over):
+		return false
+	case uniq && pr.failed:
+		c.fail(i)
+	default:
+		pr.lent = true
+		c.share(i)
+	}
+	return true
+}
+
+// part takes a waiting repeat from those that wait for its prior.
+func (c *Controller) part(i int32) {
+	it := &c.s.at[i]
+	if it.prior == none {
+		return
+	}
+	if it.kin.prev == none {
+		c.s.at[it.prior].heir = it.kin.next
+	} else {
+		c.s.at[it.kin.prev].kin.next = it.kin.next
+	}
+	if it.kin.next != none {
+		c.s.at[it.kin.next].kin.prev = it.kin.prev
+	}
+	it.prior = none
+}
+
+// share lets a req take the answer of the one it repeats; it needs no slot.
+func (c *Controller) share(i int32) {
+	it := &c.s.at[i]
+	if it.phase == held {
+		c.hold.remove(&c.s, i)
+	}
+	it.phase = sharing
+	c.w.Reuse(it.id)
+	c.look(i)
+}
+
+// remember has the table hold an entry for a req: a uniqued one for what is left of its window, a read
+// that others may share for as long as it may take and is fresh.
+func (c *Controller) remember(i int32) {
+	it := &c.s.at[i]
+	h := &c.h[it.h]
+	switch {
+	case h.Repeat == Uniqued:
+		it.kept = max(it.came+h.Window, c.now+1)
+	case h.Repeat == Replayable && c.fresh > 0 && c.mem+c.keyKB < c.memTop*0.8:
+		it.kept = it.came + h.Target + c.fresh
+	default:
+		return
+	}
+	it.kept = max(it.kept, c.now+1)
+	c.mem += c.keyKB
+	c.w.Remember(it.id, it.kept-c.now)
+}
+
+// forget takes a req's entry out of the table ahead of its time.
+func (c *Controller) forget(it *item) {
+	if it.kept > 0 {
+		it.kept, it.known = 0, c.now
+		c.mem -= c.keyKB
+		c.w.Forget(it.id)
+	}
+}
+
+// ---- 6. Due times.
+
+// spare is how long before its due time a req is answered: the timer's period, the wheel's and a round.
+func (c *Controller) spare() Time { return 2*tick + 2*c.granule }
+
+// look sees whether the time of a req has come and files it for its next one.
+func (c *Controller) look(i int32) {
+	it := &c.s.at[i]
+	h := &c.h[it.h]
+	end := it.due - c.spare()
+	if c.drain {
+		end = min(end, c.kill-c.spare())
+	}
+	next := end
+	switch {
+	case it.phase == over || it.answered:
+		if it.kept > 0 && c.now >= it.kept {
+			it.kept = 0
+			c.mem -= c.keyKB
+		}
+		if it.phase == over && it.kept == 0 && c.now >= it.known {
+			c.due.take(&c.s, i)
+			c.s.drop(i)
+			return
+		}
+		if next = it.kept; next == 0 {
+			next = max(it.known, c.now+Second)
+		}
+	case it.phase == held:
+		by := it.came + c.bound(it)
+		if c.now >= by || c.now >= end {
+			c.shed(i, true)
+			return
+		}
+		// The bound moves: it is looked at a few times on the way.
+		next = min(end, by, c.now+h.Target/16)
+	case c.now >= end:
+		c.fail(i)
+		return
+	case it.phase == calling && it.called < 0:
+		c.queueCall(i)
+		return
+	case it.phase == calling:
+		// A call that can't be made in time is skipped where that still earns.
+		by := it.came + h.Target - Time(c.est(it)/2+c.callTime)
+		if h.LeanValue > 0 && c.now >= by {
+			c.calls.remove(&c.s, i)
+			c.skip(i)
+			return
+		}
+		if h.LeanValue > 0 {
+			next = min(next, by)
+		}
+	}
+	c.due.put(&c.s, i, next)
+}
+
+// shed answers a held req that never ran; one that waited long has no time left for another server.
+func (c *Controller) shed(i int32, waited bool) {
+	it := &c.s.at[i]
+	last := waited && c.now-it.came > c.h[it.h].Target/3
+	c.w.Shed(it.id, last, c.comeBack())
+	it.answered, it.failed = true, true
+	c.unhold(i)
+}
+
+// unhold takes out a req that never ran; the first of those that wait for it takes its place in the table.
+func (c *Controller) unhold(i int32) {
+	it := &c.s.at[i]
+	if it.phase == held {
+		c.hold.remove(&c.s, i)
+	}
+	c.part(i)
+	c.forget(it)
+	first := none
+	for k := it.heir; k != none; k = c.s.at[k].kin.next {
+		first = k // the list runs from the newest: the last one came first
+	}
+	if first != none {
+		c.part(first)
+		c.s.at[first].heir = it.heir
+		for k := it.heir; k != none; k = c.s.at[k].kin.next {
+			c.s.at[k].prior = first
+		}
+		it.heir = none
+		c.remember(first)
+	}
+	c.release(i)
+}
+
+// release ends what a req holds; only an entry in the table may be left.
+func (c *Controller) release(i int32) {
+	it := &c.s.at[i]
+	c.mem -= it.kb
+	it.phase = over
+	if it.kept > 0 || it.known > 0 {
+		// A repeat that reached the machine by now may be read as late as its own client timeout.
+		it.known = max(it.kept, c.now) + c.h[it.h].Timeout
+	}
+	c.look(i)
+}
+
+// fail answers a req that ran, or waits for a run, with an error, and stops its work where that can be.
+func (c *Controller) fail(i int32) {
+	it := &c.s.at[i]
+	c.w.Fail(it.id)
+	it.answered, it.failed = true, true
+	switch it.phase {
+	case read, sharing:
+		c.release(i)
+		return
+	case calling:
+		if it.called == 0 {
+			c.calls.remove(&c.s, i)
+		}
+	case running:
+		if c.stop != StopNever && !it.lent {
+			c.w.Pause(it.id)
+		}
+	}
+	c.look(i)
+}
+
+// ended takes the end of a run.
+func (c *Controller) ended(e End) {
+	i := c.s.find(e.ID)
+	if i == none {
+		return
+	}
+	it := &c.s.at[i]
+	switch it.phase {
+	case held, over:
+		return
+	case sharing:
+		it.failed = e.How != OK
+		it.answered = true
+		c.release(i)
+		return
+	case calling:
+		if !it.answered && it.called == 0 {
+			c.calls.remove(&c.s, i)
+		}
+	case outside:
+		c.countHands()
+		c.out--
+		c.hands.add(c.now, float64(c.linger), 0)
+	}
+	c.running--
+	c.mem -= it.kb * (c.runKB - 1)
+	h := &c.h[it.h]
+	if e.How == OK {
+		c.moved()
+		h.laps.add(c.now, float64(e.Ran), it.cost)
+		h.work.add(c.now, float64(max(e.Ran-it.spent, 0)), 1)
+	} else {
+		it.failed = true
+	}
+	switch {
+	case h.Repeat != Replayable || it.kept == 0:
+	case it.failed:
+		c.forget(it)
+	default:
+		it.kept = c.now + c.fresh
+		c.w.Remember(it.id, c.fresh)
+	}
+	it.answered = true
+	c.release(i)
+}
+
+// gone takes a req whose caller is known to have left: what was held is out, what runs is waited for.
+func (c *Controller) gone(i int32) {
+	if i == none || c.s.at[i].phase == over {
+		return
+	}
+	it := &c.s.at[i]
+	it.answered = true
+	switch it.phase {
+	case held:
+		it.failed = true
+		c.unhold(i)
+		return
+	case sharing:
+		it.failed = true
+		c.release(i)
+		return
+	case calling:
+		if it.called == 0 {
+			c.calls.remove(&c.s, i)
+		}
+	case running:
+		if c.stop != StopNever && c.h[it.h].Repeat == Replayable && !it.lent {
+			c.w.Pause(it.id)
+		}
+	}
+	c.look(i)
+}
+
+// ---- 7. Health and advice.
+
+// onTick reads the gauges and what goes by the clock.
+func (c *Controller) onTick(r *Round) {
+	// A process that stood still saw nothing: only time it was awake for counts.
+	dt := min(c.now-c.lastTick, 2*rest)
+	c.lastTick = c.now
+	if r.Gauged {
+		c.onCores = r.Gauges.OnCores
+		c.grow()
+	}
+	if float64(c.hold.n) >= c.cores {
+		c.long += dt
+	} else {
+		c.long = 0
+	}
+	c.watch(dt)
+	if c.now-c.slowTick < rest {
+		return
+	}
+	c.rank()
+	c.advise(float64(c.now-c.slowTick) / float64(Second))
+	c.slowTick = c.now
+}
+
+// watch sees work hang: runs are on the cores and none has moved for far longer than runs take.
+func (c *Controller) watch(dt Time) {
+	if on := c.running - c.out - c.calls.n; on <= 0 || c.hung {
+		c.stuck = 0
+	} else {
+		c.stuck += dt
+	}
+	usual := 0.0
+	for k := range c.h {
+		usual = max(usual, c.h[k].lap*c.h[k].unit)
+	}
+	if !c.hung && c.stuck > max(Second, Time(4*usual)) && float64(c.running) >= c.cores {
+		c.hung = true
+		c.w.Health(false)
+		c.w.Log("hung: started work does not finish")
+		for c.hold.head != none {
+			c.shed(c.hold.head, false)
+		}
+	}
+}
+
+// moved sees started work go on, which is how a hang ends, whether it is old work or a trial run.
+func (c *Controller) moved() {
+	c.stuck = 0
+	if c.hung {
+		c.hung = false
+		c.w.Health(!c.drain)
+		c.w.Log("hung: over, started work goes on")
+	}
+}
+
+// trial lets a replayable req in while nothing runs, to see whether work finishes again.
+func (c *Controller) trial(it *item) bool {
+	return c.running == 0 && c.hold.n == 0 && c.h[it.h].Repeat == Replayable
+}
+
+// comeBack is how long until the hold will have shortened.
+func (c *Controller) comeBack() Time {
+	if c.hung || c.drain {
+		return c.maxPause
+	}
+	return min(c.lap/4, c.maxPause)
+}
+
+// advise moves the value that goes with every answer.
+func (c *Controller) advise(dt float64) {
+	if c.voice == Mute {
+		return
+	}
+	wait := 0.0
+	if c.hold.head != none {
+		it := &c.s.at[c.hold.head]
+		wait = float64(c.now-it.came) / float64(c.h[it.h].Target)
+	}
+	// The pressure is the share of traffic to keep away: it settles where the head waits an eighth of its
+	// target. Its pace is slow beside the second for which callers bear the value in mind.
+	c.press = min(max(c.press+dt*2*min(wait-0.125, 0.4), 0), 0.9)
+	value := c.press
+	switch c.voice {
+	case SayCredit:
+		value = float64(c.limit) * 2 * (1 - c.press) / c.senders
+	case SayWeight:
+		value = 1 - c.press
+	}
+	if c.hung || c.drain {
+		value = 0
+		if c.voice == SayLevel {
+			value = 1
+		}
+	}
+	if math.Abs(value-c.said) > 0.01 {
+		c.said = value
+		c.w.Say(value)
+	}
+}
+
+// ---- 8. Drain.
+
+// leave takes the notice to leave.
+func (c *Controller) leave(kill Time) {
+	if c.drain {
+		return
+	}
+	c.drain, c.kill, c.graceEnd = true, kill, c.now+c.grace
+	c.w.Health(false)
+	c.w.Log(fmt.Sprintf("drain: %d in hand", len(c.s.ids)))
+	for i := range c.s.at {
+		if it := &c.s.at[i]; c.s.find(it.id) == int32(i) && it.phase != over && !it.answered {
+			c.due.put(&c.s, int32(i), min(it.due, kill)-c.spare())
+		}
+	}
+}
--- /dev/null
+++ b/admission/interface.go
@@ -0,0 +1,177 @@
+// Package admission decides what one server takes, runs and turns away.
+package admission
+
+// Time is a clock reading or a span, in tenths of a millisecond.
+type Time int64
+
+// Second is one second of Time.
+const Second Time = 10000
+
+// Repeat says what a second run of a handler's req may do.
+type Repeat uint8
+
+const (
+	Replayable Repeat = iota
+	Uniqued
+	NonReplayable
+)
+
+// Below says what the reqs of a server call while they run.
+type Below uint8
+
+const (
+	BelowNone Below = iota
+	BelowShared
+	BelowTier
+)
+
+// Stop says how running work can be stopped.
+type Stop uint8
+
+const (
+	StopNever Stop = iota
+	StopDrop
+	StopPause
+)
+
+// Voice says what the callers make of the value that goes with every answer.
+type Voice uint8
+
+const (
+	Mute Voice = iota
+	SayLevel
+	SayCredit
+	SayWeight
+)
+
+// Outcome is how a run or a call concluded.
+type Outcome uint8
+
+const (
+	OK Outcome = iota
+	Errored
+	Unrun // proven not to have run
+	Unclear
+	Stopped
+	Moot
+)
+
+// Handler is one kind of req.
+type Handler struct {
+	Target    Time // answers within it earn the full value
+	Timeout   Time // the caller's, over all tries
+	Value     float64
+	LateValue float64 // share of Value earned after Target
+	LeanValue float64 // share of Value earned when a call is skipped; 0 if it can't be
+	Repeat    Repeat
+	Window    Time // a uniqued req may come again for so long
+}
+
+// Tenant is one of those who share the fleet.
+type Tenant struct {
+	Quota float64 // reqs a second over the whole fleet
+}
+
+// Deployment is what a server is told at its start.
+type Deployment struct {
+	Seed     uint64
+	Start    Time
+	Handlers []Handler
+	Tenants  []Tenant
+	Fleet    int
+	Senders  int
+	Stage    int  // place among the tiers, the first being 0
+	Granule  Time // rounds come no more often
+	ByWork   bool // value is counted for each unit of work
+	Beyond   float64
+
+	Cores     int
+	Cold      bool
+	ColdSpeed float64
+	WarmAfter Time
+	Fall      float64 // runs on the cores for each core that a warm server survives
+	MemKB     float64
+	RunFactor float64
+	KeyKB     float64
+
+	Below    Below
+	CallsOut float64 // allowed mean number of calls in the hands of what is shared
+	Span     Time
+	Linger   Time
+
+	Stop       Stop
+	Fresh      Time // a read's answer may serve others for so long
+	DrainGrace Time
+	Voice      Voice
+	MaxPause   Time // longest time to come back that is passed on; 0: none is
+	Idle       Time
+}
+
+// Req is one try of a caller's request, just read.
+type Req struct {
+	ID      uint32
+	Handler int
+	Tenant  int
+	Subject uint64
+	Came    Time // when it reached the machine
+	Due     Time // 0: not stated
+	Hint    Time // expected work; 0: not stated
+	KB      float64
+	Rank    float64
+	Again   bool // a further try or a second copy
+	Prior   uint32
+}
+
+// End is the end of a run; Return is the end of a call.
+type End struct {
+	ID  uint32
+	How Outcome
+	Ran Time
+}
+
+type Return struct {
+	ID   uint32
+	How  Outcome
+	Took Time
+}
+
+// Gauges are the server's own readings, which come with a wake-up.
+type Gauges struct {
+	CoreUse float64
+	OnCores float64
+	Memory  float64
+	Links   float64
+}
+
+// Round is all that came in for one instance at one moment.
+type Round struct {
+	Now      Time
+	Arrived  []Req
+	Returned []Return
+	Needs    []uint32
+	Ended    []End
+	Gone     []uint32
+	Woke     bool
+	Gauged   bool
+	Gauges   Gauges
+	Drain    bool
+	Kill     Time
+}
+
+// Writer takes the decisions, in the order they are made.
+type Writer interface {
+	Run(id uint32)
+	Pause(id uint32) // or drop, where running work can only be dropped
+	Shed(id uint32, last bool, comeBack Time)
+	Fail(id uint32)
+	Call(id uint32, until Time)
+	Skip(id uint32)
+	Remember(id uint32, span Time)
+	Forget(id uint32)
+	Reuse(id uint32)
+	Health(good bool)
+	Say(value float64)
+	IdleClose(after Time)
+	Wake(at Time)
+	Log(line string)
+}
--- /dev/null
+++ b/internal/host/host.go
@@ -0,0 +1,227 @@
+// Package host keeps the instances of one process: wire to rounds, decisions back to the wire.
+package host
+
+import (
+	"bufio"
+	"errors"
+	"fmt"
+	"io"
+
+	"umberwinch/admission"
+	"umberwinch/internal/simwire"
+)
+
+// instance is one server's module with the round being gathered for it.
+type instance struct {
+	num    uint32
+	ctl    *admission.Controller
+	round  admission.Round
+	meters []string
+	seen   bool
+	failed bool
+}
+
+// Host carries the instances of one process.
+type Host struct {
+	all   map[uint32]*instance
+	order []*instance // those with a round to decide, as first named
+	reply simwire.Reply
+	out   writer
+}
+
+func New() *Host {
+	h := &Host{all: make(map[uint32]*instance)}
+	h.out.reply = &h.reply
+	return h
+}
+
+// Serve answers every frame of in on out until the input ends.
+func (h *Host) Serve(in io.Reader, out io.Writer) error {
+	r, w := simwire.NewReader(in), bufio.NewWriterSize(out, 1<<16)
+	var b simwire.Batch
+	for frame := 1; ; frame++ {
+		err := r.Read(&b)
+		if errors.Is(err, io.EOF) {
+			return nil
+		}
+		if err == nil {
+			err = h.batch(&b)
+		}
+		if err != nil {
+			return fmt.Errorf("frame %d: %w", frame, err)
+		}
+		if _, err := h.reply.WriteTo(w); err != nil {
+			return err
+		}
+		if err := w.Flush(); err != nil {
+			return err
+		}
+	}
+}
+
+// batch turns one frame into rounds, and their decisions into the reply.
+func (h *Host) batch(b *simwire.Batch) error {
+	h.reply.Reset()
+	h.order = h.order[:0]
+	now := admission.Time(b.Now / 100)
+	var cur *instance
+	var num uint32
+	var named bool
+	for i := 0; i < b.Count; i++ {
+		e := b.Event(i)
+		switch code := e.Code(); code {
+		case simwire.About:
+			num, named = e.U32(1), true
+			cur = h.all[num]
+			continue
+		case simwire.Spawn:
+			if !named {
+				return fmt.Errorf("record %d: Spawn, expected About before it", i)
+			}
+			in, err := spawn(b, e, num, now)
+			if err != nil {
+				return fmt.Errorf("record %d: instance %d: %w", i, num, err)
+			}
+			h.all[num], cur = in, in
+		case simwire.Halt:
+			if cur == nil {
+				return fmt.Errorf("record %d: Halt for instance %d, expected one that was started", i, num)
+			}
+			cur.seen = false
+			delete(h.all, num)
+			h.unlist(cur)
+			cur = nil
+			continue
+		default:
+			if cur == nil {
+				return fmt.Errorf("record %d: event %d for instance %d, expected one that was started", i, code, num)
+			}
+			if err := cur.gather(e, b.Now); err != nil {
+				return fmt.Errorf("record %d: %w", i, err)
+			}
+		}
+		if !cur.seen {
+			cur.seen = true
+			h.order = append(h.order, cur)
+		}
+	}
+	for _, in := range h.order {
+		in.seen = false
+		in.round.Now = now
+		h.decide(in)
+		r := &in.round
+		*r = admission.Round{Arrived: r.Arrived[:0], Returned: r.Returned[:0], Needs: r.Needs[:0],
+			Ended: r.Ended[:0], Gone: r.Gone[:0]}
+	}
+	return nil
+}
+
+func (h *Host) unlist(in *instance) {
+	for k, o := range h.order {
+		if o == in {
+			h.order = append(h.order[:k], h.order[k+1:]...)
+			return
+		}
+	}
+}
+
+func spawn(b *simwire.Batch, e simwire.Event, num uint32, now admission.Time) (*instance, error) {
+	text, err := b.Tail(e, 9)
+	if err != nil {
+		return nil, err
+	}
+	d, meters, err := simwire.Profile(text)
+	if err != nil {
+		return nil, err
+	}
+	d.Seed, d.Start = e.U64(1), now
+	return &instance{num: num, ctl: admission.New(d), meters: meters}, nil
+}
+
+var outcomes = map[int]admission.Outcome{0: admission.OK, 13: admission.Errored, 8: admission.Unrun,
+	14: admission.Unrun, 4: admission.Unclear, 10: admission.Unclear, 1: admission.Stopped, 9: admission.Moot}
+
+func outcome(rc int) (admission.Outcome, error) {
+	how, ok := outcomes[rc]
+	if !ok {
+		return how, fmt.Errorf("status %d, expected one of the listed endings", rc)
+	}
+	return how, nil
+}
+
+// gather adds one event to the instance's round.
+func (in *instance) gather(e simwire.Event, nowUS uint64) (err error) {
+	r := &in.round
+	id := e.U32(1)
+	switch e.Code() {
+	case simwire.Order:
+		flags := e.U8(39)
+		q := admission.Req{ID: id, Handler: e.U16(5), Tenant: int(e.U32(7)), Subject: e.U64(11),
+			Came: admission.Time((nowUS - min(uint64(e.U32(44)), nowUS)) / 100),
+			Due:  admission.Time(e.U64(19) / 100), KB: e.F32(31), Rank: e.F32(35),
+			Again: flags&2 != 0, Prior: e.U32(48)}
+		if flags&1 != 0 {
+			q.Hint = admission.Time(e.U32(27) / 100)
+		}
+		if q.Handler >= in.ctl.Handlers() {
+			return fmt.Errorf("class %d, expected below %d", q.Handler, in.ctl.Handlers())
+		}
+		r.Arrived = append(r.Arrived, q)
+	case simwire.Ended:
+		end := admission.End{ID: id, Ran: admission.Time(e.U32(5) / 100)}
+		end.How, err = outcome(e.U16(9))
+		r.Ended = append(r.Ended, end)
+	case simwire.ReadyToCall:
+		r.Needs = append(r.Needs, id)
+	case simwire.Called:
+		ret := admission.Return{ID: id, Took: admission.Time(e.U32(7) / 100)}
+		ret.How, err = outcome(e.U16(5))
+		r.Returned = append(r.Returned, ret)
+	case simwire.Hangup:
+		r.Gone = append(r.Gone, id)
+	case simwire.Sigterm:
+		r.Drain, r.Kill = true, admission.Time(e.U64(1)/100)
+	case simwire.TimeoutFired:
+		r.Woke = true
+		if n := int(e.U8(9)); n > 0 {
+			r.Gauged = true
+			for k := 0; k < min(n, 4, len(in.meters)); k++ {
+				v := e.F32(10 + 4*k)
+				switch in.meters[k] {
+				case "core_use":
+					r.Gauges.CoreUse = v
+				case "on_cores":
+					r.Gauges.OnCores = v
+				case "heap_share":
+					r.Gauges.Memory = v
+				case "links":
+					r.Gauges.Links = v
+				}
+			}
+		}
+	default:
+		err = fmt.Errorf("event code %d, expected a known one", e.Code())
+	}
+	return err
+}
+
+// decide plays the round; a panic in the module becomes the declaration of its failure.
+func (h *Host) decide(in *instance) {
+	mark := h.reply.Mark()
+	defer func() {
+		if p := recover(); p != nil {
+			in.failed = true
+			h.reply.Cut(mark)
+			h.reply.ID(simwire.Source, in.num)
+			h.reply.Text(simwire.Die, fmt.Sprint("admission: ", p))
+		}
+	}()
+	if in.failed {
+		return
+	}
+	h.reply.ID(simwire.Source, in.num)
+	in.ctl.Decide(&in.round, &h.out)
+	if h.reply.Mark() == mark+1 {
+		h.reply.Cut(mark)
+	}
+}
--- /dev/null
+++ b/internal/simwire/profile.go
@@ -0,0 +1,139 @@
+package simwire
+
+import (
+	"encoding/json"
+	"errors"
+	"fmt"
+	"math"
+
+	"umberwinch/admission"
+)
+
+// profile is the start-up text as it comes; unknown keys are passed over.
+type profile struct {
+	Classes []struct {
+		Gain      float64 `json:"gain"`
+		Late      float64 `json:"late_share"`
+		GiveUp    float64 `json:"give_up"`
+		Promise   float64 `json:"promise"`
+		Semantics string  `json:"semantics"`
+		Window    float64 `json:"window"`
+	} `json:"classes"`
+	Customers []struct {
+		Quota float64 `json:"quota_per_s"`
+	} `json:"customers"`
+	Family struct {
+		Below      string    `json:"below"`
+		CallsOut   float64   `json:"calls_out"`
+		Cold       bool      `json:"cold"`
+		Cores      int       `json:"cores"`
+		Degraded   []float64 `json:"degraded_worth"`
+		Fresh      float64   `json:"fresh"`
+		Idle       float64   `json:"idle"`
+		KeyKB      float64   `json:"key_kb"`
+		Linger     float64   `json:"linger"`
+		MemoryKB   float64   `json:"memory_kb"`
+		Meters     []string  `json:"meters"`
+		Preemption string    `json:"preemption"`
+		RunFactor  float64   `json:"run_factor"`
+		Say        string    `json:"say"`
+		Senders    int       `json:"senders"`
+		ShareSpan  float64   `json:"share_span"`
+	} `json:"family_info"`
+	Fleet       int     `json:"fleet_size"`
+	Granularity float64 `json:"granularity"`
+	Invariants  struct {
+		DrainGrace    float64 `json:"drain_grace"`
+		FallMultiple  float64 `json:"fall_multiple"`
+		StartCapacity float64 `json:"start_capacity"`
+		WarmAfter     float64 `json:"warm_after"`
+	} `json:"invariants"`
+	Limits struct {
+		MaxRetryAfter float64 `json:"max_retry_after"`
+		RetryAfter    bool    `json:"retry_after"`
+	} `json:"limits"`
+	OverShare float64 `json:"over_share_worth"`
+	Stage     int     `json:"stage"`
+	WorthBy   string  `json:"worth_by"`
+}
+
+var (
+	repeats = map[string]admission.Repeat{"idempotent": admission.Replayable,
+		"deduplicated": admission.Uniqued, "at_most_once": admission.NonReplayable}
+	belows = map[string]admission.Below{"": admission.BelowNone, "off": admission.BelowNone,
+		"shared": admission.BelowShared, "tier": admission.BelowTier}
+	stops = map[string]admission.Stop{"": admission.StopNever, "off": admission.StopNever,
+		"drop": admission.StopDrop, "pause": admission.StopPause}
+	voices = map[string]admission.Voice{"": admission.Mute, "off": admission.Mute,
+		"level": admission.SayLevel, "credit": admission.SayCredit, "weight": admission.SayWeight}
+)
+
+// span turns microseconds to whole tenths of a millisecond, down.
+func span(us float64) admission.Time { return admission.Time(us / 100) }
+
+func pick[T any](words map[string]T, word, key string) (T, error) {
+	v, ok := words[word]
+	if !ok {
+		return v, fmt.Errorf("settings: %s is %q, which is not known", key, word)
+	}
+	return v, nil
+}
+
+// Profile reads the start-up text; meters are the gauges' names in order.
+func Profile(text []byte) (d *admission.Deployment, meters []string, err error) {
+	var p profile
+	if err := json.Unmarshal(text, &p); err != nil {
+		return nil, nil, fmt.Errorf("settings are not JSON as expected: %w", err)
+	}
+	f := &p.Family
+	switch {
+	case len(p.Classes) == 0:
+		return nil, nil, errors.New("settings: no classes, expected at least one")
+	case f.Cores < 1 || f.Cores > 1<<16:
+		return nil, nil, fmt.Errorf("settings: family_info.cores is %d, expected 1 or more", f.Cores)
+	case !(f.MemoryKB > 0) || f.RunFactor < 0 || f.KeyKB < 0:
+		return nil, nil, errors.New("settings: family_info.memory_kb, run_factor or key_kb is out of range")
+	case p.Invariants.FallMultiple < 0 || p.Granularity < 0 || p.Invariants.DrainGrace < 0:
+		return nil, nil, errors.New("settings: invariants or granularity are below zero")
+	}
+	d = &admission.Deployment{Fleet: max(p.Fleet, 1), Senders: max(f.Senders, 1), Stage: max(p.Stage, 0),
+		Granule: max(span(p.Granularity+99), 1), ByWork: p.WorthBy == "work", Beyond: p.OverShare,
+		Cores: f.Cores, Cold: f.Cold, ColdSpeed: p.Invariants.StartCapacity,
+		WarmAfter: span(p.Invariants.WarmAfter), Fall: p.Invariants.FallMultiple, MemKB: f.MemoryKB,
+		RunFactor: math.Max(f.RunFactor, 1), KeyKB: f.KeyKB, CallsOut: f.CallsOut,
+		Span: span(f.ShareSpan), Linger: span(f.Linger), Fresh: span(f.Fresh),
+		DrainGrace: span(p.Invariants.DrainGrace), Idle: span(f.Idle)}
+	if p.Limits.RetryAfter {
+		d.MaxPause = span(p.Limits.MaxRetryAfter)
+	}
+	if d.Below, err = pick(belows, f.Below, "family_info.below"); err != nil {
+		return nil, nil, err
+	}
+	if d.Stop, err = pick(stops, f.Preemption, "family_info.preemption"); err != nil {
+		return nil, nil, err
+	}
+	if d.Voice, err = pick(voices, f.Say, "family_info.say"); err != nil {
+		return nil, nil, err
+	}
+	for i, c := range p.Classes {
+		h := admission.Handler{Target: span(c.Promise), Timeout: span(c.GiveUp), Value: c.Gain,
+			LateValue: c.Late, Window: span(c.Window + 99)}
+		if h.Timeout <= 0 {
+			return nil, nil, fmt.Errorf("settings: classes[%d].give_up is %g, expected above 0", i, c.GiveUp)
+		}
+		if h.Target <= 0 || h.Target > h.Timeout {
+			h.Target = h.Timeout
+		}
+		if h.Repeat, err = pick(repeats, c.Semantics, "classes[].semantics"); err != nil {
+			return nil, nil, err
+		}
+		if i < len(f.Degraded) {
+			h.LeanValue = f.Degraded[i]
+		}
+		d.Handlers = append(d.Handlers, h)
+	}
+	for _, c := range p.Customers {
+		d.Tenants = append(d.Tenants, admission.Tenant{Quota: c.Quota})
+	}
+	return d, f.Meters, nil
+}
