--- a/admission/admission.go
+++ b/admission/admission.go
@@ -77,12 +77,12 @@
 	said                  float64
 	stage                 float64
 	shared, tiered        bool
-	allowed               float64
+	allowed, most         float64
 	linger                Time
 	calls                 list
 	out                   int // calls in hand
 	outAt                 Time
-	hands                 ring
+	hands, ghosts         ring
 	took, refused, passed ring
 	callTime              float64
 	nextCall              Time
@@ -111,15 +111,16 @@
 		due: newWheel(4096, tick, d.Start),
 		// Two seconds of calls, in steps short beside a trouble: long enough for a mean at a few calls a second.
 		took: newRing(8, Second/4), refused: newRing(8, Second/4), passed: newRing(8, Second/4),
-		hands: newRing(10, max(d.Span, Second)/10),
+		hands: newRing(10, max(d.Span, Second)/10), ghosts: newRing(5, max(d.Linger, 4)/4),
 	}
 	if d.Cold && d.ColdSpeed > 0 && d.ColdSpeed < 1 {
 		c.cold, c.warmAt = d.ColdSpeed, d.Start+d.WarmAfter
 	}
 	// A twentieth of memory is left free: what a round brings in is counted only after it was read.
 	c.memTop = d.MemKB * 0.95
-	// Of what the shared dependency survives each server means to use under a half: it slows long before.
-	c.allowed = d.CallsOut * 0.45
+	// It slows long before it falls: the pace aims at a quarter of what it survives, and at no moment are
+	// more than nine tenths in hand, so that no mean over the span can come to the whole.
+	c.allowed, c.most = d.CallsOut/4, d.CallsOut*0.9
 	for _, h := range d.Handlers {
 		c.h = append(c.h, handler{Handler: h, laps: newRing(8, Second/2), work: newRing(8, Second/2),
 			unit: 1, own: float64(h.Target) / 8})
@@ -392,7 +393,7 @@
 func (c *Controller) makeCalls() {
 	gap := c.callGap()
 	for c.calls.head != none && c.nextCall <= c.now {
-		if c.shared && c.meanHands() > 2*c.allowed {
+		if c.shared && !c.callRoom() {
 			return
 		}
 		i := c.calls.head
@@ -407,6 +408,16 @@
 	}
 }
 
+// callRoom says whether one more call can be in hand, those given up counted for their linger. Where the
+// allowance is under one call, calls are made one at a time, and only while their mean leaves room.
+func (c *Controller) callRoom() bool {
+	given, _ := c.ghosts.sums(c.now)
+	if n := float64(c.out) + given; n > 0 {
+		return n+1 <= c.most
+	}
+	return c.most >= 1 || c.meanHands() < c.most/2
+}
+
 // callGap is the time between calls: the allowed number in hand over the recent time of a call. What lies
 // in a tier states no allowance: while it refuses, the pace follows what comes back from it.
 func (c *Controller) callGap() Time {
@@ -446,6 +457,12 @@
 	return sum / float64(c.hands.span())
 }
 
+// giveUpCall counts a call that stays in the dependency's hands for its linger.
+func (c *Controller) giveUpCall() {
+	c.hands.add(c.now, float64(c.linger), 0)
+	c.ghosts.add(c.now, 1, 0)
+}
+
 // returned takes the end of a call.
 func (c *Controller) returned(b Return) {
 	i := c.s.find(b.ID)
@@ -469,8 +486,7 @@
 		c.refused.add(c.now, 1, 0)
 	default:
 		c.took.add(c.now, float64(b.Took), 1)
-		// A call given up stays in the dependency's hands for its linger.
-		c.hands.add(c.now, float64(c.linger), 0)
+		c.giveUpCall()
 	}
 	if it.answered {
 		return
@@ -732,7 +748,7 @@
 	case outside:
 		c.countHands()
 		c.out--
-		c.hands.add(c.now, float64(c.linger), 0)
+		c.giveUpCall()
 	}
 	c.running--
 	c.mem -= it.kb * (c.runKB - 1)
