--- a/admission/admission.go
+++ b/admission/admission.go
@@ -866,7 +866,7 @@
 	if c.hung || c.drain {
 		return c.maxPause
 	}
-	return min(c.lap/4, c.maxPause)
+	return min(c.lap, c.maxPause)
 }
 
 // advise moves the value that goes with every answer.
