--- a/admission/admission.go
+++ b/admission/admission.go
@@ -211,7 +211,10 @@
 	}
 	it.cost = h.unit
 	c.mem += it.kb
-	c.t[it.t].came.add(c.now, 1, 0)
+	if !q.Again {
+		// Further tries of what was turned away would make a tenant look beyond its share.
+		c.t[it.t].came.add(c.now, 1, 0)
+	}
 	c.cell(it).work.add(c.now, h.own, 1)
 }
 
@@ -258,9 +261,9 @@
 		b = min(max(target-1.3*est, target/8), target*0.6)
 	}
 	// While the hold is long, what earns least for its work (beyond a tenant's share above all) waits least,
-	// down to a fifth: the lap then settles where the least of what the cores can do still gets its turn.
+	// down to a tenth: the lap then settles where the least of what the cores can do still gets its turn.
 	if c.long > 0 {
-		b *= 0.2 + 0.8*min(1, c.cell(it).stand/0.7)
+		b *= 0.1 + 0.9*c.cell(it).stand*c.cell(it).stand
 	}
 	return Time(b)
 }
