Scenarios for the four rules and strict order; equals are not shortened; time to come back always named

A hang needs half a target without movement: one heavy run on few cores was taken for one. Ends are read before arrivals, so that memory is not counted twice in a round.

--- a/admission/admission.go
+++ b/admission/admission.go
@@ -136,7 +136,7 @@
 	}
 	c.cells = make([]cell, len(c.h)*len(c.t))
 	for k := range c.cells {
-		c.cells[k].work = newRing(10, Second/2)
+		c.cells[k].work, c.cells[k].stand = newRing(10, Second/2), 1
 		c.byRank = append(c.byRank, k)
 	}
 	return c
@@ -155,12 +155,6 @@
 	if r.Drain {
 		c.leave(r.Kill)
 	}
-	for k := range r.Arrived {
-		c.enter(&r.Arrived[k])
-	}
-	for k := range r.Arrived {
-		c.door(c.s.find(r.Arrived[k].ID), r.Arrived[k].Prior)
-	}
 	for _, b := range r.Returned {
 		c.returned(b)
 	}
@@ -170,6 +164,12 @@
 	for _, e := range r.Ended {
 		c.ended(e)
 	}
+	for k := range r.Arrived {
+		c.enter(&r.Arrived[k])
+	}
+	for k := range r.Arrived {
+		c.door(c.s.find(r.Arrived[k].ID), r.Arrived[k].Prior)
+	}
 	for _, id := range r.Gone {
 		c.gone(c.s.find(id))
 	}
@@ -285,7 +285,6 @@
 			t.full = c.beyond + (1-c.beyond)*t.fair/n
 		}
 	}
-	total := 0.0
 	for k := range c.cells {
 		l, h := &c.cells[k], &c.h[k/len(c.t)]
 		h.own = h.work.mean(c.now, h.own)
@@ -293,8 +292,6 @@
 		if !c.byWork {
 			l.earns /= max(h.own, 1)
 		}
-		w, _ := l.work.sums(c.now)
-		total += w
 	}
 	slices.SortStableFunc(c.byRank, func(a, b int) int {
 		switch {
@@ -305,13 +302,23 @@
 		}
 		return 0
 	})
-	sum := 0.0
+	// What earns alike stands alike: its standing is the work that earns clearly less, of all the work that
+	// earns less than the best. Where nothing earns less, all stand at the top and no bound is shortened.
+	sum, less, from := 0.0, 0.0, 0.0
 	for _, k := range c.byRank {
 		l := &c.cells[k]
+		if l.earns > 1.05*from {
+			less, from = sum, l.earns
+		}
+		l.stand = less
 		w, _ := l.work.sums(c.now)
-		l.stand = (sum + w/2) / max(total, 1)
 		sum += w
 	}
+	for k := range c.cells {
+		if c.cells[k].stand = c.cells[k].stand / max(less, 1); less == 0 {
+			c.cells[k].stand = 1
+		}
+	}
 }
 
 // ---- 3. Slots.
@@ -835,11 +842,12 @@
 	} else {
 		c.stuck += dt
 	}
-	usual := 0.0
+	usual := float64(Second)
 	for k := range c.h {
-		usual = max(usual, c.h[k].lap*c.h[k].unit)
+		// One heavy run on a core or two may take half a target without anything being wrong.
+		usual = max(usual, 4*c.h[k].lap*c.h[k].unit, float64(c.h[k].Target)/2)
 	}
-	if !c.hung && c.stuck > max(Second, Time(4*usual)) && float64(c.running) >= c.cores {
+	if !c.hung && c.stuck > Time(usual) && float64(c.running) >= c.cores {
 		c.hung = true
 		c.w.Health(false)
 		c.w.Log("hung: started work does not finish")
@@ -864,12 +872,16 @@
 	return c.running == 0 && c.hold.n == 0 && c.h[it.h].Repeat == Replayable
 }
 
-// comeBack is how long until the hold will have shortened.
+// comeBack is how long until the hold will have shortened: a lap of it, by the last start or its head.
 func (c *Controller) comeBack() Time {
 	if c.hung || c.drain {
 		return c.maxPause
 	}
-	return min(c.lap, c.maxPause)
+	wait := max(c.lap, rest)
+	if c.hold.head != none {
+		wait = max(wait, c.now-c.s.at[c.hold.head].came)
+	}
+	return min(wait, c.maxPause)
 }
 
 // advise moves the value that goes with every answer.
--- /dev/null
+++ b/admission/scenario_test.go
@@ -0,0 +1,332 @@
+package admission
+
+import (
+	"fmt"
+	"os"
+	"path/filepath"
+	"slices"
+	"strconv"
+	"strings"
+	"testing"
+)
+
+// Scenarios are the text files in testdata. A line is one of:
+//
+//	server KEY=VALUE ...         settings that differ from the default server below; times in ms
+//	handler KEY=VALUE ...        a handler, numbered from 0 in order; the first line replaces the default one
+//	tenant QUOTA                 a tenant, numbered from 0 in order
+//	gauges on=N                  what wants the cores, from the next wake-up on; auto: the runs not at calls
+//	at MS: EVENT; EVENT          plays the wake-ups asked for until MS, then one round with the events
+//	does DECISION; ...           exactly these, in order, since the line before; nothing: none
+//	among DECISION; ...          these are among them
+//	still MS                     the process stands still so long: wake-ups come late
+//	never DECISION               not since the scenario began
+//
+// Events: arrive ID [h=N t=N came=MS due=MS hint=MS kb=N prior=ID again], end ID OUTCOME [MS], need ID,
+// back ID OUTCOME [MS], gone ID, drain MS (the kill).
+type scene struct {
+	t     *testing.T
+	file  string
+	line  int
+	d     Deployment
+	c     *Controller
+	now   Time
+	wake  Time
+	on    float64
+	auto  bool
+	busy  map[uint32]bool
+	log   []string
+	all   []string
+	until map[uint32]Time
+}
+
+func (s *scene) note(f string, a ...any) { s.log = append(s.log, fmt.Sprintf(f, a...)) }
+
+func (s *scene) Run(id uint32)   { s.busy[id] = true; s.note("run %d", id) }
+func (s *scene) Pause(id uint32) { s.note("pause %d", id) }
+func (s *scene) Fail(id uint32)  { s.note("fail %d", id) }
+func (s *scene) Shed(id uint32, last bool, comeBack Time) {
+	line := fmt.Sprintf("shed %d", id)
+	if last {
+		line += " last"
+	}
+	if comeBack > 0 {
+		line += " back"
+	}
+	s.note("%s", line)
+}
+func (s *scene) Call(id uint32, until Time) {
+	delete(s.busy, id)
+	s.note("call %d", id)
+	if until <= s.now {
+		s.t.Errorf("%s:%d: call %d until %d, not past now %d", s.file, s.line, id, until, s.now)
+	}
+}
+func (s *scene) Skip(id uint32)             { s.busy[id] = true; s.note("skip %d", id) }
+func (s *scene) Remember(id uint32, _ Time) { s.note("remember %d", id) }
+func (s *scene) Forget(id uint32)           { s.note("forget %d", id) }
+func (s *scene) Reuse(id uint32)            { s.note("reuse %d", id) }
+func (s *scene) Health(good bool)           { s.note("health %v", good) }
+func (s *scene) Say(v float64)              { s.note("say %.1f", v) }
+func (s *scene) IdleClose(Time)             {}
+func (s *scene) Log(string)                 {}
+func (s *scene) Wake(at Time) {
+	if s.wake > 0 {
+		s.t.Errorf("%s:%d: a second timer", s.file, s.line)
+	}
+	if at <= s.now {
+		s.t.Errorf("%s:%d: wake-up at %d, not past now %d", s.file, s.line, at, s.now)
+	}
+	s.wake = at
+}
+
+func (s *scene) fatal(f string, a ...any) {
+	s.t.Helper()
+	s.t.Fatalf("%s:%d: %s", s.file, s.line, fmt.Sprintf(f, a...))
+}
+
+func (s *scene) num(text string) float64 {
+	v, err := strconv.ParseFloat(text, 64)
+	if err != nil {
+		s.fatal("%q is not a number", text)
+	}
+	return v
+}
+
+func (s *scene) ms(text string) Time { return Time(s.num(text) * 10) }
+
+// pairs calls f with each KEY=VALUE; a word alone has no value.
+func (s *scene) pairs(words []string, f func(k, v string) bool) {
+	for _, w := range words {
+		k, v, _ := strings.Cut(w, "=")
+		if !f(k, v) {
+			s.fatal("%q is not known", w)
+		}
+	}
+}
+
+func (s *scene) server(k, v string) bool {
+	d := &s.d
+	switch k {
+	case "cores":
+		d.Cores = int(s.num(v))
+	case "mem":
+		d.MemKB = s.num(v)
+	case "factor":
+		d.RunFactor = s.num(v)
+	case "key":
+		d.KeyKB = s.num(v)
+	case "cold":
+		d.Cold, d.ColdSpeed, d.WarmAfter = true, s.num(v), 10*Second
+	case "stop":
+		d.Stop = map[string]Stop{"never": StopNever, "drop": StopDrop, "pause": StopPause}[v]
+	case "fresh":
+		d.Fresh = s.ms(v)
+	case "calls":
+		d.Below, d.CallsOut, d.Span, d.Linger = BelowShared, s.num(v), 5*Second, Second/5
+	case "tier":
+		d.Below = BelowTier
+	case "fleet":
+		d.Fleet = int(s.num(v))
+	case "say":
+		d.Voice = map[string]Voice{"level": SayLevel, "credit": SayCredit, "weight": SayWeight}[v]
+	case "mute":
+		d.MaxPause = 0
+	default:
+		return false
+	}
+	return true
+}
+
+func (s *scene) handler(words []string) {
+	h := Handler{Target: 2 * Second, Timeout: 6 * Second, Value: 1}
+	s.pairs(words, func(k, v string) bool {
+		switch k {
+		case "target":
+			h.Target = s.ms(v)
+		case "timeout":
+			h.Timeout = s.ms(v)
+		case "value":
+			h.Value = s.num(v)
+		case "lean":
+			h.LeanValue = s.num(v)
+		case "uniqued":
+			h.Repeat, h.Window = Uniqued, 10*Second
+		case "nonreplayable":
+			h.Repeat = NonReplayable
+		default:
+			return false
+		}
+		return true
+	})
+	s.d.Handlers = append(s.d.Handlers, h)
+}
+
+// round plays one round and checks what holds after every one.
+func (s *scene) round(r Round) {
+	if s.c == nil {
+		if len(s.d.Handlers) == 0 {
+			s.handler(nil)
+		}
+		s.c = New(&s.d)
+	}
+	r.Now = s.now
+	if r.Woke {
+		s.wake = 0
+		r.Gauged = true
+		if r.Gauges.OnCores = s.on; s.auto {
+			r.Gauges.OnCores = float64(len(s.busy))
+		}
+	}
+	s.c.Decide(&r, s)
+	if s.c.mem < -0.01 || s.c.mem > s.d.MemKB {
+		s.fatal("memory in use is %.1f of %.1f", s.c.mem, s.d.MemKB)
+	}
+	if s.c.running < 0 || s.c.out < 0 || s.c.hold.n < 0 {
+		s.fatal("runs %d, calls in hand %d, held %d", s.c.running, s.c.out, s.c.hold.n)
+	}
+}
+
+func (s *scene) at(when Time, events string) {
+	for s.wake > 0 && s.wake < when {
+		s.now = s.wake
+		s.round(Round{Woke: true})
+	}
+	s.now = when
+	var r Round
+	r.Woke = s.wake == when
+	how := map[string]Outcome{"ok": OK, "error": Errored, "unrun": Unrun, "unclear": Unclear, "stopped": Stopped}
+	for _, ev := range strings.Split(events, ";") {
+		w := strings.Fields(ev)
+		if len(w) < 2 {
+			continue
+		}
+		id := uint32(s.num(w[1]))
+		took := Time(0)
+		if len(w) > 3 && w[0] != "arrive" {
+			took = s.ms(w[3])
+		}
+		switch w[0] {
+		case "arrive":
+			q := Req{ID: id, Came: when, KB: 1}
+			s.pairs(w[2:], func(k, v string) bool {
+				switch k {
+				case "h":
+					q.Handler = int(s.num(v))
+				case "t":
+					q.Tenant = int(s.num(v))
+				case "came":
+					q.Came = s.ms(v)
+				case "due":
+					q.Due = s.ms(v)
+				case "hint":
+					q.Hint = s.ms(v)
+				case "kb":
+					q.KB = s.num(v)
+				case "prior":
+					q.Prior = uint32(s.num(v))
+				case "again":
+					q.Again = true
+				default:
+					return false
+				}
+				return true
+			})
+			r.Arrived = append(r.Arrived, q)
+		case "end":
+			delete(s.busy, id)
+			r.Ended = append(r.Ended, End{ID: id, How: how[w[2]], Ran: took})
+		case "need":
+			delete(s.busy, id)
+			r.Needs = append(r.Needs, id)
+		case "back":
+			s.busy[id] = how[w[2]] == OK
+			r.Returned = append(r.Returned, Return{ID: id, How: how[w[2]], Took: took})
+		case "gone":
+			r.Gone = append(r.Gone, id)
+		case "drain":
+			r.Drain, r.Kill = true, s.ms(w[1])
+		default:
+			s.fatal("event %q is not known", ev)
+		}
+	}
+	s.round(r)
+}
+
+func decisions(text string) (out []string) {
+	for _, part := range strings.Split(text, ";") {
+		if part = strings.TrimSpace(part); part != "" && part != "nothing" {
+			out = append(out, part)
+		}
+	}
+	return out
+}
+
+func (s *scene) play(line string) {
+	word, rest, _ := strings.Cut(line, " ")
+	switch word {
+	case "server":
+		s.pairs(strings.Fields(rest), s.server)
+	case "handler":
+		s.handler(strings.Fields(rest))
+	case "tenant":
+		s.d.Tenants = append(s.d.Tenants, Tenant{Quota: s.num(rest)})
+	case "gauges":
+		s.auto = rest == "auto"
+		if !s.auto {
+			s.on = s.num(strings.TrimPrefix(rest, "on="))
+		}
+	case "at":
+		s.log = s.log[:0]
+		when, events, ok := strings.Cut(rest, ":")
+		if !ok {
+			s.fatal("no colon after the time")
+		}
+		s.at(s.ms(when), events)
+		s.all = append(s.all, s.log...)
+	case "still":
+		s.wake += s.ms(rest)
+		s.now += s.ms(rest)
+	case "does":
+		if want := decisions(rest); !slices.Equal(want, s.log) {
+			s.t.Errorf("%s:%d: got %q, want %q", s.file, s.line, s.log, want)
+		}
+	case "among":
+		for _, want := range decisions(rest) {
+			if !slices.Contains(s.log, want) {
+				s.t.Errorf("%s:%d: %q is not in %q", s.file, s.line, want, s.log)
+			}
+		}
+	case "never":
+		if slices.Contains(s.all, rest) {
+			s.t.Errorf("%s:%d: %q was decided", s.file, s.line, rest)
+		}
+	default:
+		s.fatal("%q is not known", word)
+	}
+}
+
+func TestScenarios(t *testing.T) {
+	files, err := filepath.Glob("testdata/*.txt")
+	if err != nil || len(files) == 0 {
+		t.Fatalf("no scenarios: %v", err)
+	}
+	for _, file := range files {
+		text, err := os.ReadFile(file)
+		if err != nil {
+			t.Fatal(err)
+		}
+		t.Run(strings.TrimSuffix(filepath.Base(file), ".txt"), func(t *testing.T) {
+			s := &scene{t: t, file: file, auto: true, busy: map[uint32]bool{}}
+			s.d = Deployment{Cores: 1, MemKB: 1000, RunFactor: 4, KeyKB: 5, Fall: 5, Fleet: 1, Senders: 1,
+				Granule: 10, Stop: StopPause, DrainGrace: Second, MaxPause: Second, Beyond: 0.05}
+			for k, line := range strings.Split(string(text), "\n") {
+				s.line = k + 1
+				line, _, _ = strings.Cut(line, "#")
+				if line = strings.TrimSpace(line); line != "" {
+					s.play(line)
+				}
+			}
+		})
+	}
+}
--- /dev/null
+++ b/internal/host/host_test.go
@@ -0,0 +1,122 @@
+package host
+
+import (
+	"bytes"
+	"encoding/binary"
+	"fmt"
+	"strings"
+	"testing"
+)
+
+const settings = `{"classes": [{"gain": 1, "give_up": 6e6, "promise": 2e6, "semantics": "idempotent"}],
+ "family_info": {"cores": 1, "memory_kb": 1000, "meters": ["core_use"], "new_key": 1}, "granularity": 2000}`
+
+// rec is an event record: a code, then fields of the width of their type.
+func rec(code byte, fields ...any) []byte {
+	var b bytes.Buffer
+	b.WriteByte(code)
+	for _, f := range fields {
+		if err := binary.Write(&b, binary.BigEndian, f); err != nil {
+			panic(err)
+		}
+	}
+	return append(b.Bytes(), make([]byte, 56-b.Len())...)
+}
+
+func frame(tail string, recs ...[]byte) []byte {
+	var b []byte
+	b = binary.BigEndian.AppendUint32(b, uint32(16+56*len(recs)+len(tail)))
+	b = binary.BigEndian.AppendUint64(b, 5_000_000)
+	b = binary.BigEndian.AppendUint32(b, uint32(len(recs)))
+	for _, r := range recs {
+		b = append(b, r...)
+	}
+	return append(b, tail...)
+}
+
+func start(text string) []byte {
+	return frame(text, rec(100, uint32(3)), rec(10, uint64(7), uint32(0), uint32(len(text))))
+}
+
+func order(id uint32) []byte { return rec(20, id) }
+
+func serve(in ...[]byte) (codes string, err error) {
+	var out bytes.Buffer
+	err = New().Serve(bytes.NewReader(bytes.Join(in, nil)), &out)
+	for b := out.Bytes(); len(b) >= 8; {
+		size, n := binary.BigEndian.Uint32(b), int(binary.BigEndian.Uint32(b[4:]))
+		for k := 0; k < n; k++ {
+			codes += fmt.Sprint(b[8+24*k], " ")
+		}
+		codes += "| "
+		b = b[size:]
+	}
+	return codes, err
+}
+
+func TestFrames(t *testing.T) {
+	about := rec(100, uint32(3))
+	long := frame("", order(1))
+	binary.BigEndian.PutUint32(long, uint32(len(long)+9))
+	short := frame("", order(1))
+	binary.BigEndian.PutUint32(short, 12)
+	many := frame("", order(1))
+	binary.BigEndian.PutUint32(many[12:], 2)
+	for _, c := range []struct {
+		name, codes, err string
+		in               [][]byte
+	}{
+		{"empty batch, then the end", "| ", "", [][]byte{frame("")}},
+		{"start, order, halt and a new start in one batch", "70 50 130 | 70 150 | 70 50 130 | ", "",
+			[][]byte{start(settings), frame("", about, order(1)),
+				frame(settings, about, rec(90), rec(10, uint64(8), uint32(0), uint32(len(settings))))}},
+		{"truncated header", "| ", "frame 2: truncated in the header", [][]byte{frame(""), {0, 0, 1}}},
+		{"truncated body", "", "frame 1: truncated, got 66 bytes, expected 72", [][]byte{frame("", order(1))[:66]}},
+		{"longer than it says", "", "frame 1: truncated, got 72 bytes, expected 81", [][]byte{long}},
+		{"shorter than it says", "", "frame 1: size 12, expected", [][]byte{short}},
+		{"count does not fit", "", "frame 1: 2 records do not fit, expected at most 1", [][]byte{many}},
+		{"unknown code", "70 50 130 | ", "frame 2: record 1: event code 77", [][]byte{start(settings),
+			frame("", about, rec(77))}},
+		{"tail out of range", "", "frame 1: record 1: instance 3: tail reference 4+900 out of range",
+			[][]byte{frame("abc", about, rec(10, uint64(7), uint32(4), uint32(900)))}},
+		{"never started", "", "frame 1: record 1: event 20 for instance 3", [][]byte{frame("", about, order(1))}},
+		{"unknown class", "70 50 130 | ", "frame 2: record 1: class 9, expected below 1", [][]byte{start(settings),
+			frame("", about, rec(20, uint32(1), uint16(9)))}},
+		{"unknown status", "70 50 130 | ", "frame 2: record 1: status 99", [][]byte{start(settings),
+			frame("", about, rec(30, uint32(1), uint32(0), uint16(99)))}},
+		{"settings not JSON", "", "frame 1: record 1: instance 3: settings are not JSON", [][]byte{start("no")}},
+		{"no handlers", "", "settings: no classes", [][]byte{start(`{"family_info": {"cores": 1, "memory_kb": 9}}`)}},
+		{"no cores", "", "family_info.cores is 0", [][]byte{start(strings.Replace(settings, `"cores": 1`, `"cores": 0`, 1))}},
+		{"no client timeout", "", "classes[0].give_up", [][]byte{start(strings.Replace(settings, "6e6", "0", 1))}},
+		{"unknown semantics", "", `"magic", which is not known`,
+			[][]byte{start(strings.Replace(settings, "idempotent", "magic", 1))}},
+	} {
+		codes, err := serve(c.in...)
+		if c.err == "" && err != nil || c.err != "" && (err == nil || !strings.Contains(err.Error(), c.err)) {
+			t.Errorf("%s: error %v, want %q", c.name, err, c.err)
+		}
+		if codes != c.codes {
+			t.Errorf("%s: replied %q, want %q", c.name, codes, c.codes)
+		}
+	}
+}
+
+// A panic in the module is declared as the failure of that instance, and of no other.
+func TestPanic(t *testing.T) {
+	h := New()
+	var out bytes.Buffer
+	if err := h.Serve(bytes.NewReader(start(settings)), &out); err != nil {
+		t.Fatal(err)
+	}
+	h.all[3].ctl = nil
+	h.all[3].round.Woke = true
+	h.reply.Reset()
+	h.decide(h.all[3])
+	out.Reset()
+	if _, err := h.reply.WriteTo(&out); err != nil {
+		t.Fatal(err)
+	}
+	if b := out.Bytes(); b[7] != 2 || b[8] != 70 || b[32] != 30 || !bytes.Contains(b, []byte("admission: ")) {
+		t.Errorf("replied % x", b)
+	}
+}
