--- a/admission/admission.go
+++ b/admission/admission.go
@@ -88,6 +88,9 @@
 	nextCall              Time
 
 	hung     bool
+	swamped  bool
+	stale    ring // reqs that were read too late to be of use, of all that were read
+	good     bool // what health checks are told
 	stuck    Time // how long started work has not moved
 	lastTick Time
 	slowTick Time
@@ -110,7 +113,8 @@
 		// 4096 buckets of a tick reach 80 s, past every client timeout; what lies further is filed again.
 		due: newWheel(4096, tick, d.Start),
 		// Two seconds of calls, in steps short beside a trouble: long enough for a mean at a few calls a second.
-		took: newRing(8, Second/4), refused: newRing(8, Second/4), passed: newRing(8, Second/4),
+		stale: newRing(4, Second/4),
+		took:  newRing(8, Second/4), refused: newRing(8, Second/4), passed: newRing(8, Second/4),
 		hands: newRing(10, max(d.Span, Second)/10), ghosts: newRing(5, max(d.Linger, 4)/4),
 	}
 	if d.Cold && d.ColdSpeed > 0 && d.ColdSpeed < 1 {
@@ -149,7 +153,7 @@
 func (c *Controller) Decide(r *Round, w Writer) {
 	c.now, c.w = max(r.Now, c.now), w
 	if !c.greeted {
-		c.greeted = true
+		c.greeted, c.good = true, true
 		w.Health(true)
 	}
 	if r.Drain {
@@ -216,6 +220,11 @@
 		c.t[it.t].came.add(c.now, 1, 0)
 	}
 	c.cell(it).work.add(c.now, h.own, 1)
+	late := 0.0
+	if c.now-it.came > h.Target/2 {
+		late = 1
+	}
+	c.stale.add(c.now, late, 1)
 }
 
 func (c *Controller) cell(it *item) *cell { return &c.cells[int(it.h)*len(c.t)+int(it.t)] }
@@ -849,12 +858,37 @@
 	}
 	if !c.hung && c.stuck > Time(usual) && float64(c.running) >= c.cores {
 		c.hung = true
-		c.w.Health(false)
 		c.w.Log("hung: started work does not finish")
 		for c.hold.head != none {
 			c.shed(c.hold.head, false)
 		}
 	}
+	c.wade()
+	c.health()
+}
+
+// wade sees a server swamped by what it has not read yet: nearly all it reads has waited unread for half its
+// target, so reading is all it does, for nobody. Once checks are told so, what comes in dries up, and it is
+// well again when what it reads is fresh, or nothing is left. Guards against slowness, bursts and callers
+// that try again without limit; could harm where the whole fleet is swamped and goes off at once.
+func (c *Controller) wade() {
+	late, all := c.stale.sums(c.now)
+	switch {
+	case !c.swamped && all >= c.cores && late > 0.8*all:
+		c.swamped = true
+		c.w.Log("swamped: what is read is too old to be of use")
+	case c.swamped && late <= 0.2*all:
+		c.swamped = false
+		c.w.Log("swamped: over, what is read is fresh")
+	}
+}
+
+// health tells checks whether to send anything here.
+func (c *Controller) health() {
+	if good := !c.hung && !c.swamped && !c.drain; good != c.good {
+		c.good = good
+		c.w.Health(good)
+	}
 }
 
 // moved sees started work go on, which is how a hang ends, whether it is old work or a trial run.
@@ -862,7 +896,7 @@
 	c.stuck = 0
 	if c.hung {
 		c.hung = false
-		c.w.Health(!c.drain)
+		c.health()
 		c.w.Log("hung: over, started work goes on")
 	}
 }
@@ -874,7 +908,7 @@
 
 // comeBack is how long until the hold will have shortened: a lap of it, by the last start or its head.
 func (c *Controller) comeBack() Time {
-	if c.hung || c.drain {
+	if !c.good {
 		return c.maxPause
 	}
 	wait := max(c.lap, rest)
@@ -904,7 +938,7 @@
 	case SayWeight:
 		value = 1 - c.press
 	}
-	if c.hung || c.drain {
+	if !c.good {
 		value = 0
 		if c.voice == SayLevel {
 			value = 1
@@ -924,7 +958,7 @@
 		return
 	}
 	c.drain, c.kill, c.graceEnd = true, kill, c.now+c.grace
-	c.w.Health(false)
+	c.health()
 	c.w.Log(fmt.Sprintf("drain: %d in hand", len(c.s.ids)))
 	for i := range c.s.at {
 		if it := &c.s.at[i]; c.s.find(it.id) == int32(i) && it.phase != over && !it.answered {
