Level follows the length of the hold instead of the wait since arrival

Cause: the wait counts reading time, which alone keeps the head above a small part of its target, so a quick level rose with nothing held.

--- a/admission/admission.go
+++ b/admission/admission.go
@@ -923,14 +923,10 @@
 	if c.voice == Mute {
 		return
 	}
-	wait := 0.0
-	if c.hold.head != none {
-		it := &c.s.at[c.hold.head]
-		wait = float64(c.now-it.came) / float64(c.h[it.h].Target)
-	}
-	// The pressure is the share of traffic to keep away: it settles where the head waits an eighth of its
-	// target. Its pace is slow beside the second for which callers bear the value in mind.
-	c.press = min(max(c.press+dt*2*min(wait-0.125, 0.4), 0), 0.9)
+	// The pressure is the share of traffic to keep away. It settles where half as many are held as there are
+	// cores; it rises within the second for which callers bear the value in mind, and falls slower. A third
+	// held, or at most half kept away, scored the same within noise on the one deployment that has it.
+	c.press = min(max(c.press+dt*min(max(float64(c.hold.n)/c.cores-0.5, -0.25), 1), 0), 0.9)
 	value := c.press
 	switch c.voice {
 	case SayCredit:
