--- a/admission/admission.go
+++ b/admission/admission.go
@@ -90,6 +90,7 @@
 	hung     bool
 	swamped  bool
 	stale    ring // reqs that were read too late to be of use, of all that were read
+	unread   ring // how long what was read had waited unread, in response targets
 	good     bool // what health checks are told
 	stuck    Time // how long started work has not moved
 	lastTick Time
@@ -113,8 +114,8 @@
 		// 4096 buckets of a tick reach 80 s, past every client timeout; what lies further is filed again.
 		due: newWheel(4096, tick, d.Start),
 		// Two seconds of calls, in steps short beside a trouble: long enough for a mean at a few calls a second.
-		stale: newRing(4, Second/4),
-		took:  newRing(8, Second/4), refused: newRing(8, Second/4), passed: newRing(8, Second/4),
+		stale: newRing(4, Second/4), unread: newRing(4, Second/4),
+		took: newRing(8, Second/4), refused: newRing(8, Second/4), passed: newRing(8, Second/4),
 		hands: newRing(10, max(d.Span, Second)/10), ghosts: newRing(5, max(d.Linger, 4)/4),
 	}
 	if d.Cold && d.ColdSpeed > 0 && d.ColdSpeed < 1 {
@@ -220,11 +221,12 @@
 		c.t[it.t].came.add(c.now, 1, 0)
 	}
 	c.cell(it).work.add(c.now, h.own, 1)
-	late := 0.0
-	if c.now-it.came > h.Target/2 {
+	unread, late := float64(c.now-it.came)/float64(h.Target), 0.0
+	if unread > 0.5 {
 		late = 1
 	}
 	c.stale.add(c.now, late, 1)
+	c.unread.add(c.now, unread, 1)
 }
 
 func (c *Controller) cell(it *item) *cell { return &c.cells[int(it.h)*len(c.t)+int(it.t)] }
@@ -872,12 +874,12 @@
 // well again when what it reads is fresh, or nothing is left. Guards against slowness, bursts and callers
 // that try again without limit; could harm where the whole fleet is swamped and goes off at once.
 func (c *Controller) wade() {
-	late, all := c.stale.sums(c.now)
+	late, n := c.stale.sums(c.now)
 	switch {
-	case !c.swamped && all >= c.cores && late > 0.8*all:
+	case !c.swamped && n >= c.cores && late > 0.8*n:
 		c.swamped = true
 		c.w.Log("swamped: what is read is too old to be of use")
-	case c.swamped && late <= 0.2*all:
+	case c.swamped && late <= 0.2*n:
 		c.swamped = false
 		c.w.Log("swamped: over, what is read is fresh")
 	}
@@ -924,9 +926,10 @@
 		return
 	}
 	// The pressure is the share of traffic to keep away. It settles where half as many are held as there are
-	// cores; it rises within the second for which callers bear the value in mind, and falls slower. A third
+	// cores, or what is read had waited unread for a quarter of its target; it rises within the second for which callers bear the value in mind, and falls slower. A third
 	// held, or at most half kept away, scored the same within noise on the one deployment that has it.
-	c.press = min(max(c.press+dt*min(max(float64(c.hold.n)/c.cores-0.5, -0.25), 1), 0), 0.9)
+	q := float64(c.hold.n)/c.cores + 2*c.unread.mean(c.now, 0)
+	c.press = min(max(c.press+dt*min(max(q-0.5, -0.25), 1), 0), 0.9)
 	value := c.press
 	switch c.voice {
 	case SayCredit:
