The hold counts as long when reqs wait unread for an eighth of their target

Cause: with dear reading the queue stands unread, so shortened bounds and the further-try bound never acted. Covers any server that reads slower than it is sent; could harm after one long pause.

--- a/admission/admission.go
+++ b/admission/admission.go
@@ -837,7 +837,7 @@
 		c.onCores = r.Gauges.OnCores
 		c.grow()
 	}
-	if float64(c.hold.n) >= c.cores {
+	if float64(c.hold.n) >= c.cores || c.unread.mean(c.now, 0) > 0.125 {
 		c.long += dt
 	} else {
 		c.long = 0
