Value shortens bounds only while more than half the cores' number is held

Cause: unread waiting alone kept bounds short with hardly anything held, so cores idled at 0.85 while a third was shed.

--- a/admission/admission.go
+++ b/admission/admission.go
@@ -274,7 +274,10 @@
 	// While the hold is long, what earns least for its work (beyond a tenant's share above all) waits least,
 	// down to a tenth: the lap then settles where the least of what the cores can do still gets its turn.
 	if c.long > 0 {
-		b *= 0.1 + 0.9*c.cell(it).stand*c.cell(it).stand
+		// Not while so few are held that a shed one could leave a core idle.
+		if float64(c.hold.n) > c.cores/2 {
+			b *= 0.1 + 0.9*c.cell(it).stand*c.cell(it).stand
+		}
 		if it.again {
 			// Its target runs from the first try and part of it is gone: it only takes a place from one with
 			// more time. A half and a quarter scored the same within noise.
