A further try that is shed after a wait is not to be tried elsewhere

Two servers have turned it away: likely the fleet is full, and where reading is dear a third read serves nobody. Could harm where two of many are slow and both are met in turn.

--- a/admission/admission.go
+++ b/admission/admission.go
@@ -692,7 +692,7 @@
 // shed answers a held req that never ran; one that waited long has no time left for another server.
 func (c *Controller) shed(i int32, waited bool) {
 	it := &c.s.at[i]
-	last := waited && c.now-it.came > c.h[it.h].Target/3
+	last := waited && (it.again || c.now-it.came > c.h[it.h].Target/3)
 	c.w.Shed(it.id, last, c.comeBack())
 	it.answered, it.failed = true, true
 	c.unhold(i)
