--- a/admission/admission.go
+++ b/admission/admission.go
@@ -89,7 +89,7 @@
 
 	hung     bool
 	swamped  bool
-	stale    ring // reqs that were read too late to be of use, of all that were read
+	stale    ring // what was read or done too late to be of use, of all
 	unread   ring // how long what was read had waited unread, in response targets
 	good     bool // what health checks are told
 	stuck    Time // how long started work has not moved
@@ -221,11 +221,8 @@
 		c.t[it.t].came.add(c.now, 1, 0)
 	}
 	c.cell(it).work.add(c.now, h.own, 1)
-	unread, late := float64(c.now-it.came)/float64(h.Target), 0.0
-	if unread > 0.5 {
-		late = 1
-	}
-	c.stale.add(c.now, late, 1)
+	unread := float64(c.now-it.came) / float64(h.Target)
+	c.judge(unread > 0.5)
 	c.unread.add(c.now, unread, 1)
 }
 
@@ -784,6 +781,7 @@
 	h := &c.h[it.h]
 	if e.How == OK {
 		c.moved()
+		c.judge(c.now-it.came > h.Target)
 		h.laps.add(c.now, float64(e.Ran), it.cost)
 		h.work.add(c.now, float64(max(e.Ran-it.spent, 0)), 1)
 	} else {
@@ -878,7 +876,7 @@
 }
 
 // wade sees a server swamped by what it has not read yet: nearly all it reads has waited unread for half its
-// target, so reading is all it does, for nobody. Once checks are told so, what comes in dries up, and it is
+// target or its runs end past it, so what it does is for nobody. Once checks are told so, what comes in dries up, and it is
 // well again when what it reads is fresh, or nothing is left. Guards against slowness, bursts and callers
 // that try again without limit; could harm where the whole fleet is swamped and goes off at once.
 func (c *Controller) wade() {
@@ -886,10 +884,19 @@
 	switch {
 	case !c.swamped && n >= c.cores && late > 0.8*n:
 		c.swamped = true
-		c.w.Log("swamped: what is read is too old to be of use")
+		c.w.Log("swamped: what is read or done is too late to be of use")
 	case c.swamped && late <= 0.2*n:
 		c.swamped = false
-		c.w.Log("swamped: over, what is read is fresh")
+		c.w.Log("swamped: over, what is read and done is in time")
+	}
+}
+
+// judge counts a req that was read, or a run that ended, as too late to be of use or not.
+func (c *Controller) judge(late bool) {
+	if late {
+		c.stale.add(c.now, 1, 1)
+	} else {
+		c.stale.add(c.now, 0, 1)
 	}
 }
 
