--- a/admission/admission.go
+++ b/admission/admission.go
@@ -73,6 +73,7 @@
 	fresh                 Time
 	maxPause              Time
 	voice                 Voice
+	idle, idleSaid        Time
 	senders               float64
 	said                  float64
 	stage                 float64
@@ -108,7 +109,7 @@
 		s: newSlab(), hold: newList(), calls: newList(), granule: d.Granule, byWork: d.ByWork, beyond: d.Beyond,
 		cores: float64(d.Cores), limit: d.Cores, cold: 1, born: d.Start, warmAt: d.Start, fall: max(d.Fall, 1),
 		runKB: d.RunFactor, keyKB: d.KeyKB, stop: d.Stop, fresh: d.Fresh, maxPause: d.MaxPause,
-		voice: d.Voice, senders: float64(d.Senders), stage: float64(d.Stage), linger: d.Linger,
+		voice: d.Voice, idle: d.Idle, idleSaid: d.Idle, senders: float64(d.Senders), stage: float64(d.Stage), linger: d.Linger,
 		shared: d.Below == BelowShared && d.CallsOut > 0, tiered: d.Below != BelowNone,
 		grace: d.DrainGrace, lastTick: d.Start, slowTick: d.Start, outAt: d.Start,
 		// 4096 buckets of a tick reach 80 s, past every client timeout; what lies further is filed again.
@@ -848,6 +849,9 @@
 		return
 	}
 	c.rank()
+	if r.Gauged {
+		c.thin(r.Gauges.Links)
+	}
 	c.advise(float64(c.now-c.slowTick) / float64(Second))
 	c.slowTick = c.now
 }
@@ -918,6 +922,20 @@
 	}
 }
 
+// thin has callers' idle connections closed sooner the more are open, since each takes its part of the cores
+// and the size of the table is told nowhere. Sixteen a core are left alone: a small part of the smallest table
+// one would set up, and many times what a few busy callers need. Each new one costs work, hence the second.
+func (c *Controller) thin(links float64) {
+	idle := c.idle
+	if room := 16 * c.cores; links > room {
+		idle = max(Time(float64(c.idle)*room/links/2), min(Second, c.idle))
+	}
+	if idle > c.idleSaid*5/4 || idle < c.idleSaid*4/5 {
+		c.idleSaid = idle
+		c.w.IdleClose(idle)
+	}
+}
+
 // trial lets a replayable req in while nothing runs, to see whether work finishes again.
 func (c *Controller) trial(it *item) bool {
 	return c.running == 0 && c.hold.n == 0 && c.h[it.h].Repeat == Replayable
--- a/admission/scenario_test.go
+++ b/admission/scenario_test.go
@@ -16,6 +16,7 @@
 //	handler KEY=VALUE ...        a handler, numbered from 0 in order; the first line replaces the default one
 //	tenant QUOTA                 a tenant, numbered from 0 in order
 //	gauges on=N                  what wants the cores, from the next wake-up on; auto: the runs not at calls
+//	links N                      open connections
 //	at MS: EVENT; EVENT          plays the wake-ups asked for until MS, then one round with the events
 //	does DECISION; ...           exactly these, in order, since the line before; nothing: none
 //	among DECISION; ...          these are among them
@@ -34,6 +35,7 @@
 	wake  Time
 	on    float64
 	auto  bool
+	links float64
 	busy  map[uint32]bool
 	log   []string
 	all   []string
@@ -68,7 +70,7 @@
 func (s *scene) Reuse(id uint32)            { s.note("reuse %d", id) }
 func (s *scene) Health(good bool)           { s.note("health %v", good) }
 func (s *scene) Say(v float64)              { s.note("say %.1f", v) }
-func (s *scene) IdleClose(Time)             {}
+func (s *scene) IdleClose(t Time)           { s.note("idle %d", t/10) }
 func (s *scene) Log(string)                 {}
 func (s *scene) Wake(at Time) {
 	if s.wake > 0 {
@@ -108,6 +110,8 @@
 func (s *scene) server(k, v string) bool {
 	d := &s.d
 	switch k {
+	case "idle":
+		d.Idle = s.ms(v)
 	case "cores":
 		d.Cores = int(s.num(v))
 	case "mem":
@@ -173,7 +177,7 @@
 	r.Now = s.now
 	if r.Woke {
 		s.wake = 0
-		r.Gauged = true
+		r.Gauged, r.Gauges.Links = true, s.links
 		if r.Gauges.OnCores = s.on; s.auto {
 			r.Gauges.OnCores = float64(len(s.busy))
 		}
@@ -276,6 +280,8 @@
 		if !s.auto {
 			s.on = s.num(strings.TrimPrefix(rest, "on="))
 		}
+	case "links":
+		s.links = s.num(rest)
 	case "at":
 		s.log = s.log[:0]
 		when, events, ok := strings.Cut(rest, ":")
