--- a/admission/admission.go
+++ b/admission/admission.go
@@ -959,10 +959,11 @@
 		return
 	}
 	// The pressure is the share of traffic to keep away. It settles where half as many are held as there are
-	// cores, or what is read had waited unread for a quarter of its target; it rises within the second for which callers bear the value in mind, and falls slower. A third
-	// held, or at most half kept away, scored the same within noise on the one deployment that has it.
+	// cores, or what is read had waited unread for a quarter of its target. Callers bear the value in mind for
+	// a second or so and hear it late: at three times this pace arrivals come in waves and cores idle between
+	// them; half and quarter of that pace scored within noise of this. It falls slower than it rises.
 	q := float64(c.hold.n)/c.cores + 2*c.unread.mean(c.now, 0)
-	c.press = min(max(c.press+dt*min(max(q-0.5, -0.25), 1), 0), 0.9)
+	c.press = min(max(c.press+dt*min(max(q-0.5, -0.25), 1)/3, 0), 0.9)
 	value := c.press
 	switch c.voice {
 	case SayCredit:
