While the line of calls is long, those that earn least by their call wait least for it

Cause: with the shared dependency slow, each run held its slot for its whole wait before it skipped, and calls went by arrival alone.

--- a/admission/admission.go
+++ b/admission/admission.go
@@ -21,11 +21,12 @@
 // handler is what is derived for one handler, with its recent times.
 type handler struct {
 	Handler
-	laps ring    // time of runs, calls included, over stated work
-	lap  float64 // the last known ratio
-	work ring    // time of runs less their calls, over runs
-	own  float64
-	unit float64 // stands in where a req states no work
+	laps  ring    // time of runs, calls included, over stated work
+	lap   float64 // the last known ratio
+	work  ring    // time of runs less their calls, over runs
+	own   float64
+	unit  float64 // stands in where a req states no work
+	needs float64 // what its call earns, as a share of the most that any handler's does
 }
 
 // tenant is one tenant's fair arrivals on this server, with what arrived lately.
@@ -131,6 +132,14 @@
 		c.h = append(c.h, handler{Handler: h, laps: newRing(8, Second/2), work: newRing(8, Second/2),
 			unit: 1, own: float64(h.Target) / 8})
 	}
+	most := 0.0
+	for k := range c.h {
+		c.h[k].needs = c.h[k].Value * (1 - c.h[k].LeanValue)
+		most = max(most, c.h[k].needs)
+	}
+	for k := range c.h {
+		c.h[k].needs /= max(most, 1e-9)
+	}
 	for _, t := range d.Tenants {
 		// Five seconds of arrivals: some dozens at a server's rate, and shorter than a surge lasts.
 		came := newRing(10, Second/2)
@@ -412,7 +421,7 @@
 		p = c.s.at[p].queue.prev
 	}
 	c.calls.insertAfter(&c.s, i, p)
-	c.s.at[i].called = 0
+	c.s.at[i].called, c.s.at[i].stood = 0, c.now
 	c.look(i)
 }
 
@@ -675,13 +684,18 @@
 	case it.phase == calling:
 		// A call that can't be made in time is skipped where that still earns.
 		by := it.came + h.Target - Time(c.est(it)/2+c.callTime)
+		if Time(c.calls.n)*c.callGap() > h.Target/8 {
+			// While the line of calls is long, those that earn least by their call wait least for it: their
+			// slots are free sooner and the calls go to the rest. Could harm if the line is about to clear.
+			by = min(by, it.stood+Time(float64(by-it.stood)*h.needs*h.needs))
+		}
 		if h.LeanValue > 0 && c.now >= by {
 			c.calls.remove(&c.s, i)
 			c.skip(i)
 			return
 		}
 		if h.LeanValue > 0 {
-			next = min(next, by)
+			next = min(next, by, c.now+h.Target/16)
 		}
 	}
 	c.due.put(&c.s, i, next)
--- a/admission/slab.go
+++ b/admission/slab.go
@@ -29,6 +29,7 @@
 	due      Time
 	start    Time // of the run, and of the call in hand
 	called   Time
+	stood    Time // since when it stands at the call
 	spent    Time // on calls so far
 	kept     Time // the table holds its entry until then
 	known    Time // it is not let go of before then
