--- a/admission/admission.go
+++ b/admission/admission.go
@@ -6,6 +6,7 @@
 package admission
 
 import (
+	"cmp"
 	"fmt"
 	"math"
 	"slices"
@@ -45,63 +46,56 @@
 
 // Controller decides for one server.
 type Controller struct {
-	w       Writer
-	now     Time
-	h       []handler
-	t       []tenant
-	cells   []cell
-	byRank  []int
-	s       slab
-	due     wheel
-	granule Time
-	byWork  bool
-	beyond  float64
-	awake   bool
-
-	hold  list
-	long  Time // how long the hold has been long
-	lap   Time // how long the last one to start had waited
-	press float64
-
-	cores, onCores        float64
-	running, limit        int
-	cold                  float64 // share of speed at the start
-	warmAt, born          Time
-	fall                  float64
-	mem, memTop, runKB    float64
-	keyKB                 float64
-	stop                  Stop
-	fresh                 Time
-	maxPause              Time
-	voice                 Voice
-	idle, idleSaid        Time
-	senders               float64
-	said                  float64
-	stage                 float64
-	shared, tiered        bool
-	allowed, most         float64
-	linger                Time
-	calls                 list
-	out                   int // calls in hand
-	outAt                 Time
-	hands, ghosts         ring
-	took, refused, passed ring
-	callTime              float64
-	nextCall              Time
-
-	hung     bool
-	swamped  bool
-	stale    ring // what was read or done too late to be of use, of all
-	unread   ring // how long what was read had waited unread, in response targets
-	good     bool // what health checks are told
-	stuck    Time // how long started work has not moved
-	lastTick Time
-	slowTick Time
-	drain    bool
-	graceEnd Time
-	kill     Time
-	grace    Time
-	greeted  bool
+	w              Writer
+	now            Time
+	h              []handler
+	t              []tenant
+	cells          []cell
+	byRank         []int // cells by what they earn
+	s              slab
+	due            wheel
+	granule        Time
+	byWork         bool
+	beyond         float64 // worth of what is beyond a share, as a share
+	stage          float64
+	greeted, awake bool // health was told; a timer is pending
+
+	hold            list
+	long            Time // how long the hold has been long
+	lap             Time // how long the last one to start had waited
+	cores, onCores  float64
+	running, limit  int
+	cold, fall      float64 // share of speed at the start; runs a core that a warm server survives
+	born, warmAt    Time
+	mem, memTop     float64
+	runKB, keyKB    float64 // memory of a run as a multiple of a held req's; of an entry in the table
+	stop            Stop
+	fresh           Time
+	shared          bool
+	allowed, most   float64 // calls meant to be in hand in the mean, and never more than
+	linger          Time
+	calls           list
+	nextCall        Time
+	hands           level // calls in hand
+	ghosts          ring  // calls given up that linger
+	took            ring
+	refused, passed ring
+	callTime        float64
+	hung, swamped   bool
+	good            bool // what health checks are told
+	stuck           Time // how long started work has not moved
+	stale           ring // what was read or done too late to be of use, of all
+	unread          ring // how long what was read had waited unread, in response targets
+	lastTick        Time
+	slowTick        Time
+	voice           Voice
+	press, said     float64
+	senders         float64
+	maxPause        Time
+	idle, idleSaid  Time
+	drain           bool
+	grace, graceEnd Time
+	kill            Time
 }
 
 // New readies a controller for a server that starts now.
@@ -110,15 +104,17 @@
 		s: newSlab(), hold: newList(), calls: newList(), granule: d.Granule, byWork: d.ByWork, beyond: d.Beyond,
 		cores: float64(d.Cores), limit: d.Cores, cold: 1, born: d.Start, warmAt: d.Start, fall: max(d.Fall, 1),
 		runKB: d.RunFactor, keyKB: d.KeyKB, stop: d.Stop, fresh: d.Fresh, maxPause: d.MaxPause,
-		voice: d.Voice, idle: d.Idle, idleSaid: d.Idle, senders: float64(d.Senders), stage: float64(d.Stage), linger: d.Linger,
-		shared: d.Below == BelowShared && d.CallsOut > 0, tiered: d.Below != BelowNone,
-		grace: d.DrainGrace, lastTick: d.Start, slowTick: d.Start, outAt: d.Start,
+		voice: d.Voice, idle: d.Idle, idleSaid: d.Idle, senders: float64(d.Senders), stage: float64(d.Stage),
+		linger: d.Linger,
+		shared: d.Below == BelowShared && d.CallsOut > 0,
+		grace:  d.DrainGrace, lastTick: d.Start, slowTick: d.Start,
 		// 4096 buckets of a tick reach 80 s, past every client timeout; what lies further is filed again.
 		due: newWheel(4096, tick, d.Start),
 		// Two seconds of calls, in steps short beside a trouble: long enough for a mean at a few calls a second.
 		stale: newRing(4, Second/4), unread: newRing(4, Second/4),
 		took: newRing(8, Second/4), refused: newRing(8, Second/4), passed: newRing(8, Second/4),
-		hands: newRing(10, max(d.Span, Second)/10), ghosts: newRing(5, max(d.Linger, 4)/4),
+		hands:  level{ring: newRing(10, max(d.Span, Second)/10), at: d.Start},
+		ghosts: newRing(5, max(d.Linger, 4)/4),
 	}
 	if d.Cold && d.ColdSpeed > 0 && d.ColdSpeed < 1 {
 		c.cold, c.warmAt = d.ColdSpeed, d.Start+d.WarmAfter
@@ -251,7 +247,10 @@
 		key = c.keyKB
 	}
 	switch {
-	case c.drain && it.came > c.graceEnd, c.hung && !c.trial(it):
+	case c.drain && it.came > c.graceEnd:
+		c.shed(i, false)
+	case c.hung && (c.running > 0 || c.hold.n > 0 || h.Repeat != Replayable):
+		// While work hangs one replayable req at a time is let in, to see whether it finishes again.
 		c.shed(i, false)
 	case it.prior == none && c.mem+key+it.kb*(c.runKB-1) > c.memTop:
 		// Guards against a hold that fills the memory its own runs need. Could harm where waiting would have
@@ -321,13 +320,7 @@
 		}
 	}
 	slices.SortStableFunc(c.byRank, func(a, b int) int {
-		switch {
-		case c.cells[a].earns < c.cells[b].earns:
-			return -1
-		case c.cells[a].earns > c.cells[b].earns:
-			return 1
-		}
-		return 0
+		return cmp.Compare(c.cells[a].earns, c.cells[b].earns)
 	})
 	// What earns alike stands alike: its standing is the work that earns clearly less, of all the work that
 	// earns less than the best. Where nothing earns less, all stand at the top and no bound is shortened.
@@ -365,13 +358,13 @@
 		}
 		c.lap = c.now - it.came
 		c.hold.remove(&c.s, i)
-		it.phase, it.ran, it.start = running, true, c.now
+		it.phase, it.ran = running, true
 		c.running++
 		c.mem += it.kb * (c.runKB - 1)
 		c.w.Run(it.id)
 		for k := it.heir; k != none; k = it.heir {
 			it.lent = true
-			c.part(k)
+			c.s.part(k)
 			c.share(k)
 		}
 		c.look(i)
@@ -404,7 +397,7 @@
 
 // needs takes a run that stands at a call.
 func (c *Controller) needs(i int32) {
-	if i == none {
+	if i == none || c.s.at[i].phase != running {
 		return
 	}
 	it := &c.s.at[i]
@@ -436,8 +429,7 @@
 		i := c.calls.head
 		it := &c.s.at[i]
 		c.calls.remove(&c.s, i)
-		c.countHands()
-		c.out++
+		c.hands.move(c.now, 1)
 		it.phase, it.called = outside, c.now
 		c.w.Call(it.id, c.callUntil(it))
 		// Unused turns are saved up to a few calls, so that calls which come in a bunch need not wait.
@@ -449,10 +441,10 @@
 // allowance is under one call, calls are made one at a time, and only while their mean leaves room.
 func (c *Controller) callRoom() bool {
 	given, _ := c.ghosts.sums(c.now)
-	if n := float64(c.out) + given; n > 0 {
+	if n := float64(c.hands.n) + given; n > 0 {
 		return n+1 <= c.most
 	}
-	return c.most >= 1 || c.meanHands() < c.most/2
+	return c.most >= 1 || c.hands.over(c.now) < c.most/2
 }
 
 // callGap is the time between calls: the allowed number in hand over the recent time of a call. What lies
@@ -482,18 +474,6 @@
 	return max(min(by, last), c.now+1)
 }
 
-// countHands brings the mean number of calls in hand up to now.
-func (c *Controller) countHands() {
-	c.hands.add(c.now, float64(c.out)*float64(c.now-c.outAt), 0)
-	c.outAt = c.now
-}
-
-func (c *Controller) meanHands() float64 {
-	c.countHands()
-	sum, _ := c.hands.sums(c.now)
-	return sum / float64(c.hands.span())
-}
-
 // giveUpCall counts a call that stays in the dependency's hands for its linger.
 func (c *Controller) giveUpCall() {
 	c.hands.add(c.now, float64(c.linger), 0)
@@ -508,8 +488,7 @@
 	}
 	it := &c.s.at[i]
 	h := &c.h[it.h]
-	c.countHands()
-	c.out--
+	c.hands.move(c.now, -1)
 	it.spent += b.Took
 	it.phase = calling
 	switch b.How {
@@ -564,15 +543,7 @@
 	case !pr.ran && pr.phase == over:
 		return false // the first try was shed after this one reached the machine
 	case pr.phase == held:
-		if pr.prior != none {
-			p = pr.prior
-			pr = &c.s.at[p]
-		}
-		it.prior, it.kin = p, link{none, pr.heir}
-		if pr.heir != none {
-			c.s.at[pr.heir].kin.prev = i
-		}
-		pr.heir = i
+		c.s.follow(i, p)
 		return false // it waits in its own place until the first one runs or leaves
 	case !uniq && (pr.failed || pr.answered && pr.phase != over):
 		return false
@@ -585,23 +556,6 @@
 	return true
 }
 
-// part takes a waiting repeat from those that wait for its prior.
-func (c *Controller) part(i int32) {
-	it := &c.s.at[i]
-	if it.prior == none {
-		return
-	}
-	if it.kin.prev == none {
-		c.s.at[it.prior].heir = it.kin.next
-	} else {
-		c.s.at[it.kin.prev].kin.next = it.kin.next
-	}
-	if it.kin.next != none {
-		c.s.at[it.kin.next].kin.prev = it.kin.prev
-	}
-	it.prior = none
-}
-
 // share lets a req take the answer of the one it repeats; it needs no slot.
 func (c *Controller) share(i int32) {
 	it := &c.s.at[i]
@@ -717,19 +671,9 @@
 	if it.phase == held {
 		c.hold.remove(&c.s, i)
 	}
-	c.part(i)
+	c.s.part(i)
 	c.forget(it)
-	first := none
-	for k := it.heir; k != none; k = c.s.at[k].kin.next {
-		first = k // the list runs from the newest: the last one came first
-	}
-	if first != none {
-		c.part(first)
-		c.s.at[first].heir = it.heir
-		for k := it.heir; k != none; k = c.s.at[k].kin.next {
-			c.s.at[k].prior = first
-		}
-		it.heir = none
+	if first := c.s.pass(i); first != none {
 		c.remember(first)
 	}
 	c.release(i)
@@ -749,11 +693,29 @@
 
 // fail answers a req that ran, or waits for a run, with an error, and stops its work where that can be.
 func (c *Controller) fail(i int32) {
+	c.s.at[i].failed = true
+	c.w.Fail(c.s.at[i].id)
+	c.quit(i, true)
+}
+
+// gone takes a req whose caller is known to have left. A uniqued one runs on: a repeat may want its answer.
+func (c *Controller) gone(i int32) {
+	if i != none && !c.s.at[i].answered {
+		c.quit(i, c.h[c.s.at[i].h].Repeat == Replayable)
+	}
+}
+
+// quit ends the wait of a req that owes no answer any more; what runs is counted until its end is reported.
+func (c *Controller) quit(i int32, stop bool) {
 	it := &c.s.at[i]
-	c.w.Fail(it.id)
-	it.answered, it.failed = true, true
+	it.answered = true
 	switch it.phase {
+	case held:
+		it.failed = true
+		c.unhold(i)
+		return
 	case read, sharing:
+		it.failed = true
 		c.release(i)
 		return
 	case calling:
@@ -761,7 +723,7 @@
 			c.calls.remove(&c.s, i)
 		}
 	case running:
-		if c.stop != StopNever && !it.lent {
+		if stop && c.stop != StopNever && !it.lent {
 			c.w.Pause(it.id)
 		}
 	}
@@ -788,8 +750,7 @@
 			c.calls.remove(&c.s, i)
 		}
 	case outside:
-		c.countHands()
-		c.out--
+		c.hands.move(c.now, -1)
 		c.giveUpCall()
 	}
 	c.running--
@@ -815,34 +776,6 @@
 	c.release(i)
 }
 
-// gone takes a req whose caller is known to have left: what was held is out, what runs is waited for.
-func (c *Controller) gone(i int32) {
-	if i == none || c.s.at[i].phase == over {
-		return
-	}
-	it := &c.s.at[i]
-	it.answered = true
-	switch it.phase {
-	case held:
-		it.failed = true
-		c.unhold(i)
-		return
-	case sharing:
-		it.failed = true
-		c.release(i)
-		return
-	case calling:
-		if it.called == 0 {
-			c.calls.remove(&c.s, i)
-		}
-	case running:
-		if c.stop != StopNever && c.h[it.h].Repeat == Replayable && !it.lent {
-			c.w.Pause(it.id)
-		}
-	}
-	c.look(i)
-}
-
 // ---- 7. Health and advice.
 
 // onTick reads the gauges and what goes by the clock.
@@ -873,7 +806,7 @@
 
 // watch sees work hang: runs are on the cores and none has moved for far longer than runs take.
 func (c *Controller) watch(dt Time) {
-	if on := c.running - c.out - c.calls.n; on <= 0 || c.hung {
+	if on := c.running - c.hands.n - c.calls.n; on <= 0 || c.hung {
 		c.stuck = 0
 	} else {
 		c.stuck += dt
@@ -895,9 +828,9 @@
 }
 
 // wade sees a server swamped by what it has not read yet: nearly all it reads has waited unread for half its
-// target or its runs end past it, so what it does is for nobody. Once checks are told so, what comes in dries up, and it is
-// well again when what it reads is fresh, or nothing is left. Guards against slowness, bursts and callers
-// that try again without limit; could harm where the whole fleet is swamped and goes off at once.
+// target, or its runs end past it, so what it does is for nobody. Once checks are told, what comes in dries
+// up, and it is well again when what it reads is fresh or nothing is left. Guards against slowness, bursts
+// and tries without limit; could harm where the whole fleet is swamped and goes off at once.
 func (c *Controller) wade() {
 	late, n := c.stale.sums(c.now)
 	switch {
@@ -912,11 +845,11 @@
 
 // judge counts a req that was read, or a run that ended, as too late to be of use or not.
 func (c *Controller) judge(late bool) {
+	n := 0.0
 	if late {
-		c.stale.add(c.now, 1, 1)
-	} else {
-		c.stale.add(c.now, 0, 1)
+		n = 1
 	}
+	c.stale.add(c.now, n, 1)
 }
 
 // health tells checks whether to send anything here.
@@ -938,8 +871,8 @@
 }
 
 // thin has callers' idle connections closed sooner the more are open, since each takes its part of the cores
-// and the size of the table is told nowhere. Sixteen a core are left alone: a small part of the smallest table
-// one would set up, and many times what a few busy callers need. Each new one costs work, hence the second.
+// and the size of the table is told nowhere. Sixteen a core are left alone: a small part of any table one
+// would set up, and many times what a few busy callers need. Each new one costs work, hence the second.
 func (c *Controller) thin(links float64) {
 	idle := c.idle
 	if room := 16 * c.cores; links > room {
@@ -951,11 +884,6 @@
 	}
 }
 
-// trial lets a replayable req in while nothing runs, to see whether work finishes again.
-func (c *Controller) trial(it *item) bool {
-	return c.running == 0 && c.hold.n == 0 && c.h[it.h].Repeat == Replayable
-}
-
 // comeBack is how long until the hold will have shortened: a lap of it, by the last start or its head.
 func (c *Controller) comeBack() Time {
 	if !c.good {
--- a/admission/ring.go
+++ b/admission/ring.go
@@ -54,6 +54,24 @@
 
 func (r *ring) span() Time { return r.step * Time(len(r.a)) }
 
+// level is a count whose mean over recent time is kept.
+type level struct {
+	ring
+	n  int
+	at Time
+}
+
+func (l *level) move(now Time, by int) {
+	l.add(now, float64(l.n)*float64(now-l.at), 0)
+	l.at, l.n = now, l.n+by
+}
+
+// over is the mean of the count over the span of the ring.
+func (l *level) over(now Time) float64 {
+	l.move(now, 0)
+	return l.sa / float64(l.span())
+}
+
 // wheel holds slab indices by the time they are to be looked at again.
 type wheel struct {
 	step  Time
--- a/admission/slab.go
+++ b/admission/slab.go
@@ -27,8 +27,7 @@
 	cost     float64 // stated work, or the handler's unit
 	came     Time    // when it reached the machine
 	due      Time
-	start    Time // of the run, and of the call in hand
-	called   Time
+	called   Time // when its call was made; 0: it lines up; below: it waits to line up again
 	stood    Time // since when it stands at the call
 	spent    Time // on calls so far
 	kept     Time // the table holds its entry until then
@@ -90,6 +89,53 @@
 	s.free = append(s.free, i)
 }
 
+// follow has i wait for the run of p, or of the one that p waits for.
+func (s *slab) follow(i, p int32) {
+	if s.at[p].prior != none {
+		p = s.at[p].prior
+	}
+	it, pr := &s.at[i], &s.at[p]
+	it.prior, it.kin = p, link{none, pr.heir}
+	if pr.heir != none {
+		s.at[pr.heir].kin.prev = i
+	}
+	pr.heir = i
+}
+
+// part takes i from those that wait for the same run.
+func (s *slab) part(i int32) {
+	it := &s.at[i]
+	if it.prior == none {
+		return
+	}
+	if it.kin.prev == none {
+		s.at[it.prior].heir = it.kin.next
+	} else {
+		s.at[it.kin.prev].kin.next = it.kin.next
+	}
+	if it.kin.next != none {
+		s.at[it.kin.next].kin.prev = it.kin.prev
+	}
+	it.prior = none
+}
+
+// pass gives those that wait for i to the first of them, and says which; the list runs from the newest.
+func (s *slab) pass(i int32) int32 {
+	first := none
+	for k := s.at[i].heir; k != none; k = s.at[k].kin.next {
+		first = k
+	}
+	if first == none {
+		return none
+	}
+	s.part(first)
+	s.at[first].heir, s.at[i].heir = s.at[i].heir, none
+	for k := s.at[first].heir; k != none; k = s.at[k].kin.next {
+		s.at[k].prior = first
+	}
+	return first
+}
+
 func (l *list) insertAfter(s *slab, i, p int32) {
 	it := &s.at[i].queue
 	it.prev = p
