--- a/admission/scenario_test.go
+++ b/admission/scenario_test.go
@@ -186,7 +186,7 @@
 	if s.c.mem < -0.01 || s.c.mem > s.d.MemKB {
 		s.fatal("memory in use is %.1f of %.1f", s.c.mem, s.d.MemKB)
 	}
-	if s.c.running < 0 || s.c.hands.n < 0 || s.c.hold.n < 0 {
+	if s.c.running < 0 || s.c.hands.n < 0 || s.c.hold.n < 0 || s.c.calls.n < 0 {
 		s.fatal("runs %d, calls in hand %d, held %d", s.c.running, s.c.hands.n, s.c.hold.n)
 	}
 }
