--- a/admission/admission.go
+++ b/admission/admission.go
@@ -656,10 +656,12 @@
 	c.due.put(&c.s, i, next)
 }
 
-// shed answers a held req that never ran; one that waited long has no time left for another server.
+// shed answers a held req that never ran. It is not to be tried elsewhere if it waited long or is a further
+// try, which two servers have now turned away, or if callers are told to keep half of what they have away:
+// then the fleet is likely full and reading it once more serves nobody. Could harm where one of few is slow.
 func (c *Controller) shed(i int32, waited bool) {
 	it := &c.s.at[i]
-	last := waited && (it.again || c.now-it.came > c.h[it.h].Target/3)
+	last := waited && (it.again || c.press > 0.5 || c.now-it.came > c.h[it.h].Target/3)
 	c.w.Shed(it.id, last, c.comeBack())
 	it.answered, it.failed = true, true
 	c.unhold(i)
