Window entries outlast what rounding took off; derived figures in place of raw settings

A repeat in that gap could have run a second time. Settings that no decision reads are no longer taken in.

--- a/admission/admission.go
+++ b/admission/admission.go
@@ -21,13 +21,15 @@
 
 // handler is what is derived for one handler, with its recent times.
 type handler struct {
-	Handler
-	laps  ring    // time of runs, calls included, over stated work
-	lap   float64 // the last known ratio
-	work  ring    // time of runs less their calls, over runs
-	own   float64
-	unit  float64 // stands in where a req states no work
-	needs float64 // what its call earns, as a share of the most that any handler's does
+	target, timeout, window Time
+	value                   float64
+	skips, uniq, once       bool    // a call can be skipped; repeats are known; it must not run twice
+	laps                    ring    // time of runs, calls included, over stated work
+	lap                     float64 // the last known ratio
+	work                    ring    // time of runs less their calls, over runs
+	own                     float64
+	unit                    float64 // stands in where a req states no work
+	needs                   float64 // what its call earns, as a share of the most that any handler's does
 }
 
 // tenant is one tenant's fair arrivals on this server, with what arrived lately.
@@ -126,12 +128,13 @@
 	// same within noise on both deployments that share one, a sixth lost on the busy days of one.
 	c.allowed, c.most = d.CallsOut/4, d.CallsOut*0.9
 	for _, h := range d.Handlers {
-		c.h = append(c.h, handler{Handler: h, laps: newRing(8, Second/2), work: newRing(8, Second/2),
-			unit: 1, own: float64(h.Target) / 8})
+		c.h = append(c.h, handler{target: h.Target, timeout: h.Timeout, window: h.Window, value: h.Value,
+			skips: h.LeanValue > 0, needs: h.Value * (1 - h.LeanValue), uniq: h.Repeat == Uniqued,
+			once: h.Repeat != Replayable, laps: newRing(8, Second/2), work: newRing(8, Second/2), unit: 1,
+			own: float64(h.Target) / 8})
 	}
 	most := 0.0
 	for k := range c.h {
-		c.h[k].needs = c.h[k].Value * (1 - c.h[k].LeanValue)
 		most = max(most, c.h[k].needs)
 	}
 	for k := range c.h {
@@ -215,7 +218,7 @@
 		it.t = int32(q.Tenant)
 	}
 	if it.due = q.Due; it.due == 0 {
-		it.due = it.came + h.Timeout
+		it.due = it.came + h.timeout
 	}
 	it.due = max(it.due, c.now)
 	if q.Hint > 0 {
@@ -228,7 +231,7 @@
 		c.t[it.t].came.add(c.now, 1, 0)
 	}
 	c.cell(it).work.add(c.now, h.own, 1)
-	unread := float64(c.now-it.came) / float64(h.Target)
+	unread := float64(c.now-it.came) / float64(h.target)
 	c.judge(unread > 0.5)
 	c.unread.add(c.now, unread, 1)
 }
@@ -243,13 +246,13 @@
 		return
 	}
 	key := 0.0
-	if h.Repeat == Uniqued {
+	if h.uniq {
 		key = c.keyKB
 	}
 	switch {
 	case c.drain && it.came > c.graceEnd:
 		c.shed(i, false)
-	case c.hung && (c.running > 0 || c.hold.n > 0 || h.Repeat != Replayable):
+	case c.hung && (c.running > 0 || c.hold.n > 0 || h.once):
 		// While work hangs one replayable req at a time is let in, to see whether it finishes again.
 		c.shed(i, false)
 	case it.prior == none && c.mem+key+it.kb*(c.runKB-1) > c.memTop:
@@ -272,7 +275,7 @@
 // of it. Past the first tier only that tier's part of the target can be used.
 func (c *Controller) bound(it *item) Time {
 	h := &c.h[it.h]
-	target := float64(h.Target) / (1 + c.stage)
+	target := float64(h.target) / (1 + c.stage)
 	b := target / 2
 	if est := c.est(it); est > 0 {
 		// An eighth stays even when runs take longer than the target: what shows recovery must be let in.
@@ -314,7 +317,7 @@
 	for k := range c.cells {
 		l, h := &c.cells[k], &c.h[k/len(c.t)]
 		h.own = h.work.mean(c.now, h.own)
-		l.earns = h.Value * c.t[k%len(c.t)].full
+		l.earns = h.value * c.t[k%len(c.t)].full
 		if !c.byWork {
 			l.earns /= max(h.own, 1)
 		}
@@ -466,10 +469,10 @@
 func (c *Controller) callUntil(it *item) Time {
 	h := &c.h[it.h]
 	last := it.due - c.spare()
-	if h.Repeat != Replayable {
+	if h.once {
 		return max(last, c.now+1)
 	}
-	by := it.came + h.Target - Time(c.est(it)/2)
+	by := it.came + h.target - Time(c.est(it)/2)
 	by = max(by, c.now+Time(2*c.callTime)+Second/5)
 	return max(min(by, last), c.now+1)
 }
@@ -509,9 +512,9 @@
 	}
 	it.tries++
 	switch {
-	case h.LeanValue > 0 && (b.How != Unrun || it.tries > 2):
+	case h.skips && (b.How != Unrun || it.tries > 2):
 		c.skip(i)
-	case b.How != Unrun && (h.Repeat != Replayable || it.tries > 3):
+	case b.How != Unrun && (h.once || it.tries > 3):
 		c.fail(i)
 	default:
 		// Again after a wait that doubles, so that refusals don't become a storm.
@@ -532,7 +535,7 @@
 // repeat settles a req that repeats prior; false lets it through the door as a new one.
 func (c *Controller) repeat(i, p int32) bool {
 	it := &c.s.at[i]
-	uniq := c.h[it.h].Repeat != Replayable
+	uniq := c.h[it.h].once
 	if p == none {
 		c.share(i) // the table knows of a run that this module has let go of
 		return true
@@ -573,10 +576,10 @@
 	it := &c.s.at[i]
 	h := &c.h[it.h]
 	switch {
-	case h.Repeat == Uniqued:
-		it.kept = max(it.came+h.Window, c.now+1)
-	case h.Repeat == Replayable && c.fresh > 0 && c.mem+c.keyKB < c.memTop*0.8:
-		it.kept = it.came + h.Target + c.fresh
+	case h.uniq:
+		it.kept = it.came + h.window + 2 // what was rounded down is made good
+	case !h.once && c.fresh > 0 && c.mem+c.keyKB < c.memTop*0.8:
+		it.kept = it.came + h.target + c.fresh
 	default:
 		return
 	}
@@ -629,7 +632,7 @@
 			return
 		}
 		// The bound moves: it is looked at a few times on the way.
-		next = min(end, by, c.now+h.Target/16)
+		next = min(end, by, c.now+h.target/16)
 	case c.now >= end:
 		c.fail(i)
 		return
@@ -638,19 +641,19 @@
 		return
 	case it.phase == calling:
 		// A call that can't be made in time is skipped where that still earns.
-		by := it.came + h.Target - Time(c.est(it)/2+c.callTime)
-		if Time(c.calls.n)*c.callGap() > h.Target/8 {
+		by := it.came + h.target - Time(c.est(it)/2+c.callTime)
+		if Time(c.calls.n)*c.callGap() > h.target/8 {
 			// While the line of calls is long, those that earn least by their call wait least for it: their
 			// slots are free sooner and the calls go to the rest. Could harm if the line is about to clear.
 			by = min(by, it.stood+Time(float64(by-it.stood)*h.needs*h.needs))
 		}
-		if h.LeanValue > 0 && c.now >= by {
+		if h.skips && c.now >= by {
 			c.calls.remove(&c.s, i)
 			c.skip(i)
 			return
 		}
-		if h.LeanValue > 0 {
-			next = min(next, by, c.now+h.Target/16)
+		if h.skips {
+			next = min(next, by, c.now+h.target/16)
 		}
 	}
 	c.due.put(&c.s, i, next)
@@ -661,7 +664,7 @@
 // then the fleet is likely full and reading it once more serves nobody. Could harm where one of few is slow.
 func (c *Controller) shed(i int32, waited bool) {
 	it := &c.s.at[i]
-	last := waited && (it.again || c.press > 0.5 || c.now-it.came > c.h[it.h].Target/3)
+	last := waited && (it.again || c.press > 0.5 || c.now-it.came > c.h[it.h].target/3)
 	c.w.Shed(it.id, last, c.comeBack())
 	it.answered, it.failed = true, true
 	c.unhold(i)
@@ -688,7 +691,7 @@
 	it.phase = over
 	if it.kept > 0 || it.known > 0 {
 		// A repeat that reached the machine by now may be read as late as its own client timeout.
-		it.known = max(it.kept, c.now) + c.h[it.h].Timeout
+		it.known = max(it.kept, c.now) + c.h[it.h].timeout
 	}
 	c.look(i)
 }
@@ -703,7 +706,7 @@
 // gone takes a req whose caller is known to have left. A uniqued one runs on: a repeat may want its answer.
 func (c *Controller) gone(i int32) {
 	if i != none && !c.s.at[i].answered {
-		c.quit(i, c.h[c.s.at[i].h].Repeat == Replayable)
+		c.quit(i, !c.h[c.s.at[i].h].once)
 	}
 }
 
@@ -760,14 +763,14 @@
 	h := &c.h[it.h]
 	if e.How == OK {
 		c.moved()
-		c.judge(c.now-it.came > h.Target)
+		c.judge(c.now-it.came > h.target)
 		h.laps.add(c.now, float64(e.Ran), it.cost)
 		h.work.add(c.now, float64(max(e.Ran-it.spent, 0)), 1)
 	} else {
 		it.failed = true
 	}
 	switch {
-	case h.Repeat != Replayable || it.kept == 0:
+	case h.once || it.kept == 0:
 	case it.failed:
 		c.forget(it)
 	default:
@@ -816,7 +819,7 @@
 	usual := float64(Second)
 	for k := range c.h {
 		// One heavy run on a core or two may take half a target without anything being wrong.
-		usual = max(usual, 4*c.h[k].lap*c.h[k].unit, float64(c.h[k].Target)/2)
+		usual = max(usual, 4*c.h[k].lap*c.h[k].unit, float64(c.h[k].target)/2)
 	}
 	if !c.hung && c.stuck > Time(usual) && float64(c.running) >= c.cores {
 		c.hung = true
--- a/admission/interface.go
+++ b/admission/interface.go
@@ -61,7 +61,6 @@
 	Target    Time // answers within it earn the full value
 	Timeout   Time // the caller's, over all tries
 	Value     float64
-	LateValue float64 // share of Value earned after Target
 	LeanValue float64 // share of Value earned when a call is skipped; 0 if it can't be
 	Repeat    Repeat
 	Window    Time // a uniqued req may come again for so long
@@ -112,12 +111,10 @@
 	ID      uint32
 	Handler int
 	Tenant  int
-	Subject uint64
 	Came    Time // when it reached the machine
 	Due     Time // 0: not stated
 	Hint    Time // expected work; 0: not stated
 	KB      float64
-	Rank    float64
 	Again   bool // a further try or a second copy
 	Prior   uint32
 }
@@ -137,9 +134,7 @@
 
 // Gauges are the server's own readings, which come with a wake-up.
 type Gauges struct {
-	CoreUse float64
 	OnCores float64
-	Memory  float64
 	Links   float64
 }
 
--- a/admission/scenario_test.go
+++ b/admission/scenario_test.go
@@ -64,14 +64,23 @@
 		s.t.Errorf("%s:%d: call %d until %d, not past now %d", s.file, s.line, id, until, s.now)
 	}
 }
-func (s *scene) Skip(id uint32)             { s.busy[id] = true; s.note("skip %d", id) }
-func (s *scene) Remember(id uint32, _ Time) { s.note("remember %d", id) }
-func (s *scene) Forget(id uint32)           { s.note("forget %d", id) }
-func (s *scene) Reuse(id uint32)            { s.note("reuse %d", id) }
-func (s *scene) Health(good bool)           { s.note("health %v", good) }
-func (s *scene) Say(v float64)              { s.note("say %.1f", v) }
-func (s *scene) IdleClose(t Time)           { s.note("idle %d", t/10) }
-func (s *scene) Log(string)                 {}
+func (s *scene) Skip(id uint32) { s.busy[id] = true; s.note("skip %d", id) }
+
+// An entry lasts past the window of a uniqued req, by what rounding to tenths of a ms may have taken off.
+func (s *scene) Remember(id uint32, span Time) {
+	it := &s.c.s.at[s.c.s.find(id)]
+	if h := &s.c.h[it.h]; h.uniq && s.now+span < it.came+h.window+2 {
+		s.t.Errorf("%s:%d: the entry of %d is short of its window", s.file, s.line, id)
+	}
+	s.note("remember %d", id)
+}
+
+func (s *scene) Forget(id uint32) { s.note("forget %d", id) }
+func (s *scene) Reuse(id uint32)  { s.note("reuse %d", id) }
+func (s *scene) Health(good bool) { s.note("health %v", good) }
+func (s *scene) Say(v float64)    { s.note("say %.1f", v) }
+func (s *scene) IdleClose(t Time) { s.note("idle %d", t/10) }
+func (s *scene) Log(string)       {}
 func (s *scene) Wake(at Time) {
 	if s.wake > 0 {
 		s.t.Errorf("%s:%d: a second timer", s.file, s.line)
--- a/internal/host/host.go
+++ b/internal/host/host.go
@@ -156,9 +156,9 @@
 	switch e.Code() {
 	case simwire.Order:
 		flags := e.U8(39)
-		q := admission.Req{ID: id, Handler: e.U16(5), Tenant: int(e.U32(7)), Subject: e.U64(11),
+		q := admission.Req{ID: id, Handler: e.U16(5), Tenant: int(e.U32(7)),
 			Came: admission.Time((nowUS - min(uint64(e.U32(44)), nowUS)) / 100),
-			Due:  admission.Time(e.U64(19) / 100), KB: e.F32(31), Rank: e.F32(35),
+			Due:  admission.Time(e.U64(19) / 100), KB: e.F32(31),
 			Again: flags&2 != 0, Prior: e.U32(48)}
 		if flags&1 != 0 {
 			q.Hint = admission.Time(e.U32(27) / 100)
@@ -188,12 +188,8 @@
 			for k := 0; k < min(n, 4, len(in.meters)); k++ {
 				v := e.F32(10 + 4*k)
 				switch in.meters[k] {
-				case "core_use":
-					r.Gauges.CoreUse = v
 				case "on_cores":
 					r.Gauges.OnCores = v
-				case "heap_share":
-					r.Gauges.Memory = v
 				case "links":
 					r.Gauges.Links = v
 				}
--- a/internal/simwire/profile.go
+++ b/internal/simwire/profile.go
@@ -13,7 +13,6 @@
 type profile struct {
 	Classes []struct {
 		Gain      float64 `json:"gain"`
-		Late      float64 `json:"late_share"`
 		GiveUp    float64 `json:"give_up"`
 		Promise   float64 `json:"promise"`
 		Semantics string  `json:"semantics"`
@@ -117,7 +116,7 @@
 	}
 	for i, c := range p.Classes {
 		h := admission.Handler{Target: span(c.Promise), Timeout: span(c.GiveUp), Value: c.Gain,
-			LateValue: c.Late, Window: span(c.Window + 99)}
+			Window: span(c.Window + 99)}
 		if h.Timeout <= 0 {
 			return nil, nil, fmt.Errorf("settings: classes[%d].give_up is %g, expected above 0", i, c.GiveUp)
 		}
