--- a/admission/admission.go
+++ b/admission/admission.go
@@ -271,16 +271,14 @@
 
 // ---- 2. Wait bounds.
 
-// bound is how long a held req may wait: half its response target at first, then what its run will leave
-// of it. Past the first tier only that tier's part of the target can be used.
+// bound is how long a held req may wait: half its response target, or what its run will leave of it if less. Past the first tier only that tier's part of the target can be used.
 func (c *Controller) bound(it *item) Time {
 	h := &c.h[it.h]
 	target := float64(h.target) / (1 + c.stage)
-	b := target / 2
-	if est := c.est(it); est > 0 {
-		// An eighth stays even when runs take longer than the target: what shows recovery must be let in.
-		b = min(max(target-1.3*est, target/8), target*0.6)
-	}
+	// One usual run or 1.6 of them left instead of 1.3, and at most four or six tenths of the target, scored the
+	// same within noise. An eighth stays even when runs take longer than the target: what shows recovery must
+	// be let in.
+	b := min(max(target-1.3*c.est(it), target/8), target/2)
 	// While the hold is long, what earns least for its work (beyond a tenant's share above all) waits least,
 	// down to a tenth: the lap then settles where the least of what the cores can do still gets its turn.
 	if c.long > 0 {
@@ -375,7 +373,7 @@
 }
 
 // ceiling is how many runs this server survives on its cores, whatever stands at calls now: all may come
-// back at once. A fifth is kept off as margin; a cold start counts at its slowest lawful pace.
+// back at once. A fifth is kept off as margin (a third scored the same within noise); a cold start counts at its slowest lawful pace.
 func (c *Controller) ceiling() int {
 	speed := 1.0
 	if c.now < c.warmAt {
@@ -792,6 +790,7 @@
 		c.onCores = r.Gauges.OnCores
 		c.grow()
 	}
+	// An eighth of the target unread is well past what reading itself takes; a quarter scored the same.
 	if float64(c.hold.n) >= c.cores || c.unread.mean(c.now, 0) > 0.125 {
 		c.long += dt
 	} else {
@@ -835,7 +834,8 @@
 // wade sees a server swamped by what it has not read yet: nearly all it reads has waited unread for half its
 // target, or its runs end past it, so what it does is for nobody. Once checks are told, what comes in dries
 // up, and it is well again when what it reads is fresh or nothing is left. Guards against slowness, bursts
-// and tries without limit; could harm where the whole fleet is swamped and goes off at once.
+// and tries without limit; could harm where the whole fleet is swamped and goes off at once. Two thirds or
+// nine tenths late instead of four fifths scored the same within noise.
 func (c *Controller) wade() {
 	late, n := c.stale.sums(c.now)
 	switch {
