--- a/admission/admission.go
+++ b/admission/admission.go
@@ -271,7 +271,8 @@
 
 // ---- 2. Wait bounds.
 
-// bound is how long a held req may wait: half its response target, or what its run will leave of it if less. Past the first tier only that tier's part of the target can be used.
+// bound is how long a held req may wait: half its response target, or what its run will leave of it if less.
+// Past the first tier only that tier's part of the target can be used.
 func (c *Controller) bound(it *item) Time {
 	h := &c.h[it.h]
 	target := float64(h.target) / (1 + c.stage)
@@ -373,7 +374,8 @@
 }
 
 // ceiling is how many runs this server survives on its cores, whatever stands at calls now: all may come
-// back at once. A fifth is kept off as margin (a third scored the same within noise); a cold start counts at its slowest lawful pace.
+// back at once. A fifth is kept off as margin (a third scored the same within noise); a cold start counts at
+// its slowest lawful pace.
 func (c *Controller) ceiling() int {
 	speed := 1.0
 	if c.now < c.warmAt {
