--- a/admission/admission.go
+++ b/admission/admission.go
@@ -128,6 +128,7 @@
 	// same within noise on both deployments that share one, a sixth lost on the busy days of one.
 	c.allowed, c.most = d.CallsOut/4, d.CallsOut*0.9
 	for _, h := range d.Handlers {
+		// Four seconds of runs: dozens at a server's rate, and soon past a change of its speed.
 		c.h = append(c.h, handler{target: h.Target, timeout: h.Timeout, window: h.Window, value: h.Value,
 			skips: h.LeanValue > 0, needs: h.Value * (1 - h.LeanValue), uniq: h.Repeat == Uniqued,
 			once: h.Repeat != Replayable, laps: newRing(8, Second/2), work: newRing(8, Second/2), unit: 1,
@@ -464,6 +465,7 @@
 	}
 	if n, _ := c.refused.sums(c.now); n > 0 {
 		ok, _ := c.passed.sums(c.now)
+		// A quarter over what passed, and two a second at the least, so that the pace can find its way back.
 		return Time(float64(c.passed.span()) / (1.25*ok + 4))
 	}
 	return 0
@@ -582,6 +584,7 @@
 	switch {
 	case h.uniq:
 		it.kept = it.came + h.window + 2 // what was rounded down is made good
+	// A shared read is a saving, not a duty: the last fifth of memory is left to runs and windows.
 	case !h.once && c.fresh > 0 && c.mem+c.keyKB < c.memTop*0.8:
 		it.kept = it.came + h.target + c.fresh
 	default:
@@ -913,6 +916,7 @@
 	value := c.press
 	switch c.voice {
 	case SayCredit:
+		// As many held as running, split over the callers, is a short line and no idle slot.
 		value = float64(c.limit) * 2 * (1 - c.press) / c.senders
 	case SayWeight:
 		value = 1 - c.press
