--- a/admission/admission.go
+++ b/admission/admission.go
@@ -240,7 +240,23 @@
 func (c *Controller) door(i int32, prior uint32) {
 	it := &c.s.at[i]
 	h := &c.h[it.h]
-	if prior != 0 && c.repeat(i, c.s.find(prior)) {
+	p := none
+	if prior != 0 {
+		p = c.s.find(prior)
+	}
+	switch {
+	case prior == 0:
+	case c.mem <= c.memTop:
+		if c.repeat(i, p) {
+			return
+		}
+	case h.once && (p == none || c.s.at[p].ran):
+		c.fail(i)
+		return
+	default:
+		// Guards against repeats of a hot key that fill the memory: they need no slot, but each waits in held
+		// memory, and few large ones are a good part of a small server's. Could harm where one is about to end.
+		c.shed(i, false)
 		return
 	}
 	key := 0.0
