Where the allowance is under one call, a call lasts no longer than the mean has left

Cause: one call at a time is more than an allowance of 0.3 to 0.45; a dependency that stalls could be left holding one call of each of hundreds of servers for as long as a client timeout, past what it survives.

--- a/admission/admission.go
+++ b/admission/admission.go
@@ -496,6 +496,12 @@
 func (c *Controller) callUntil(it *item) Time {
 	h := &c.h[it.h]
 	last := it.due - c.spare()
+	if c.shared && c.most < 1 {
+		// One call is more than the allowance: it may last only for what the mean has left, so that a stalled
+		// dependency is not held by one call of each of hundreds of servers. Could harm where just this one is slow.
+		used := c.hands.over(c.now) * float64(c.hands.span())
+		last = min(last, c.now+Time(c.most*float64(c.hands.span())-used)-c.linger)
+	}
 	if h.once {
 		return max(last, c.now+1)
 	}
--- a/admission/scenario_test.go
+++ b/admission/scenario_test.go
@@ -62,6 +62,11 @@
 	if until <= s.now {
 		s.t.Errorf("%s:%d: call %d until %d, not past now %d", s.file, s.line, id, until, s.now)
 	}
+	// Rule 4: where one call is over the allowance, it can't last so long that the mean over the span is.
+	if most := Time(s.d.CallsOut * float64(s.d.Span)); s.d.CallsOut < 1 && s.d.Below == BelowShared &&
+		until-s.now+s.d.Linger > most {
+		s.t.Errorf("%s:%d: call %d may last past the allowance", s.file, s.line, id)
+	}
 }
 func (s *scene) Skip(id uint32) { s.busy[id] = true; s.note("skip %d", id) }
 
