A call is skipped or given up only when it can't be back within the target

Cause: half a usual run was set aside for what follows the call. A run that comes late to its call is a large one that has most of its work behind it: skipping gave up half to seven tenths of its value, by work the dearest, with the dependency nearly idle. Could harm where much work follows the call.

--- a/admission/admission.go
+++ b/admission/admission.go
@@ -505,7 +505,7 @@
 	if h.once {
 		return max(last, c.now+1)
 	}
-	by := it.came + h.target - Time(c.est(it)/2)
+	by := it.came + h.target
 	by = max(by, c.now+Time(2*c.callTime)+Second/5)
 	return max(min(by, last), c.now+1)
 }
@@ -674,7 +674,7 @@
 		return
 	case it.phase == calling:
 		// A call that can't be made in time is skipped where that still earns.
-		by := it.came + h.target - Time(c.est(it)/2+c.callTime)
+		by := it.came + h.target - Time(c.callTime)
 		if Time(c.calls.n)*c.callGap() > h.target/8 {
 			// While the line of calls is long, those that earn least by their call wait least for it: their
 			// slots are free sooner and the calls go to the rest. Could harm if the line is about to clear.
