Sheds end walks while what is shed here and further tries come to eight tenths

One server sees a full fleet by its own sheds and by how much of what it reads was turned away elsewhere.

--- a/admission/admission.go
+++ b/admission/admission.go
@@ -96,6 +96,7 @@
 	maxPause        Time
 	idle, idleSaid  Time
 	turned          ring // reqs shed, and reqs read
+	again           ring // further tries read, and reqs read
 	drain           bool
 	grace, graceEnd Time
 	kill            Time
@@ -119,7 +120,7 @@
 		hands:  level{ring: newRing(10, max(d.Span, Second)/10), at: d.Start},
 		ghosts: newRing(5, max(d.Linger, 4)/4),
 		// Four seconds of reqs: dozens at a server's rate, and shorter than a storm.
-		turned: newRing(8, Second/2),
+		turned: newRing(8, Second/2), again: newRing(8, Second/2),
 	}
 	if d.Cold && d.ColdSpeed > 0 && d.ColdSpeed < 1 {
 		c.cold, c.warmAt = d.ColdSpeed, d.Start+d.WarmAfter
@@ -227,7 +228,10 @@
 	}
 	it.cost = h.unit
 	c.mem += it.kb
-	if !q.Again {
+	if q.Again {
+		c.again.add(c.now, 1, 1)
+	} else {
+		c.again.add(c.now, 0, 1)
 		// Further tries of what was turned away would make a tenant look beyond its share.
 		c.t[it.t].came.add(c.now, 1, 0)
 	}
@@ -693,11 +697,14 @@
 }
 
 // shed answers a held req that never ran. It is not to be tried elsewhere if it waited long or is a further
-// try, which two servers have now turned away, or if callers are told to keep half of what they have away:
+// try, which two servers have now turned away, if callers are told to keep half of what they have away, or if
+// what was shed here and what comes here as a further try are each, in the mean, four in ten of what is read:
 // then the fleet is likely full and reading it once more serves nobody. Could harm where one of few is slow.
 func (c *Controller) shed(i int32, waited bool) {
 	it := &c.s.at[i]
-	last := waited && (it.again || c.press > 0.5 || c.now-it.came > c.h[it.h].target/3)
+	// Six tenths for the two shares lost what it gained, seven, nine and ten gained less.
+	full := c.press > 0.5 || c.turned.mean(c.now, 0)+c.again.mean(c.now, 0) > 0.8
+	last := waited && (it.again || full || c.now-it.came > c.h[it.h].target/3)
 	c.w.Shed(it.id, last, c.comeBack())
 	c.turned.add(c.now, 1, 0)
 	it.answered, it.failed = true, true
