Idle time of connections by callers that came lately, or by sheds if more

Cause: the share shed only stands for what matters, whether a connection is used again. Could harm where many callers come every ten seconds.

--- a/admission/admission.go
+++ b/admission/admission.go
@@ -95,8 +95,10 @@
 	senders         float64
 	maxPause        Time
 	idle, idleSaid  Time
-	turned          ring // reqs shed, and reqs read
-	again           ring // further tries read, and reqs read
+	turned          ring            // reqs shed, and reqs read
+	again           ring            // further tries read, and reqs read
+	seen            map[uint32]Time // when each caller last came
+	back            ring            // reqs of callers that came shortly before, and reqs read
 	drain           bool
 	grace, graceEnd Time
 	kill            Time
@@ -121,6 +123,7 @@
 		ghosts: newRing(5, max(d.Linger, 4)/4),
 		// Four seconds of reqs: dozens at a server's rate, and shorter than a storm.
 		turned: newRing(8, Second/2), again: newRing(8, Second/2),
+		back: newRing(8, Second), seen: map[uint32]Time{},
 	}
 	if d.Cold && d.ColdSpeed > 0 && d.ColdSpeed < 1 {
 		c.cold, c.warmAt = d.ColdSpeed, d.Start+d.WarmAfter
@@ -237,6 +240,13 @@
 	}
 	c.cell(it).work.add(c.now, h.own, 1)
 	c.turned.add(c.now, 0, 1)
+	if came, ok := c.seen[q.Caller]; ok && c.now-came < 8*Second {
+		c.back.add(c.now, 1, 0)
+	} else if len(c.seen) > 4096 {
+		clear(c.seen) // several times the callers of any fleet seen; the share is only low for a moment
+	}
+	c.seen[q.Caller] = c.now
+	c.back.add(c.now, 0, 1)
 	unread := float64(c.now-it.came) / float64(h.target)
 	c.judge(unread > 0.5)
 	c.unread.add(c.now, unread, 1)
@@ -501,8 +511,8 @@
 	h := &c.h[it.h]
 	last := it.due - c.spare()
 	if c.shared && c.most < 1 {
-		// One call is more than the allowance: it may last only for what the mean has left, so that a stalled
-		// dependency is not held by one call of each of hundreds of servers. Could harm where just this one is slow.
+		// One call is more than the allowance: it lasts at most for what the mean has left, lest a stalled
+		// dependency be held by one call of each of hundreds of servers. Could harm where just this one is slow.
 		used := c.hands.over(c.now) * float64(c.hands.span())
 		last = min(last, c.now+Time(c.most*float64(c.hands.span())-used)-c.linger)
 	}
@@ -910,17 +920,18 @@
 	}
 }
 
-// thin has callers' idle connections closed sooner where there are more callers than sixteen a core: each open
+// thin has idle connections closed sooner where there are more callers than sixteen a core: each open
 // one takes its part of the cores, and the size of the table is told nowhere. Fewer are left alone: a small
-// part of any table one would set up. Each new one costs work, so the time goes by the fourth power of the
-// share of reqs that were shed lately (the third and the sixth scored alike): in a storm a full table keeps
-// away, unread, what would be set up, read and shed. A quarter of a second at the least instead of one gained on
-// one big day and lost on another. Could harm where many callers each come every few seconds.
+// part of any table one would set up. Each new one costs work, so the time goes by the square of the share of
+// reqs whose caller was here in the last eight seconds; the cube was even, fixed times lost. It goes by the
+// fourth power of the share of reqs shed if that is more (third, sixth even): in a storm a full table keeps
+// away, unread, what would be set up, read and shed. Could harm where many callers come every ten seconds.
 func (c *Controller) thin(links float64) {
 	idle := c.idle
 	if max(links, c.senders) > 16*c.cores {
-		shed, read := c.turned.sums(c.now)
-		idle = max(Time(float64(c.idle)*math.Pow(min(shed/max(read, 1), 1), 4)), min(Second, c.idle))
+		shed := c.turned.mean(c.now, 0)
+		keep := max(c.back.mean(c.now, 0), shed*shed)
+		idle = max(Time(float64(c.idle)*keep*keep), min(Second, c.idle))
 	}
 	if idle > c.idleSaid*5/4 || idle < c.idleSaid*4/5 {
 		c.idleSaid = idle
--- a/admission/interface.go
+++ b/admission/interface.go
@@ -114,7 +114,8 @@
 	Due     Time // 0: not stated
 	Hint    Time // expected work; 0: not stated
 	KB      float64
-	Again   bool // a further try or a second copy
+	Again   bool   // a further try or a second copy
+	Caller  uint32 // who sent it, of those that keep connections
 	Prior   uint32
 }
 
--- a/admission/scenario_test.go
+++ b/admission/scenario_test.go
@@ -23,8 +23,8 @@
 //	still MS                     the process stands still so long: wake-ups come late
 //	never DECISION               not since the scenario began, whatever else is said with it
 //
-// Events: arrive ID [h=N t=N came=MS due=MS hint=MS kb=N prior=ID again], end ID OUTCOME [MS], need ID,
-// back ID OUTCOME [MS], gone ID, drain MS (the kill).
+// Events: arrive ID [h=N t=N came=MS due=MS hint=MS kb=N caller=N prior=ID again], end ID OUTCOME [MS],
+// need ID, back ID OUTCOME [MS], gone ID, drain MS (the kill).
 type scene struct {
 	t     *testing.T
 	file  string
@@ -240,6 +240,8 @@
 					q.Hint = s.ms(v)
 				case "kb":
 					q.KB = s.num(v)
+				case "caller":
+					q.Caller = uint32(s.num(v))
 				case "prior":
 					q.Prior = uint32(s.num(v))
 				case "again":
--- a/internal/host/host.go
+++ b/internal/host/host.go
@@ -159,7 +159,7 @@
 		q := admission.Req{ID: id, Handler: e.U16(5), Tenant: int(e.U32(7)),
 			Came: admission.Time((nowUS - min(uint64(e.U32(44)), nowUS)) / 100),
 			Due:  admission.Time(e.U64(19) / 100), KB: e.F32(31),
-			Again: flags&2 != 0, Prior: e.U32(48)}
+			Again: flags&2 != 0, Caller: e.U32(40), Prior: e.U32(48)}
 		if flags&1 != 0 {
 			q.Hint = admission.Time(e.U32(27) / 100)
 		}
