A req at a call it can't skip is errored once an answer earns nothing

Cause: with less than one call allowed a server, a crawling dependency left seat-hold at its call until its client timeout; twelve seconds a req filled every slot.

--- a/admission/admission.go
+++ b/admission/admission.go
@@ -23,7 +23,8 @@
 type handler struct {
 	target, timeout, window Time
 	value                   float64
-	skips, uniq, once       bool    // a call can be skipped; repeats are known; it must not run twice
+	late, skips             bool    // an answer past the target still earns; a call can be skipped
+	uniq, once              bool    // repeats are known; it must not run twice
 	laps                    ring    // time of runs, calls included, over stated work
 	lap                     float64 // the last known ratio
 	work                    ring    // time of runs less their calls, over runs
@@ -134,17 +135,16 @@
 	// mean over the span can come to the whole. A quarter scored lower on big days, where a server's calls are
 	// too few to fill an even pace; the whole scored the same within noise.
 	c.allowed, c.most = d.CallsOut/2, d.CallsOut*0.9
+	most := 0.0
 	for _, h := range d.Handlers {
+		needs := h.Value * (1 - h.LeanValue)
+		most = max(most, needs)
 		// Four seconds of runs: dozens at a server's rate, and soon past a change of its speed.
 		c.h = append(c.h, handler{target: h.Target, timeout: h.Timeout, window: h.Window, value: h.Value,
-			skips: h.LeanValue > 0, needs: h.Value * (1 - h.LeanValue), uniq: h.Repeat == Uniqued,
+			late: h.LateValue > 0, skips: h.LeanValue > 0, needs: needs, uniq: h.Repeat == Uniqued,
 			once: h.Repeat != Replayable, laps: newRing(8, Second/2), work: newRing(8, Second/2), unit: 1,
 			own: float64(h.Target) / 8})
 	}
-	most := 0.0
-	for k := range c.h {
-		most = max(most, c.h[k].needs)
-	}
 	for k := range c.h {
 		c.h[k].needs /= max(most, 1e-9)
 	}
@@ -231,22 +231,19 @@
 	}
 	it.cost = h.unit
 	c.mem += it.kb
-	if q.Again {
-		c.again.add(c.now, 1, 1)
-	} else {
-		c.again.add(c.now, 0, 1)
+	if !q.Again {
 		// Further tries of what was turned away would make a tenant look beyond its share.
 		c.t[it.t].came.add(c.now, 1, 0)
 	}
 	c.cell(it).work.add(c.now, h.own, 1)
 	c.turned.add(c.now, 0, 1)
-	if came, ok := c.seen[q.Caller]; ok && c.now-came < 8*Second {
-		c.back.add(c.now, 1, 0)
-	} else if len(c.seen) > 4096 {
+	c.again.add(c.now, one(q.Again), 1)
+	if len(c.seen) > 4096 {
 		clear(c.seen) // several times the callers of any fleet seen; the share is only low for a moment
 	}
+	came, ok := c.seen[q.Caller]
 	c.seen[q.Caller] = c.now
-	c.back.add(c.now, 0, 1)
+	c.back.add(c.now, one(ok && c.now-came < 8*Second), 1)
 	unread := float64(c.now-it.came) / float64(h.target)
 	c.judge(unread > 0.5)
 	c.unread.add(c.now, unread, 1)
@@ -258,10 +255,7 @@
 func (c *Controller) door(i int32, prior uint32) {
 	it := &c.s.at[i]
 	h := &c.h[it.h]
-	p := none
-	if prior != 0 {
-		p = c.s.find(prior)
-	}
+	p := c.s.find(prior)
 	switch {
 	case prior == 0:
 	case c.mem <= c.memTop:
@@ -657,6 +651,11 @@
 	if c.drain {
 		end = min(end, c.kill-c.spare())
 	}
+	if it.phase == calling && !h.skips && !h.late {
+		// Guards against slots held for calls that can't be made: a slow dependency would fill them all with
+		// reqs past use. Could harm where an answer that earns nothing is still wanted.
+		end = min(end, it.came+h.target)
+	}
 	next := end
 	switch {
 	case it.phase == over || it.answered:
@@ -894,12 +893,13 @@
 }
 
 // judge counts a req that was read, or a run that ended, as too late to be of use or not.
-func (c *Controller) judge(late bool) {
-	n := 0.0
-	if late {
-		n = 1
+func (c *Controller) judge(late bool) { c.stale.add(c.now, one(late), 1) }
+
+func one(yes bool) float64 {
+	if yes {
+		return 1
 	}
-	c.stale.add(c.now, n, 1)
+	return 0
 }
 
 // health tells checks whether to send anything here.
@@ -971,10 +971,7 @@
 		value = 1 - c.press
 	}
 	if !c.good {
-		value = 0
-		if c.voice == SayLevel {
-			value = 1
-		}
+		value = one(c.voice == SayLevel)
 	}
 	if math.Abs(value-c.said) > 0.01 {
 		c.said = value
--- a/admission/interface.go
+++ b/admission/interface.go
@@ -61,6 +61,7 @@
 	Target    Time // answers within it earn the full value
 	Timeout   Time // the caller's, over all tries
 	Value     float64
+	LateValue float64 // share of Value earned past the target
 	LeanValue float64 // share of Value earned when a call is skipped; 0 if it can't be
 	Repeat    Repeat
 	Window    Time // a uniqued req may come again for so long
--- a/admission/scenario_test.go
+++ b/admission/scenario_test.go
@@ -165,6 +165,8 @@
 			h.Timeout = s.ms(v)
 		case "value":
 			h.Value = s.num(v)
+		case "late":
+			h.LateValue = s.num(v)
 		case "lean":
 			h.LeanValue = s.num(v)
 		case "uniqued":
--- a/internal/simwire/profile.go
+++ b/internal/simwire/profile.go
@@ -14,6 +14,7 @@
 	Classes []struct {
 		Gain      float64 `json:"gain"`
 		GiveUp    float64 `json:"give_up"`
+		LateShare float64 `json:"late_share"`
 		Promise   float64 `json:"promise"`
 		Semantics string  `json:"semantics"`
 		Window    float64 `json:"window"`
@@ -116,7 +117,7 @@
 	}
 	for i, c := range p.Classes {
 		h := admission.Handler{Target: span(c.Promise), Timeout: span(c.GiveUp), Value: c.Gain,
-			Window: span(c.Window + 99)}
+			LateValue: c.LateShare, Window: span(c.Window + 99)}
 		if h.Timeout <= 0 {
 			return nil, nil, fmt.Errorf("settings: classes[%d].give_up is %g, expected above 0", i, c.GiveUp)
 		}
