--- a/admission/admission.go
+++ b/admission/admission.go
@@ -857,7 +857,9 @@
 	if on := c.running - c.hands.n - c.calls.n; on <= 0 || c.hung {
 		c.stuck = 0
 	} else {
-		c.stuck += dt
+		// Fewer than four runs may well all be heavy: what shows with four at once takes longer with fewer. Six
+		// scored the same within noise; time not weighed so took slow and cold 2-core servers for hung.
+		c.stuck += dt * Time(min(on, 4)) / 4
 	}
 	usual := float64(Second)
 	for k := range c.h {
