--- a/admission/admission.go
+++ b/admission/admission.go
@@ -309,8 +309,8 @@
 	// While the hold is long, what earns least for its work (beyond a tenant's share above all) waits least,
 	// down to a tenth: the lap then settles where the least of what the cores can do still gets its turn.
 	if c.long {
-		// Not while so few are held that a shed one could leave a core idle.
-		if float64(c.hold.n) > c.cores/2 {
+		// Not while so few are held that a shed one could leave a core idle: two at least, whatever the cores.
+		if float64(c.hold.n) > max(c.cores/2, 2) {
 			b *= 0.1 + 0.9*c.cell(it).stand*c.cell(it).stand
 		}
 		if it.again {
