--- a/admission/admission.go
+++ b/admission/admission.go
@@ -28,6 +28,8 @@
 	laps                    ring    // time of runs, calls included, over stated work
 	lap                     float64 // the last known ratio
 	work                    ring    // time of runs less their calls, over runs
+	met                     ring    // reqs done within the target, of those read
+	share, asked            float64 // that share, and the value asked for lately
 	own                     float64
 	unit                    float64 // stands in where a req states no work
 	needs                   float64 // what its call earns, as a share of the most that any handler's does
@@ -49,60 +51,54 @@
 
 // Controller decides for one server.
 type Controller struct {
-	w       Writer
-	now     Time
-	h       []handler
-	t       []tenant
-	cells   []cell
-	byRank  []int // cells by what they earn
-	s       slab
-	due     wheel
-	granule Time
-	byWork  bool
-	beyond  float64 // worth of what is beyond a share, as a share
-	stage   float64
-	awake   bool // a timer is pending
-
-	hold            list
-	long            bool // the line before the slots is long
-	lap             Time // how long the last one to start had waited
-	cores, onCores  float64
-	running, limit  int
-	cold, fall      float64 // share of speed at the start; runs a core that a warm server survives
-	born, warmAt    Time
-	mem, memTop     float64
-	runKB, keyKB    float64 // memory of a run as a multiple of a held req's; of an entry in the table
-	stop            Stop
-	fresh           Time
-	shared          bool
-	allowed, most   float64 // calls meant to be in hand in the mean, and never more than
-	linger          Time
-	calls           list
-	nextCall        Time
-	hands           level // calls in hand
-	ghosts          ring  // calls given up that linger
-	took            ring
-	refused, passed ring
-	callTime        float64
-	hung, swamped   bool
-	good            bool // what health checks are told
-	stuck           Time // how long started work has not moved
-	stale           ring // what was read or done too late to be of use, of all
-	unread          ring // how long what was read had waited unread, in response targets
-	lastTick        Time
-	slowTick        Time
-	voice           Voice
-	press, said     float64
-	senders         float64
-	maxPause        Time
-	idle, idleSaid  Time
-	turned          ring            // reqs shed, and reqs read
-	again           ring            // further tries read, and reqs read
-	seen            map[uint32]Time // when each caller last came
-	back            ring            // reqs of callers that came shortly before, and reqs read
-	drain           bool
-	grace, graceEnd Time
-	kill            Time
+	w            Writer
+	now, granule Time
+	h            []handler
+	t            []tenant
+	cells        []cell
+	byRank       []int // cells by what they earn
+	s            slab
+	due          wheel
+	byWork       bool
+	beyond       float64 // worth of what is beyond a share, as a share
+	worst        float64 // what the worst handler's share counts for, over that of the whole
+	stage        float64
+	awake        bool // a timer is pending
+
+	hold                  list
+	long                  bool // the line before the slots is long
+	lap                   Time // how long the last one to start had waited
+	cores, onCores        float64
+	running, limit        int
+	cold, fall            float64 // share of speed at the start; runs a core that a warm server survives
+	born, warmAt          Time
+	mem, memTop           float64
+	runKB, keyKB          float64 // memory of a run as a multiple of a held req's; of an entry in the table
+	stop                  Stop
+	fresh, linger         Time
+	shared, drain         bool
+	allowed, most         float64 // calls meant to be in hand in the mean, and never more than
+	calls                 list
+	nextCall              Time
+	hands                 level // calls in hand
+	ghosts                ring  // calls given up that linger
+	took, refused, passed ring
+	callTime, senders     float64
+	hung, swamped         bool
+	good                  bool // what health checks are told
+	stuck                 Time // how long started work has not moved
+	stale                 ring // what was read or done too late to be of use, of all
+	unread                ring // how long what was read had waited unread, in response targets
+	lastTick, slowTick    Time
+	voice                 Voice
+	press, said           float64
+	idle, idleSaid        Time
+	turned                ring            // reqs shed, and reqs read
+	again                 ring            // further tries read, and reqs read
+	seen                  map[uint32]Time // when each caller last came
+	back                  ring            // reqs of callers that came shortly before, and reqs read
+	maxPause              Time
+	grace, graceEnd, kill Time
 }
 
 // New readies a controller for a server that starts now.
@@ -112,9 +108,8 @@
 		cores: float64(d.Cores), limit: d.Cores, cold: 1, born: d.Start, warmAt: d.Start, fall: max(d.Fall, 1),
 		runKB: d.RunFactor, keyKB: d.KeyKB, stop: d.Stop, fresh: d.Fresh, maxPause: d.MaxPause,
 		voice: d.Voice, idle: d.Idle, idleSaid: d.Idle, senders: float64(d.Senders), stage: float64(d.Stage),
-		linger: d.Linger,
-		shared: d.Below == BelowShared && d.CallsOut > 0,
-		grace:  d.DrainGrace, lastTick: d.Start, slowTick: d.Start,
+		linger: d.Linger, shared: d.Below == BelowShared && d.CallsOut > 0, grace: d.DrainGrace,
+		lastTick: d.Start, slowTick: d.Start, worst: d.Worst * one(d.Voice != SayLevel),
 		// 4096 buckets of a tick reach 80 s, past every client timeout; what lies further is filed again.
 		due:   newWheel(4096, tick, d.Start),
 		stale: newRing(4, Second/4), unread: newRing(4, Second/4),
@@ -123,17 +118,16 @@
 		hands:  level{ring: newRing(10, max(d.Span, Second)/10), at: d.Start},
 		ghosts: newRing(5, max(d.Linger, 4)/4),
 		// Four seconds of reqs: dozens at a server's rate, and shorter than a storm.
-		turned: newRing(8, Second/2), again: newRing(8, Second/2),
-		back: newRing(8, Second), seen: map[uint32]Time{},
+		turned: newRing(8, Second/2), again: newRing(8, Second/2), back: newRing(8, Second),
+		seen: map[uint32]Time{},
 	}
 	if d.Cold && d.ColdSpeed > 0 && d.ColdSpeed < 1 {
 		c.cold, c.warmAt = d.ColdSpeed, d.Start+d.WarmAfter
 	}
 	// A twentieth of memory is left free: what a round brings in is counted only after it was read.
 	c.memTop = d.MemKB * 0.95
-	// The pace aims at half of what it survives, and at no moment are more than nine tenths in hand, so that no
-	// mean over the span can come to the whole. A quarter scored lower on big days, where a server's calls are
-	// too few to fill an even pace; the whole scored the same within noise.
+	// The pace aims at half of what it survives (a quarter lost where a server's calls are few, all of it even),
+	// and never are more than nine tenths in hand, so that no mean over the span can come to the whole.
 	c.allowed, c.most = d.CallsOut/2, d.CallsOut*0.9
 	most := 0.0
 	for _, h := range d.Handlers {
@@ -142,17 +136,15 @@
 		// Four seconds of runs: dozens at a server's rate, and soon past a change of its speed.
 		c.h = append(c.h, handler{target: h.Target, timeout: h.Timeout, window: h.Window, value: h.Value,
 			late: h.LateValue > 0, skips: h.LeanValue > 0, needs: needs, uniq: h.Repeat == Uniqued,
-			once: h.Repeat != Replayable, laps: newRing(8, Second/2), work: newRing(8, Second/2), unit: 1,
-			own: float64(h.Target) / 8})
+			once: h.Repeat != Replayable, laps: newRing(8, Second/2), work: newRing(8, Second/2),
+			met: newRing(8, Second), unit: 1, own: float64(h.Target) / 8})
 	}
 	for k := range c.h {
 		c.h[k].needs /= max(most, 1e-9)
 	}
 	for _, t := range d.Tenants {
 		// Five seconds of arrivals: some dozens at a server's rate, and shorter than a surge lasts.
-		came := newRing(10, Second/2)
-		c.t = append(c.t, tenant{came: came, full: 1,
-			fair: t.Quota / float64(d.Fleet) * float64(came.span()) / float64(Second)})
+		c.t = append(c.t, tenant{came: newRing(10, Second/2), full: 1, fair: 5 * t.Quota / float64(d.Fleet)})
 	}
 	if len(c.t) == 0 {
 		c.t = append(c.t, tenant{came: newRing(1, Second), full: 1, fair: math.Inf(1)})
@@ -236,6 +228,7 @@
 		c.t[it.t].came.add(c.now, 1, 0)
 	}
 	c.cell(it).work.add(c.now, h.own, 1)
+	h.met.add(c.now, 0, 1)
 	c.turned.add(c.now, 0, 1)
 	c.again.add(c.now, one(q.Again), 1)
 	if len(c.seen) > 4096 {
@@ -282,8 +275,7 @@
 		// While work hangs one replayable req at a time is let in, to see whether it finishes again.
 		c.shed(i, false)
 	case it.prior == none && c.mem+key+it.kb*(c.runKB-1) > c.memTop:
-		// Guards against a hold that fills the memory its own runs need. Could harm where waiting would have
-		// freed it in time.
+		// Guards against a hold that fills the memory its runs need. Could harm where waiting would free it.
 		c.shed(i, false)
 	default:
 		c.hold.insertAfter(&c.s, i, c.hold.tail)
@@ -302,9 +294,8 @@
 func (c *Controller) bound(it *item) Time {
 	h := &c.h[it.h]
 	target := float64(h.target) / (1 + c.stage)
-	// One usual run or 1.6 of them left instead of 1.3, and at most four or six tenths of the target, scored the
-	// same within noise. An eighth stays even when runs take longer than the target: what shows recovery must
-	// be let in.
+	// One usual run or 1.6 left instead of 1.3, and at most four or six tenths of the target: even. An eighth
+	// stays even when runs take longer than the target: what shows recovery must be let in.
 	b := min(max(target-1.3*c.est(it), target/8), target/2)
 	// While the hold is long, what earns least for its work (beyond a tenant's share above all) waits least,
 	// down to a tenth: the lap then settles where the least of what the cores can do still gets its turn.
@@ -329,7 +320,9 @@
 	return h.lap * it.cost
 }
 
-// rank finds what each handler of each tenant earns for its work and how much work earns less.
+// rank finds what each handler of each tenant earns for its work and how much work earns less. If the worst
+// handler counts apart, a req of the one done least adds to that, fading out at a tenth above; not if a level
+// keeps the lowest away unread, which what is read doesn't show. Could harm if a handler fails by itself.
 func (c *Controller) rank() {
 	for k := range c.t {
 		t := &c.t[k]
@@ -339,10 +332,21 @@
 			t.full = c.beyond + (1-c.beyond)*t.fair/n
 		}
 	}
+	low, all := 1.0, 0.0
+	for k := range c.h {
+		h := &c.h[k]
+		h.own = h.work.mean(c.now, h.own)
+		_, n := h.met.sums(c.now)
+		h.share, h.asked = h.met.mean(c.now, 1), n*h.value
+		if c.byWork {
+			h.asked *= h.own
+		}
+		low, all = min(low, h.share), all+h.asked
+	}
 	for k := range c.cells {
 		l, h := &c.cells[k], &c.h[k/len(c.t)]
-		h.own = h.work.mean(c.now, h.own)
-		l.earns = h.value * c.t[k%len(c.t)].full
+		adds := c.worst * max(0, 1-10*(h.share-low)) * all / max(h.asked, 1e-9)
+		l.earns = h.value * c.t[k%len(c.t)].full * (1 + adds)
 		if !c.byWork {
 			l.earns /= max(h.own, 1)
 		}
@@ -399,9 +403,8 @@
 	}
 }
 
-// ceiling is how many runs this server survives on its cores, whatever stands at calls now: all may come
-// back at once. A fifth is kept off as margin (a third scored the same within noise); a cold start counts at
-// its slowest lawful pace.
+// ceiling is how many runs this server survives on its cores, those at calls too: all may come back at once.
+// A fifth is kept off as margin (a third: even); a cold start counts at its slowest lawful pace.
 func (c *Controller) ceiling() int {
 	speed := 1.0
 	if c.now < c.warmAt {
@@ -790,12 +793,13 @@
 		return
 	}
 	it := &c.s.at[i]
+	h := &c.h[it.h]
 	switch it.phase {
 	case held, over:
 		return
 	case sharing:
-		it.failed = e.How != OK
-		it.answered = true
+		it.failed, it.answered = e.How != OK, true
+		h.met.add(c.now, one(e.How == OK && c.now-it.came <= h.target), 0)
 		c.release(i)
 		return
 	case calling:
@@ -806,10 +810,10 @@
 	}
 	c.running--
 	c.mem -= it.kb * (c.runKB - 1)
-	h := &c.h[it.h]
 	if e.How == OK {
 		c.moved()
 		c.judge(c.now-it.came > h.target)
+		h.met.add(c.now, one(c.now-it.came <= h.target), 0)
 		h.laps.add(c.now, float64(e.Ran), it.cost)
 		h.work.add(c.now, float64(max(e.Ran-it.spent, 0)), 1)
 	} else {
@@ -879,9 +883,8 @@
 
 // wade sees a server swamped by what it has not read yet: nearly all it reads has waited unread for half its
 // target, or its runs end past it, so what it does is for nobody. Once checks are told, what comes in dries
-// up, and it is well again when what it reads is fresh or nothing is left. Guards against slowness, bursts
-// and tries without limit; could harm where the whole fleet is swamped and goes off at once. Two thirds or
-// nine tenths late instead of four fifths scored the same within noise.
+// up, and it is well again when what it reads is fresh or nothing is left. Guards against slowness, bursts,
+// tries without limit; could harm where a whole fleet goes off at once. Two thirds or nine tenths late: even.
 func (c *Controller) wade() {
 	late, n := c.stale.sums(c.now)
 	switch {
@@ -922,12 +925,11 @@
 	}
 }
 
-// thin has idle connections closed sooner where there are more callers than sixteen a core: each open
-// one takes its part of the cores, and the size of the table is told nowhere. Fewer are left alone: a small
-// part of any table one would set up. Each new one costs work, so the time goes by the square of the share of
-// reqs whose caller was here in the last eight seconds; the cube was even, fixed times lost. It goes by the
-// fourth power of the share of reqs shed if that is more (third, sixth even): in a storm a full table keeps
-// away, unread, what would be set up, read and shed. Could harm where many callers come every ten seconds.
+// thin has idle connections closed sooner where callers are more than sixteen a core, a small part of a table
+// (its size is told nowhere): each open one takes its part of the cores. Each new one costs work, so the time
+// goes by the square of the share of reqs whose caller was here in the last eight seconds (cube even, fixed
+// times lost), or the fourth power of the share shed (third, sixth even): in a storm a full table keeps away
+// what would be set up, read and shed. Could harm where many callers come every ten seconds.
 func (c *Controller) thin(links float64) {
 	idle := c.idle
 	if max(links, c.senders) > 16*c.cores {
@@ -960,8 +962,8 @@
 	}
 	// The pressure is the share of traffic to keep away. It settles where half as many are held as there are
 	// cores, or what is read had waited unread for a quarter of its target. Callers bear the value in mind for
-	// a second or so and hear it late: at three times this pace arrivals come in waves and cores idle between
-	// them; half and quarter of that pace scored within noise of this. It falls slower than it rises.
+	// a second and hear it late: at three times this pace arrivals come in waves and cores idle between them;
+	// half and quarter of that pace scored within noise of this. It falls slower than it rises.
 	q := float64(c.hold.n)/c.cores + 2*c.unread.mean(c.now, 0)
 	c.press = min(max(c.press+dt*min(max(q-0.5, -0.25), 1)/3, 0), 0.9)
 	value := c.press
--- a/admission/interface.go
+++ b/admission/interface.go
@@ -83,6 +83,7 @@
 	Granule  Time // rounds come no more often
 	ByWork   bool // value is counted for each unit of work
 	Beyond   float64
+	Worst    float64 // what the worst handler's share counts for, over that of the whole
 
 	Cores     int
 	Cold      bool
--- a/admission/scenario_test.go
+++ b/admission/scenario_test.go
@@ -143,6 +143,8 @@
 		d.Below, d.CallsOut, d.Span, d.Linger = BelowShared, s.num(v), 5*Second, Second/5
 	case "tier":
 		d.Below = BelowTier
+	case "worst":
+		d.Worst = s.num(v)
 	case "fleet":
 		d.Fleet = int(s.num(v))
 	case "say":
--- a/internal/simwire/profile.go
+++ b/internal/simwire/profile.go
@@ -52,6 +52,10 @@
 		MaxRetryAfter float64 `json:"max_retry_after"`
 		RetryAfter    bool    `json:"retry_after"`
 	} `json:"limits"`
+	Goal struct {
+		Whole float64 `json:"whole"`
+		Worst float64 `json:"worst_class"`
+	} `json:"goal"`
 	OverShare float64 `json:"over_share_worth"`
 	Stage     int     `json:"stage"`
 	WorthBy   string  `json:"worth_by"`
@@ -103,6 +107,9 @@
 		RunFactor: math.Max(f.RunFactor, 1), KeyKB: f.KeyKB, CallsOut: f.CallsOut,
 		Span: span(f.ShareSpan), Linger: span(f.Linger), Fresh: span(f.Fresh),
 		DrainGrace: span(p.Invariants.DrainGrace), Idle: span(f.Idle)}
+	if p.Goal.Whole > 0 {
+		d.Worst = math.Max(p.Goal.Worst, 0) / p.Goal.Whole
+	}
 	if p.Limits.RetryAfter {
 		d.MaxPause = span(p.Limits.MaxRetryAfter)
 	}
