Idle time by the cube of returning callers, or of first tries shed on a hot server

On a server that alone is hot, sheds are of first tries, and its full table sends the rest on at no cost.

--- a/admission/admission.go
+++ b/admission/admission.go
@@ -927,15 +927,15 @@
 
 // thin has idle connections closed sooner where callers are more than sixteen a core, a small part of a table
 // (its size is told nowhere): each open one takes its part of the cores. Each new one costs work, so the time
-// goes by the square of the share of reqs whose caller was here in the last eight seconds (cube even, fixed
-// times lost), or the fourth power of the share shed (third, sixth even): in a storm a full table keeps away
-// what would be set up, read and shed. Could harm where many callers come every ten seconds.
+// goes by the cube of the share of reqs whose caller was here in the last eight seconds (square, fourth power
+// and fixed lost) or, if more, of the share shed where few further tries come: only this server is hot, and
+// what finds its table full goes where there is room. Could harm where many callers come every ten seconds.
 func (c *Controller) thin(links float64) {
 	idle := c.idle
 	if max(links, c.senders) > 16*c.cores {
-		shed := c.turned.mean(c.now, 0)
-		keep := max(c.back.mean(c.now, 0), shed*shed)
-		idle = max(Time(float64(c.idle)*keep*keep), min(Second, c.idle))
+		keep := max(c.back.mean(c.now, 0), c.turned.mean(c.now, 0)*(1-c.again.mean(c.now, 0)))
+		// Six tenths of a second at the least pass over a caller's own bunch; two seconds lost on big days.
+		idle = max(Time(float64(c.idle)*keep*keep*keep), min(Second*3/5, c.idle))
 	}
 	if idle > c.idleSaid*5/4 || idle < c.idleSaid*4/5 {
 		c.idleSaid = idle
