A test with hundreds of instances, one late, one malformed; shorter scenario runner

Instances that appear late, ids that two of them see, and a malformed record for one of 400 are met with the right replies and a plain message that names frame and record.

--- a/admission/scenario_test.go
+++ b/admission/scenario_test.go
@@ -120,65 +120,49 @@
 	}
 }
 
+// set calls the setter of a key, if there is one.
+func set(k string, to map[string]func()) bool {
+	f := to[k]
+	if f != nil {
+		f()
+	}
+	return f != nil
+}
+
 func (s *scene) server(k, v string) bool {
 	d := &s.d
-	switch k {
-	case "idle":
-		d.Idle = s.ms(v)
-	case "cores":
-		d.Cores = int(s.num(v))
-	case "mem":
-		d.MemKB = s.num(v)
-	case "factor":
-		d.RunFactor = s.num(v)
-	case "key":
-		d.KeyKB = s.num(v)
-	case "cold":
-		d.Cold, d.ColdSpeed, d.WarmAfter = true, s.num(v), 10*Second
-	case "stop":
-		d.Stop = map[string]Stop{"never": StopNever, "drop": StopDrop, "pause": StopPause}[v]
-	case "fresh":
-		d.Fresh = s.ms(v)
-	case "calls":
-		d.Below, d.CallsOut, d.Span, d.Linger = BelowShared, s.num(v), 5*Second, Second/5
-	case "tier":
-		d.Below = BelowTier
-	case "worst":
-		d.Worst = s.num(v)
-	case "fleet":
-		d.Fleet = int(s.num(v))
-	case "say":
-		d.Voice = map[string]Voice{"level": SayLevel, "credit": SayCredit, "weight": SayWeight}[v]
-	case "mute":
-		d.MaxPause = 0
-	default:
-		return false
-	}
-	return true
+	return set(k, map[string]func(){
+		"idle":   func() { d.Idle = s.ms(v) },
+		"cores":  func() { d.Cores = int(s.num(v)) },
+		"mem":    func() { d.MemKB = s.num(v) },
+		"factor": func() { d.RunFactor = s.num(v) },
+		"key":    func() { d.KeyKB = s.num(v) },
+		"cold":   func() { d.Cold, d.ColdSpeed, d.WarmAfter = true, s.num(v), 10*Second },
+		"stop":   func() { d.Stop = map[string]Stop{"never": StopNever, "drop": StopDrop, "pause": StopPause}[v] },
+		"fresh":  func() { d.Fresh = s.ms(v) },
+		"calls":  func() { d.Below, d.CallsOut, d.Span, d.Linger = BelowShared, s.num(v), 5*Second, Second/5 },
+		"tier":   func() { d.Below = BelowTier },
+		"worst":  func() { d.Worst = s.num(v) },
+		"fleet":  func() { d.Fleet = int(s.num(v)) },
+		"say": func() {
+			d.Voice = map[string]Voice{"level": SayLevel, "credit": SayCredit, "weight": SayWeight}[v]
+		},
+		"mute": func() { d.MaxPause = 0 },
+	})
 }
 
 func (s *scene) handler(words []string) {
 	h := Handler{Target: 2 * Second, Timeout: 6 * Second, Value: 1}
 	s.pairs(words, func(k, v string) bool {
-		switch k {
-		case "target":
-			h.Target = s.ms(v)
-		case "timeout":
-			h.Timeout = s.ms(v)
-		case "value":
-			h.Value = s.num(v)
-		case "late":
-			h.LateValue = s.num(v)
-		case "lean":
-			h.LeanValue = s.num(v)
-		case "uniqued":
-			h.Repeat, h.Window = Uniqued, 10*Second
-		case "nonreplayable":
-			h.Repeat = NonReplayable
-		default:
-			return false
-		}
-		return true
+		return set(k, map[string]func(){
+			"target":        func() { h.Target = s.ms(v) },
+			"timeout":       func() { h.Timeout = s.ms(v) },
+			"value":         func() { h.Value = s.num(v) },
+			"late":          func() { h.LateValue = s.num(v) },
+			"lean":          func() { h.LeanValue = s.num(v) },
+			"uniqued":       func() { h.Repeat, h.Window = Uniqued, 10*Second },
+			"nonreplayable": func() { h.Repeat = NonReplayable },
+		})
 	})
 	s.d.Handlers = append(s.d.Handlers, h)
 }
@@ -231,29 +215,17 @@
 		case "arrive":
 			q := Req{ID: id, Came: when, KB: 1}
 			s.pairs(w[2:], func(k, v string) bool {
-				switch k {
-				case "h":
-					q.Handler = int(s.num(v))
-				case "t":
-					q.Tenant = int(s.num(v))
-				case "came":
-					q.Came = s.ms(v)
-				case "due":
-					q.Due = s.ms(v)
-				case "hint":
-					q.Hint = s.ms(v)
-				case "kb":
-					q.KB = s.num(v)
-				case "caller":
-					q.Caller = uint32(s.num(v))
-				case "prior":
-					q.Prior = uint32(s.num(v))
-				case "again":
-					q.Again = true
-				default:
-					return false
-				}
-				return true
+				return set(k, map[string]func(){
+					"h":      func() { q.Handler = int(s.num(v)) },
+					"t":      func() { q.Tenant = int(s.num(v)) },
+					"came":   func() { q.Came = s.ms(v) },
+					"due":    func() { q.Due = s.ms(v) },
+					"hint":   func() { q.Hint = s.ms(v) },
+					"kb":     func() { q.KB = s.num(v) },
+					"caller": func() { q.Caller = uint32(s.num(v)) },
+					"prior":  func() { q.Prior = uint32(s.num(v)) },
+					"again":  func() { q.Again = true },
+				})
 			})
 			r.Arrived = append(r.Arrived, q)
 		case "end":
--- a/internal/host/host_test.go
+++ b/internal/host/host_test.go
@@ -103,6 +103,26 @@
 	}
 }
 
+// Hundreds of instances: one that appears late may see an id that another saw, and what is malformed for one
+// of them is said with its record.
+func TestFleet(t *testing.T) {
+	var fleet [][]byte
+	for i := range uint32(400) {
+		fleet = append(fleet, rec(100, i), rec(10, uint64(i), uint32(0), uint32(len(settings))))
+	}
+	late := frame(settings, rec(100, uint32(7)), order(1), rec(100, uint32(400)),
+		rec(10, uint64(9), uint32(0), uint32(len(settings))), order(1))
+	bad := frame("", rec(100, uint32(399)), order(2), rec(100, uint32(8)),
+		rec(30, uint32(1), uint32(0), uint16(99)))
+	codes, err := serve(frame(settings, fleet...), late, bad)
+	if err == nil || !strings.Contains(err.Error(), "frame 3: record 3: status 99") {
+		t.Errorf("error %v", err)
+	}
+	if want := strings.Repeat("70 50 130 ", 400) + "| 70 150 70 50 150 130 | "; codes != want {
+		t.Errorf("replied %q", codes[len(codes)-60:])
+	}
+}
+
 // A panic in the module is declared as the failure of that instance, and of no other.
 func TestPanic(t *testing.T) {
 	h := New()
