--- a/admission/admission.go
+++ b/admission/admission.go
@@ -144,7 +144,9 @@
 	}
 	for _, t := range d.Tenants {
 		// Five seconds of arrivals: some dozens at a server's rate, and shorter than a surge lasts.
-		c.t = append(c.t, tenant{came: newRing(10, Second/2), full: 1, fair: 5 * t.Quota / float64(d.Fleet)})
+		came := newRing(10, Second/2)
+		c.t = append(c.t, tenant{came: came, full: 1,
+			fair: t.Quota / float64(d.Fleet) * float64(came.span()) / float64(Second)})
 	}
 	if len(c.t) == 0 {
 		c.t = append(c.t, tenant{came: newRing(1, Second), full: 1, fair: math.Inf(1)})
@@ -248,20 +250,7 @@
 func (c *Controller) door(i int32, prior uint32) {
 	it := &c.s.at[i]
 	h := &c.h[it.h]
-	p := c.s.find(prior)
-	switch {
-	case prior == 0:
-	case c.mem <= c.memTop:
-		if c.repeat(i, p) {
-			return
-		}
-	case h.once && (p == none || c.s.at[p].ran):
-		c.fail(i)
-		return
-	default:
-		// Guards against repeats of a hot key that fill the memory: they need no slot, but each waits in held
-		// memory, and few large ones are a good part of a small server's. Could harm where one is about to end.
-		c.shed(i, false)
+	if prior != 0 && c.repeat(i, c.s.find(prior)) {
 		return
 	}
 	key := 0.0
@@ -510,8 +499,8 @@
 	if c.shared && c.most < 1 {
 		// One call is more than the allowance: it lasts at most for what the mean has left, lest a stalled
 		// dependency be held by one call of each of hundreds of servers. Could harm where just this one is slow.
-		used := c.hands.over(c.now) * float64(c.hands.span())
-		last = min(last, c.now+Time(c.most*float64(c.hands.span())-used)-c.linger)
+		left := (c.most - c.hands.over(c.now)) * float64(c.hands.span())
+		last = min(last, c.now+Time(left)-c.linger)
 	}
 	if h.once {
 		return max(last, c.now+1)
@@ -579,6 +568,16 @@
 func (c *Controller) repeat(i, p int32) bool {
 	it := &c.s.at[i]
 	once := c.h[it.h].once
+	if c.mem > c.memTop {
+		// Guards against repeats of a hot key that fill the memory: they need no slot, but each waits in held
+		// memory, and few large ones are a good part of a small server's. Could harm where one is about to end.
+		if once && (p == none || c.s.at[p].ran) {
+			c.fail(i)
+		} else {
+			c.shed(i, false)
+		}
+		return true
+	}
 	if p == none {
 		c.share(i) // the table knows of a run that this module has let go of
 		return true
@@ -710,7 +709,7 @@
 
 // shed answers a held req that never ran. It is not to be tried elsewhere if it waited long or is a further
 // try, which two servers have now turned away, if callers are told to keep half of what they have away, or if
-// what was shed here and what comes here as a further try are each, in the mean, four in ten of what is read:
+// the share of what is read that was shed here and that of further tries come to more than eight tenths:
 // then the fleet is likely full and reading it once more serves nobody. Could harm where one of few is slow.
 func (c *Controller) shed(i int32, waited bool) {
 	it := &c.s.at[i]
@@ -794,12 +793,13 @@
 	}
 	it := &c.s.at[i]
 	h := &c.h[it.h]
+	late := c.now-it.came > h.target
 	switch it.phase {
 	case held, over:
 		return
 	case sharing:
 		it.failed, it.answered = e.How != OK, true
-		h.met.add(c.now, one(e.How == OK && c.now-it.came <= h.target), 0)
+		h.met.add(c.now, one(e.How == OK && !late), 0)
 		c.release(i)
 		return
 	case calling:
@@ -812,8 +812,8 @@
 	c.mem -= it.kb * (c.runKB - 1)
 	if e.How == OK {
 		c.moved()
-		c.judge(c.now-it.came > h.target)
-		h.met.add(c.now, one(c.now-it.came <= h.target), 0)
+		c.judge(late)
+		h.met.add(c.now, one(!late), 0)
 		h.laps.add(c.now, float64(e.Ran), it.cost)
 		h.work.add(c.now, float64(max(e.Ran-it.spent, 0)), 1)
 	} else {
--- a/internal/host/host_test.go
+++ b/internal/host/host_test.go
@@ -38,6 +38,8 @@
 	return frame(text, rec(100, uint32(3)), rec(10, uint64(7), uint32(0), uint32(len(text))))
 }
 
+func spawned(seed uint64) []byte { return rec(10, seed, uint32(0), uint32(len(settings))) }
+
 func order(id uint32) []byte { return rec(20, id) }
 
 func serve(in ...[]byte) (codes string, err error) {
@@ -69,7 +71,7 @@
 		{"empty batch, then the end", "| ", "", [][]byte{frame("")}},
 		{"start, order, halt and a new start in one batch", "70 50 130 | 70 150 | 70 50 130 | ", "",
 			[][]byte{start(settings), frame("", about, order(1)),
-				frame(settings, about, rec(90), rec(10, uint64(8), uint32(0), uint32(len(settings))))}},
+				frame(settings, about, rec(90), spawned(8))}},
 		{"truncated header", "| ", "frame 2: truncated in the header", [][]byte{frame(""), {0, 0, 1}}},
 		{"truncated body", "", "frame 1: truncated, got 66 bytes, expected 72", [][]byte{frame("", order(1))[:66]}},
 		{"longer than it says", "", "frame 1: truncated, got 72 bytes, expected 81", [][]byte{long}},
@@ -108,10 +110,9 @@
 func TestFleet(t *testing.T) {
 	var fleet [][]byte
 	for i := range uint32(400) {
-		fleet = append(fleet, rec(100, i), rec(10, uint64(i), uint32(0), uint32(len(settings))))
+		fleet = append(fleet, rec(100, i), spawned(uint64(i)))
 	}
-	late := frame(settings, rec(100, uint32(7)), order(1), rec(100, uint32(400)),
-		rec(10, uint64(9), uint32(0), uint32(len(settings))), order(1))
+	late := frame(settings, rec(100, uint32(7)), order(1), rec(100, uint32(400)), spawned(9), order(1))
 	bad := frame("", rec(100, uint32(399)), order(2), rec(100, uint32(8)),
 		rec(30, uint32(1), uint32(0), uint16(99)))
 	codes, err := serve(frame(settings, fleet...), late, bad)
