--- /dev/null
+++ b/cmd/umberwinch/main.go
@@ -0,0 +1,29 @@
+// Command umberwinch is one server's overload controller on real sockets: requests come in from sidecars, run
+// in the kernel that its start-up file names, and are decided on by the admission module.
+package main
+
+import (
+	"os"
+	"os/signal"
+	"syscall"
+
+	"github.com/sirupsen/logrus"
+
+	"umberwinch/internal/backend"
+)
+
+func main() {
+	log := logrus.New()
+	log.SetFormatter(&logrus.TextFormatter{DisableColors: true, FullTimestamp: true,
+		TimestampFormat: "15:04:05.000"})
+	signals := make(chan os.Signal, 4)
+	signal.Notify(signals, syscall.SIGTERM, syscall.SIGUSR1)
+	c, err := backend.ReadConfig(os.Getenv("NODE_CONFIG"), os.Getenv("NODE_NAME"), os.Getenv("NODE_LISTEN"))
+	if err == nil {
+		err = backend.Run(c, log, signals, syscall.SIGTERM, syscall.SIGUSR1)
+	}
+	if err != nil {
+		log.Error(err)
+		os.Exit(1)
+	}
+}
--- /dev/null
+++ b/internal/backend/buffers.go
@@ -0,0 +1,206 @@
+// Buffers of one size, used again from a pool, and the way out of a connection that is built on them. Callbacks
+// and the loop share the pool, so it is safe for both; what a buffer holds belongs to whoever took it. The way
+// out never makes its caller wait for a socket: bytes are queued and flushed by a goroutine of their own.
+package backend
+
+import (
+	"errors"
+	"sync"
+	"sync/atomic"
+
+	"github.com/cloudwego/netpoll"
+)
+
+var (
+	errNoBuffer = errors.New("no buffer is free")
+	errTooLong  = errors.New("message is longer than a buffer")
+)
+
+// buffer is a piece of memory of the one size.
+type buffer struct {
+	n int // bytes in use
+	b [bufSize]byte
+}
+
+func (b *buffer) bytes() []byte { return b.b[:b.n] }
+
+// pool keeps buffers that are out of use.
+type pool struct {
+	mu   sync.Mutex
+	free []*buffer
+	out  int
+	most int
+}
+
+// get gives an empty buffer, or nil while too many are out: who asked then gives up what it was to hold.
+func (p *pool) get() *buffer {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.out >= p.most {
+		return nil
+	}
+	p.out++
+	if n := len(p.free); n > 0 {
+		b := p.free[n-1]
+		p.free = p.free[:n-1]
+		b.n = 0
+		return b
+	}
+	return new(buffer)
+}
+
+func (p *pool) put(b *buffer) {
+	if b == nil {
+		return
+	}
+	p.mu.Lock()
+	p.out--
+	p.free = append(p.free, b)
+	p.mu.Unlock()
+}
+
+// way is the way out of one connection.
+type way struct {
+	c       netpoll.Connection
+	pool    *pool
+	busy    *atomic.Int64 // ways that still have something to send
+	mu      sync.Mutex
+	queue   []*buffer // waits for the flush that goes on
+	flushes bool
+	shut    bool // nothing more is taken
+	end     bool // the connection is closed once the queue is empty
+}
+
+// send queues b; false if it would make more than most buffers wait, or nothing is taken any more.
+func (w *way) send(b []byte, most int) bool {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if w.shut || len(w.queue)+len(b)/bufSize >= most {
+		return false
+	}
+	for len(b) > 0 {
+		n := len(w.queue)
+		if n == 0 || w.queue[n-1].n == bufSize {
+			t := w.pool.get()
+			if t == nil {
+				w.shut, w.end = true, true // half a message must not stand before another one
+				w.kick()
+				return false
+			}
+			w.queue = append(w.queue, t)
+			n++
+		}
+		t := w.queue[n-1]
+		k := copy(t.b[t.n:], b)
+		t.n += k
+		b = b[k:]
+	}
+	w.kick()
+	return true
+}
+
+// close ends the connection once what is queued has gone out.
+func (w *way) close() {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.shut, w.end = true, true
+	w.kick()
+}
+
+func (w *way) kick() {
+	if !w.flushes {
+		w.flushes = true
+		w.busy.Add(1)
+		go w.flush()
+	}
+}
+
+func (w *way) flush() {
+	defer w.busy.Add(-1)
+	var out []*buffer
+	var failed error
+	for {
+		w.mu.Lock()
+		if failed != nil {
+			w.shut, w.end = true, true
+		}
+		out, w.queue = w.queue, out[:0]
+		end := w.end
+		if w.flushes = len(out) > 0; !w.flushes {
+			w.mu.Unlock()
+			if end {
+				w.c.Close()
+			}
+			return
+		}
+		w.mu.Unlock()
+		for _, b := range out {
+			if failed == nil {
+				// Write holds netpoll's own lock against a close from the other side; its Writer does not.
+				_, failed = w.c.Write(b.bytes())
+			}
+			w.pool.put(b)
+		}
+	}
+}
+
+// intake gathers what a connection brings until a message is whole. It belongs to the connection's callback,
+// which netpoll never runs twice at once.
+type intake struct {
+	pool *pool
+	buf  *buffer
+}
+
+// parser reads the message at the start of b; n is 0 while it is not whole.
+type parser func(b []byte) (e event, n int, err error)
+
+// read takes all that has come. Each whole message goes to put together with the buffer it lies in.
+func (in *intake) read(r netpoll.Reader, parse parser, put func(event)) error {
+	for r.Len() > 0 {
+		if in.buf == nil {
+			if in.buf = in.pool.get(); in.buf == nil {
+				return errNoBuffer
+			}
+		}
+		n := min(r.Len(), bufSize-in.buf.n)
+		if n == 0 {
+			return errTooLong
+		}
+		p, err := r.Next(n)
+		if err != nil {
+			return err
+		}
+		in.buf.n += copy(in.buf.b[in.buf.n:], p)
+		if err := r.Release(); err != nil {
+			return err
+		}
+		if err := in.parse(parse, put); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+func (in *intake) parse(parse parser, put func(event)) error {
+	for in.buf != nil {
+		e, n, err := parse(in.buf.bytes())
+		if n == 0 || err != nil {
+			return err
+		}
+		e.buf, in.buf = in.buf, nil
+		if rest := e.buf.b[n:e.buf.n]; len(rest) > 0 {
+			if in.buf = in.pool.get(); in.buf == nil {
+				in.pool.put(e.buf)
+				return errNoBuffer
+			}
+			in.buf.n = copy(in.buf.b[:], rest)
+		}
+		put(e)
+	}
+	return nil
+}
+
+func (in *intake) drop() {
+	in.pool.put(in.buf)
+	in.buf = nil
+}
--- /dev/null
+++ b/internal/backend/counters.go
@@ -0,0 +1,29 @@
+// Counters: what the program took in, sent and answered, printed at the end and on SIGUSR1. Only the loop
+// counts, so they need no lock. Nothing may be decided by them.
+package backend
+
+import "github.com/sirupsen/logrus"
+
+// Counters are sums since the start.
+type Counters struct {
+	Conns, Reqs, Checks, Bad, Again        uint64 // taken in
+	Done, Shed, Errored, Shared            uint64 // answered, Shared being a part of Done
+	Gone, Late                             uint64 // left before their answer; answered after they were due
+	Runs, Ends, Pauses                     uint64
+	Calls, CallsOK, CallsUnrun, CallsOther uint64
+	Skips, Dropped                         uint64
+	KernelLinks, StoreLinks, ControlLinks  uint64
+	Resent, Refused                        uint64 // kernel commands sent again, and not carried out
+	Reports, ReportsLost                   uint64
+	Rounds, Wakes, Ungauged, Slow          uint64 // Slow: rounds that began over 10 ms after their time
+}
+
+func (c *Counters) fields() logrus.Fields {
+	return logrus.Fields{"conns": c.Conns, "reqs": c.Reqs, "checks": c.Checks, "bad": c.Bad, "again": c.Again,
+		"done": c.Done, "shed": c.Shed, "errored": c.Errored, "shared": c.Shared, "gone": c.Gone, "late": c.Late,
+		"runs": c.Runs, "ends": c.Ends, "pauses": c.Pauses, "calls": c.Calls, "calls_ok": c.CallsOK,
+		"calls_unrun": c.CallsUnrun, "calls_other": c.CallsOther, "skips": c.Skips, "dropped": c.Dropped,
+		"kernel_links": c.KernelLinks, "store_links": c.StoreLinks, "control_links": c.ControlLinks,
+		"resent": c.Resent, "refused": c.Refused, "reports": c.Reports, "reports_lost": c.ReportsLost,
+		"rounds": c.Rounds, "wakes": c.Wakes, "ungauged": c.Ungauged, "slow": c.Slow}
+}
--- /dev/null
+++ b/internal/backend/front.go
@@ -0,0 +1,264 @@
+// Front: the sidecars' side. It owns the listener with its bound on connections, what each connection has
+// brought and is owed, and health checks. It sends exactly one answer for each req and never closes a
+// connection on which an answer may still be unread: it says `Connection: close` and lets the sidecar close
+// first, or waits for a while.
+package backend
+
+import (
+	"context"
+	"net"
+	"sync"
+	"sync/atomic"
+	"syscall"
+
+	"github.com/cloudwego/netpoll"
+
+	"umberwinch/admission"
+	"umberwinch/internal/proto"
+)
+
+// conn is one connection of a sidecar, as the loop knows it.
+type conn struct {
+	p       *peer
+	open    handle // the req that is being served on it
+	wait    []event
+	last    admission.Time // when it last carried anything
+	closing bool           // what follows on it is not read
+}
+
+// peer is the same connection as its callbacks know it.
+type peer struct {
+	way
+	h     handle // the loop's
+	in    intake
+	ahead atomic.Int32 // messages handed over and not begun
+	deaf  bool         // what comes is passed over
+}
+
+// door is the listener: at the bound of connections it lets them wait in the system's queue. The first time it
+// answers as if descriptors had run out, on which netpoll takes it off its poller and asks again from a
+// goroutine of its own; that one may wait until there is room, so nothing spins and none is turned away.
+type door struct {
+	netpoll.Listener
+	mu   sync.Mutex
+	room *sync.Cond
+	in   int
+	most int
+	full bool
+}
+
+func newDoor(addr string, most int) (*door, error) {
+	ln, err := netpoll.CreateListener("tcp", addr)
+	if err != nil {
+		return nil, err
+	}
+	d := &door{Listener: ln, most: most}
+	d.room = sync.NewCond(&d.mu)
+	return d, nil
+}
+
+func (d *door) Accept() (net.Conn, error) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if d.in >= d.most && !d.full {
+		d.full = true
+		return nil, syscall.EMFILE
+	}
+	for d.in >= d.most {
+		d.room.Wait()
+	}
+	d.full = false
+	c, err := d.Listener.Accept()
+	if err == nil && c != nil {
+		d.in++
+	}
+	return c, err
+}
+
+func (d *door) left() {
+	d.mu.Lock()
+	d.in--
+	d.room.Signal()
+	d.mu.Unlock()
+}
+
+// serve starts to take connections.
+func (l *loop) serve(d *door) error {
+	type key struct{}
+	gone := func(c context.Context, _ netpoll.Connection) {
+		l.put(event{kind: newsGone, from: c.Value(key{}).(*peer)})
+	}
+	evl, err := netpoll.NewEventLoop(
+		func(c context.Context, nc netpoll.Connection) error {
+			return l.heard(c.Value(key{}).(*peer), nc)
+		},
+		netpoll.WithOnPrepare(func(nc netpoll.Connection) context.Context {
+			p := &peer{way: way{c: nc, pool: &l.pool, busy: &l.busy}, in: intake{pool: &l.pool}}
+			nc.AddCloseCallback(func(netpoll.Connection) error {
+				p.in.drop()
+				d.left()
+				l.put(event{kind: newsGone, from: p})
+				return nil
+			})
+			l.put(event{kind: newsOpen, from: p})
+			return context.WithValue(context.Background(), key{}, p)
+		}),
+		netpoll.WithOnDisconnect(gone),
+		netpoll.WithWriteTimeout(l.lim.WriteStuck),
+	)
+	if err != nil {
+		return err
+	}
+	go evl.Serve(d)
+	return nil
+}
+
+// heard reads what a connection has brought; it runs in a callback.
+func (l *loop) heard(p *peer, nc netpoll.Connection) error {
+	if !p.deaf {
+		err := p.in.read(nc.Reader(), func(b []byte) (e event, n int, err error) {
+			if p.deaf {
+				return e, 0, nil
+			}
+			e.kind, e.from = newsReq, p
+			if e.req, n, err = proto.ParseRequest(b, l.lim.Request); n > 0 && err == nil &&
+				int(p.ahead.Add(1)) > l.lim.Ahead+1 {
+				// netpoll reads on whatever is done here, so the only bound that holds is to read no more.
+				err = errAhead
+			}
+			return e, n, err
+		}, l.put)
+		if err == nil {
+			return nil
+		}
+		p.deaf = true
+		p.in.drop()
+		l.put(event{kind: newsBad, from: p, err: err})
+	}
+	nc.Reader().Skip(nc.Reader().Len())
+	return nc.Reader().Release()
+}
+
+func (l *loop) opened(p *peer) {
+	h, c, ok := l.conns.take()
+	if !ok {
+		p.close()
+		return
+	}
+	p.h, c.p, c.last = h, p, l.now
+	l.count.Conns++
+	l.due.set(l.now+l.idle, dueIdle, h)
+}
+
+// left takes the end of a connection: whoever waited for an answer on it is gone.
+func (l *loop) left(p *peer) {
+	c := l.conns.get(p.h)
+	if c == nil {
+		return
+	}
+	for _, e := range c.wait {
+		l.pool.put(e.buf)
+	}
+	open := c.open
+	l.conns.drop(p.h)
+	p.h = 0
+	p.close()
+	if r := l.reqs.get(open); r != nil && !r.answered {
+		r.gone = true
+		r.waits = false
+		l.count.Gone++
+		l.next().Gone = append(l.next().Gone, uint32(open))
+		l.spent = append(l.spent, open)
+	}
+}
+
+// came takes a message of a connection, or word that what came is none.
+func (l *loop) came(e event) {
+	c := l.conns.get(e.from.h)
+	if c == nil || c.closing {
+		l.pool.put(e.buf)
+		return
+	}
+	c.last = l.now
+	if c.open != 0 || len(c.wait) > 0 {
+		c.wait = append(c.wait, e)
+		return
+	}
+	l.begin(c, e)
+}
+
+// begin starts on the next message of a connection.
+func (l *loop) begin(c *conn, e event) {
+	h := e.from.h
+	if e.kind == newsBad {
+		l.count.Bad++
+		l.logf("bad request: %v", e.err)
+		l.reply(c, h, proto.Answer{Status: 400, Close: true})
+		return
+	}
+	e.from.ahead.Add(-1)
+	a := proto.Answer{Close: e.req.Close}
+	switch path := string(e.req.Path); {
+	case path == "/health":
+		l.count.Checks++
+		if a.Status = 200; !l.good {
+			a.Status = 503
+		}
+	case len(path) > 5 && path[:5] == "/rpc/":
+		if a.Status = l.take(c, e, path[5:]); a.Status == 0 {
+			return
+		}
+	default:
+		a.Status = 404
+	}
+	l.pool.put(e.buf)
+	l.reply(c, h, a)
+}
+
+// reply sends an answer on a connection and goes on to what else it has brought.
+func (l *loop) reply(c *conn, h handle, a proto.Answer) {
+	a.Close = a.Close || l.drains
+	l.out = proto.AppendAnswer(l.out[:0], a)
+	if !c.p.send(l.out, l.lim.ConnQueue) {
+		c.closing = true // it takes nothing: given up
+		c.p.close()
+		return
+	}
+	c.open, c.last = 0, l.now
+	if a.Close {
+		c.closing = true
+		for _, e := range c.wait {
+			l.pool.put(e.buf)
+		}
+		c.wait = nil
+		l.due.set(l.now+l.lim.Linger, dueLinger, h)
+		return
+	}
+	if len(c.wait) > 0 {
+		e := c.wait[0]
+		c.wait = append(c.wait[:0], c.wait[1:]...)
+		l.begin(c, e)
+	}
+}
+
+// linger closes a connection that the other side should have closed.
+func (l *loop) linger(h handle) {
+	if c := l.conns.get(h); c != nil && c.closing {
+		c.p.close()
+	}
+}
+
+// idles closes a connection that has been idle for as long as the module lets it be.
+func (l *loop) idles(h handle) {
+	c := l.conns.get(h)
+	switch {
+	case c == nil || c.closing:
+	case c.open != 0:
+		l.due.set(l.now+l.idle, dueIdle, h)
+	case l.now < c.last+l.idle:
+		l.due.set(c.last+l.idle, dueIdle, h)
+	default:
+		c.closing = true
+		c.p.close()
+	}
+}
--- /dev/null
+++ b/internal/backend/kernel.go
@@ -0,0 +1,266 @@
+// Kernel: the link to the process that does the work. It owns the order of commands and notices: each notice is
+// handled once and in its order, and a command that may have been lost with a link is sent again, but only
+// after what the kernel told meanwhile was learned, and never for a run that had ended. Every command and
+// every asking for gauges takes the next number; an answered asking proves that all before it on the same
+// link were read.
+package backend
+
+import (
+	"umberwinch/admission"
+	"umberwinch/internal/proto"
+)
+
+type stand uint8
+
+const (
+	kernelOff stand = iota
+	kernelOpened
+	kernelReplays // BOOTED came, what was missed is being told
+	kernelLive
+)
+
+// unsent is the number of a command that no link has taken yet.
+const unsent = ^uint64(0)
+
+type kernel struct {
+	link
+	stand  stand
+	index  uint64 // the last notice handled
+	sent   uint64 // number of the last command
+	acked  uint64 // commands to this one are known to have been read
+	asked  uint64 // number of the asking for gauges that a wake-up waits for
+	askBy  admission.Time
+	replay uint64 // number of the asking that ends the replay
+	fresh  bool   // no notice came over this link yet
+}
+
+func (l *loop) kernelUp() {
+	k := &l.kernel
+	k.stand, k.fresh = kernelOpened, true
+	k.way.send(proto.AppendOpen(l.out[:0], k.index), l.lim.LinkQueue)
+}
+
+func (l *loop) kernelDown() {
+	k := &l.kernel
+	k.stand, k.asked = kernelOff, 0
+	l.ungauged()
+}
+
+// tell sends a command that stands in l.out, and gives its number.
+func (l *loop) tell() uint64 {
+	k := &l.kernel
+	if k.stand != kernelLive {
+		return unsent
+	}
+	if !k.way.send(l.out, l.lim.LinkQueue) {
+		l.relink = true // not from within a round: what is lost is sent again on the next link
+		return unsent
+	}
+	k.sent++
+	return k.sent
+}
+
+func (l *loop) sched(r *req) {
+	l.out = proto.AppendSched(l.out[:0], r.task, l.names[r.handler], r.body)
+	r.schedNo = l.tell()
+}
+
+func (l *loop) preempt(r *req) {
+	l.out = proto.AppendTask(l.out[:0], "PREEMPT", r.task)
+	r.haltNo = l.tell()
+}
+
+func (l *loop) resched(r *req) {
+	l.out = proto.AppendTask(l.out[:0], "RESCHED", r.task)
+	r.schedNo, r.resumed, r.paused = l.tell(), true, false
+}
+
+func (l *loop) ioDone(_ handle, r *req, reply []byte) {
+	r.reply = append(r.reply[:0], reply...)
+	r.goes = goesWithReply
+	l.goOn(r)
+}
+
+func (l *loop) noIO(r *req) {
+	r.goes = goesWithout
+	l.goOn(r)
+}
+
+func (l *loop) goOn(r *req) {
+	if r.goes == goesWithReply {
+		l.out = proto.AppendIODone(l.out[:0], r.task, r.reply)
+	} else {
+		l.out = proto.AppendNoIO(l.out[:0], r.task, r.asked)
+	}
+	r.goNo = l.tell()
+}
+
+// ask asks for the gauges that the module's wake-up comes with.
+func (l *loop) ask() {
+	k := &l.kernel
+	if k.stand != kernelLive {
+		l.ungauged()
+		return
+	}
+	l.out = proto.AppendSysInfo(l.out[:0], k.sent+1)
+	if no := l.tell(); no != unsent {
+		k.asked, k.askBy = no, l.now+l.lim.GaugeWait
+		l.due.set(k.askBy, dueGauge, 0)
+		return
+	}
+	l.ungauged()
+}
+
+// ungauged lets a wake-up that is due come without gauges.
+func (l *loop) ungauged() {
+	if l.wakes {
+		l.wakes = false
+		l.count.Ungauged++
+		l.next().Woke = true
+	}
+}
+
+// noticed takes one line of the kernel.
+func (l *loop) noticed(n proto.Notice) {
+	k := &l.kernel
+	switch string(n.Verb) {
+	case "BOOTED":
+		l.booted(n)
+		return
+	case "INFO":
+		l.info(n)
+		return
+	case "EINVAL":
+		l.count.Refused++
+		l.logf("kernel did not carry out %q for %q", n.Outcome, n.Task)
+		if h, r := l.byTask(n.Task); r != nil && string(n.Outcome) == "SCHED" && r.run == runGoes {
+			// It never ran and never will: nobody else can answer it.
+			l.runEnded(h, r, admission.Errored, 0, nil)
+		}
+		return
+	}
+	switch {
+	case n.Index == 0:
+		l.logf("kernel says %q, which is not known", n.Verb)
+		return
+	case n.Index <= k.index:
+		return
+	case n.Index > k.index+1 && !k.fresh:
+		l.logf("kernel's notice %d comes after %d", n.Index, k.index)
+		l.linkDown(&k.link, errGap)
+		return
+	}
+	if n.Index > k.index+1 {
+		l.logf("kernel no longer has notices %d to %d", k.index+1, n.Index-1)
+	}
+	k.index, k.fresh = n.Index, false
+	h, r := l.byTask(n.Task)
+	if r == nil || r.run != runGoes {
+		return
+	}
+	r.schedNo, r.goNo, r.haltNo = 0, 0, 0 // it was read, or what it asked for is past
+	r.goes = goesNot
+	switch string(n.Verb) {
+	case "REAP":
+		how := admission.Errored
+		switch string(n.Outcome) {
+		case "OK":
+			how = admission.OK
+		case "STOPPED":
+			how = admission.Stopped
+		case "MOOT":
+			how = admission.Moot
+		}
+		l.runEnded(h, r, how, n.Spent, n.Bytes)
+	case "IOREQ":
+		r.ask, r.asked = append(r.ask[:0], n.Bytes...), n.Index
+		l.next().Needs = append(l.next().Needs, uint32(h))
+	}
+}
+
+// booted takes the start of the kernel, which is also the server's own as far as the module goes.
+func (l *loop) booted(n proto.Notice) {
+	k := &l.kernel
+	if k.stand != kernelOpened {
+		return
+	}
+	if l.ctl == nil {
+		d := l.prof.Deployment
+		d.Start, d.Cold = l.now-admission.Time(n.Spent*10), string(n.Outcome) == "COLD"
+		l.logf("kernel is up, %s for %.0f ms", n.Outcome, n.Spent)
+		l.ctl = admission.New(d)
+		l.wakes = true
+	}
+	k.stand = kernelReplays
+	k.sent++
+	k.replay = k.sent
+	if !k.way.send(proto.AppendSysInfo(l.out[:0], k.replay), l.lim.LinkQueue) {
+		l.linkDown(&k.link, errStuck)
+		return
+	}
+	l.due.set(l.now+l.lim.ReplayWait, dueReplay, handle(k.epoch))
+}
+
+// info takes gauges; the first on a link says that all that was missed has been told.
+func (l *loop) info(n proto.Notice) {
+	k := &l.kernel
+	no := uint64(0)
+	for _, c := range n.Nonce {
+		if c < '0' || c > '9' {
+			return
+		}
+		no = no*10 + uint64(c-'0')
+	}
+	if k.stand == kernelReplays && no == k.replay {
+		l.replayed()
+	}
+	if k.stand != kernelLive || no > k.sent {
+		return
+	}
+	k.acked = max(k.acked, no)
+	if l.wakes && (no == k.asked || no == k.replay) {
+		k.asked, l.wakes = 0, false
+		r := l.next()
+		r.Woke, r.Gauged = true, true
+		r.Gauges = l.prof.Gauges(n.Readings[:n.Count])
+	}
+}
+
+// replayed makes a link live: what may have been lost with the last one goes out again.
+func (l *loop) replayed() {
+	k := &l.kernel
+	if k.stand != kernelReplays {
+		return
+	}
+	k.stand = kernelLive
+	for h, i := l.reqs.next(0); h != 0; h, i = l.reqs.next(i) {
+		r := l.reqs.get(h)
+		if r.run != runGoes {
+			continue
+		}
+		sched, goes, halt := r.schedNo > k.acked, r.goNo > k.acked, r.haltNo > k.acked
+		if sched {
+			if r.resumed {
+				l.resched(r)
+			} else {
+				l.sched(r)
+			}
+			l.count.Resent++
+		}
+		if goes && r.goes != goesNot {
+			l.goOn(r)
+			l.count.Resent++
+		}
+		if halt {
+			l.preempt(r)
+			l.count.Resent++
+		}
+	}
+}
+
+// halt stops a run.
+func (l *loop) halt(r *req) {
+	l.count.Pauses++
+	r.paused = true
+	l.preempt(r)
+}
--- /dev/null
+++ b/internal/backend/limits.go
@@ -0,0 +1,90 @@
+// Limits: every size, count and time of the program that is not a decision stands here, in one type that is
+// filled at the start from what the machine allows and handed down. Nothing is changed after that, and no
+// figure that decides about a req may stand here: those are the module's.
+package backend
+
+import (
+	"time"
+
+	"umberwinch/admission"
+	"umberwinch/internal/proto"
+)
+
+// Limits are the bounds the program keeps by itself.
+type Limits struct {
+	Cores    int
+	MemoryMB int
+	Sockets  int
+
+	Conns     int // connections of sidecars at one time
+	Ahead     int // reqs read from one connection and not begun yet
+	Reqs      int // reqs in hand
+	Entries   int // keys known
+	Results   int // bytes of kept results
+	Buffers   int // buffers that are out at one time
+	HandOver  int // events handed over and not taken yet
+	PerRound  int // events taken into one round
+	LinkQueue int // buffers waiting to go out on a link
+	ConnQueue int // and on a connection
+
+	Request proto.Bounds // what a sidecar may send
+	Line    proto.Bounds // what a link may send
+
+	Dial       time.Duration
+	WriteStuck time.Duration // a peer that takes nothing for so long is given up
+
+	GaugeWait    admission.Time // a wake-up waits at most so long for its gauges
+	ReplayWait   admission.Time // a link that doesn't say that its replay is over is taken as whole
+	CallGrace    admission.Time // past its time a call that the store does not end is given up
+	StoreIdle    admission.Time // a store connection unused for so long is not trusted with a call
+	Linger       admission.Time // how long a closing connection waits for the other side
+	Report       admission.Time // time between reports
+	ReportWait   admission.Time // a report with no answer for so long is sent again
+	RetryLeast   admission.Time // first wait before a link is tried again, which doubles
+	RetryMost    admission.Time
+	LeaveBefore  admission.Time // everything stops so long before the kill
+	LeaveQuiet   admission.Time // nothing came in for so long: nobody sends here any more
+	LeaveCrosses admission.Time // what crosses the close of a connection may come so late
+	LogEvery     admission.Time // of lines beyond a few, one is written so often
+}
+
+const bufSize = 8 << 10 // a 4 KiB result in base64 with its line, or a 2 KiB body with its head, fits twice over
+
+// NewLimits derives the bounds from what the machine allows.
+func NewLimits(cores float64, memoryMB, sockets int) Limits {
+	const ms = admission.Second / 1000
+	if memoryMB <= 0 {
+		memoryMB = 192
+	}
+	if sockets <= 0 {
+		sockets = 1024
+	}
+	l := Limits{
+		Cores: max(int(cores), 1), MemoryMB: memoryMB, Sockets: sockets,
+		// A sidecar sends one at a time; two more let one that pipelines go on without a gap.
+		Ahead: 2,
+		// Four buffers and netpoll's own two for each connection may take a quarter of the memory; descriptors
+		// are kept back for the links, each twice while it is opened again, the pollers and standard streams.
+		Conns: max(min(sockets-40, memoryMB<<20/4/(6*bufSize)), 8),
+		// A twelfth of the memory each for keys (some 256 bytes each) and results.
+		Entries: memoryMB << 20 / 12 / 256, Results: memoryMB << 20 / 12,
+		// A round of all connections at once, several times over.
+		HandOver: 4096, PerRound: 1024,
+		LinkQueue: 128, ConnQueue: 4,
+		Request: proto.Bounds{Head: 4 << 10, Body: 2 << 10},
+		Line:    proto.Bounds{Head: bufSize - 64, Body: bufSize - 512},
+		Dial:    time.Second, WriteStuck: 3 * time.Second,
+		// The kernel is on this machine: its answer takes well under a ms, and a due time has 44 ms to spare.
+		GaugeWait: 8 * ms, ReplayWait: 500 * ms,
+		// The store ends calls by itself; this only guards against one that forgets.
+		CallGrace: 200 * ms, StoreIdle: 8 * admission.Second,
+		Linger: 2 * admission.Second,
+		// Three reports can be lost before the 3 s after which a server is taken off the list.
+		Report: 700 * ms, ReportWait: 600 * ms, RetryLeast: 20 * ms, RetryMost: 500 * ms,
+		LeaveBefore: 80 * ms, LeaveQuiet: 1500 * ms, LeaveCrosses: 120 * ms, LogEvery: admission.Second,
+	}
+	// A req outlives its connection while it still runs: twice the connections, within the ids' range.
+	l.Reqs = min(2*l.Conns, maxSlots)
+	l.Buffers = l.Conns*(l.Ahead+2) + 2*l.Reqs + 4*l.LinkQueue
+	return l
+}
--- /dev/null
+++ b/internal/backend/loop.go
@@ -0,0 +1,388 @@
+// Package backend is the program on real sockets round the module.
+//
+// This file is the loop: the one goroutine that owns the module, the tables and the deadlines. Callbacks hand
+// over what they read through one bounded queue, and wait where it is full; the loop takes what is there,
+// makes one round of it, and carries out what the module decides. It must never wait for a socket.
+package backend
+
+import (
+	"errors"
+	"fmt"
+	"os"
+	"runtime/debug"
+	"sync/atomic"
+	"time"
+
+	"github.com/cloudwego/netpoll"
+	"github.com/sirupsen/logrus"
+
+	"umberwinch/admission"
+	"umberwinch/internal/profile"
+	"umberwinch/internal/proto"
+)
+
+type news uint8
+
+const (
+	newsOpen news = iota
+	newsReq
+	newsBad
+	newsGone
+	newsDialled
+	newsDown
+	newsNotice
+	newsReply
+	newsReport
+	newsDrain
+	newsCount
+)
+
+var errAhead = errors.New("too many requests ahead of their answers")
+
+// event is one thing handed over.
+type event struct {
+	kind   news
+	from   *peer
+	link   int
+	epoch  uint32
+	conn   netpoll.Connection
+	err    error
+	buf    *buffer
+	req    proto.Request
+	notice *proto.Notice
+	reply  proto.Reply
+	status proto.Response
+}
+
+type loop struct {
+	lim   Limits
+	log   *logrus.Logger
+	in    chan event
+	pool  pool
+	busy  atomic.Int64 // ways out that still have something to send
+	timer *time.Timer
+
+	prof  *profile.Profile
+	names []string // of handlers
+	ctl   *admission.Controller
+	now   admission.Time
+	gath  [2]admission.Round // one is filled while the other is decided on
+	fill  int
+	wakes bool // a wake-up is due and waits for its gauges
+
+	conns   table[conn]
+	reqs    table[req]
+	tasks   map[string]handle
+	keys    keys
+	due     deadlines
+	kernel  kernel
+	store   store
+	control control
+	spent   []handle // reqs that may be over
+	out     []byte   // what is being written
+	relink  bool
+
+	good   bool
+	idle   admission.Time
+	drains bool
+	stop   admission.Time // how long after the notice the kill comes
+	kill   admission.Time
+	since  admission.Time // when the notice came
+	shut   admission.Time // idle connections were closed then; 0: not yet
+	last   admission.Time // when a req last came
+
+	count   Counters
+	logged  int
+	logFrom admission.Time
+}
+
+func clock() admission.Time { return admission.Time(time.Now().UnixMicro() / 100) }
+
+// put hands an event over; it waits while the queue is full.
+func (l *loop) put(e event) { l.in <- e }
+
+// next is the round that is being filled.
+func (l *loop) next() *admission.Round { return &l.gath[l.fill] }
+
+// logf writes a line, but only a few in a second.
+func (l *loop) logf(format string, args ...any) {
+	if l.now-l.logFrom >= l.lim.LogEvery {
+		if l.logged > 20 {
+			l.log.Warnf("%d more lines were left out", l.logged-20)
+		}
+		l.logFrom, l.logged = l.now, 0
+	}
+	if l.logged++; l.logged <= 20 {
+		l.log.Infof(format, args...)
+	}
+}
+
+// Run serves until the program is told to leave and all that was read is answered.
+func Run(c *Config, log *logrus.Logger, signals <-chan os.Signal, drain, count os.Signal) error {
+	lim := NewLimits(c.Limits.Cores, c.Limits.MemoryMB, c.Limits.Sockets)
+	debug.SetMemoryLimit(int64(lim.MemoryMB) << 20 * 6 / 10) // the rest is for what is not Go's heap, and for peaks
+	netpoll.SetNumLoops(lim.Cores)
+	netpoll.SetLoggerOutput(&lines{log: log})
+	prof, err := profile.Read(c.Settings)
+	if err != nil {
+		return err
+	}
+	l := newLoop(c, lim, prof, log)
+	d, err := newDoor(c.Listen, lim.Conns)
+	if err != nil {
+		return fmt.Errorf("listen on %s: %w", c.Listen, err)
+	}
+	if err := l.serve(d); err != nil {
+		return err
+	}
+	go func() {
+		for s := range signals {
+			switch s {
+			case drain:
+				l.put(event{kind: newsDrain})
+			case count:
+				l.put(event{kind: newsCount})
+			}
+		}
+	}()
+	l.run()
+	return nil
+}
+
+func newLoop(c *Config, lim Limits, prof *profile.Profile, log *logrus.Logger) *loop {
+	late := admission.Time(0)
+	for _, h := range prof.Deployment.Handlers {
+		late = max(late, h.Timeout)
+	}
+	l := &loop{lim: lim, log: log, in: make(chan event, lim.HandOver), pool: pool{most: lim.Buffers},
+		timer: time.NewTimer(time.Hour), prof: prof, names: make([]string, len(prof.Deployment.Handlers)),
+		conns: newTable[conn](lim.Conns + 8), reqs: newTable[req](lim.Reqs), tasks: map[string]handle{},
+		keys: newKeys(lim.Entries, lim.Results, late), good: true,
+		// Sidecars close idle connections by themselves; until the module says more this only clears out dead ones.
+		idle: 2 * max(prof.Idle, 30*admission.Second), stop: admission.Time(c.StopMS) * 10, now: clock()}
+	for name, i := range prof.Handlers {
+		l.names[i] = name
+	}
+	bounds := lim.Line
+	l.kernel.link = link{which: toKernel, what: "kernel", addr: c.Kernel, ended: dueKernel,
+		parser: func(b []byte) (e event, n int, err error) {
+			line, n, err := proto.Line(b, bounds.Head)
+			if n == 0 || err != nil {
+				return e, 0, err
+			}
+			note, err := proto.ParseNotice(line)
+			return event{kind: newsNotice, notice: &note}, n, err
+		}}
+	l.store.link = link{which: toStore, what: "store", addr: c.Store, ended: dueStore,
+		parser: func(b []byte) (e event, n int, err error) {
+			e.kind = newsReply
+			e.reply, n, err = proto.ParseReply(b, bounds)
+			return e, n, err
+		}}
+	l.control = control{name: c.Name, ready: true, link: link{which: toControl, what: "control", addr: c.Control,
+		ended: dueControl, parser: func(b []byte) (e event, n int, err error) {
+			e.kind = newsReport
+			e.status, n, err = proto.ParseResponse(b, bounds)
+			return e, n, err
+		}}}
+	return l
+}
+
+func (l *loop) run() {
+	l.dial(&l.kernel.link)
+	l.due.set(l.now, dueReport, 0)
+	for !l.finished() {
+		wait := time.Hour
+		if at, ok := l.due.first(); ok {
+			wait = time.Until(time.UnixMicro(int64(at) * 100))
+		}
+		l.timer.Reset(wait)
+		select {
+		case e := <-l.in:
+			l.now = max(l.now, clock())
+			l.handle(e)
+		case <-l.timer.C:
+			l.now = max(l.now, clock())
+		}
+		for n := 1; n < l.lim.PerRound && len(l.in) > 0; n++ {
+			l.handle(<-l.in)
+		}
+		l.fire()
+		l.decide()
+	}
+	l.log.WithFields(l.count.fields()).Info("counters")
+}
+
+// handle takes one event.
+func (l *loop) handle(e event) {
+	switch e.kind {
+	case newsOpen:
+		l.opened(e.from)
+	case newsReq, newsBad:
+		if e.kind == newsReq {
+			l.last = l.now
+		}
+		l.came(e)
+		return // the message's buffer goes with the req
+	case newsGone:
+		l.left(e.from)
+	case newsDialled:
+		l.dialled(e)
+	case newsDrain:
+		l.drain()
+	case newsCount:
+		l.log.WithFields(l.count.fields()).Info("counters")
+	default:
+		if k := l.linkOf(e.link); e.epoch == k.epoch && k.way != nil {
+			switch e.kind {
+			case newsDown:
+				l.linkDown(k, e.err)
+			case newsNotice:
+				l.noticed(*e.notice)
+			case newsReply:
+				l.replied(e.reply)
+			case newsReport:
+				l.reported(e.status)
+			}
+		}
+	}
+	l.pool.put(e.buf)
+}
+
+// fire deals with every deadline that has come.
+func (l *loop) fire() {
+	for {
+		d, ok := l.due.next(l.now)
+		if !ok {
+			return
+		}
+		switch d.wh {
+		case dueWake:
+			if l.now-d.at > admission.Second/100 {
+				l.count.Slow++
+			}
+			l.count.Wakes++
+			l.wakes = true
+			l.ask()
+		case dueGauge:
+			if l.now >= l.kernel.askBy {
+				l.ungauged()
+			}
+		case dueReplay:
+			if handle(l.kernel.epoch) == d.who {
+				l.replayed()
+			}
+		case dueCall:
+			l.callLate(d.who)
+		case dueReport:
+			l.report()
+			l.due.set(l.now+l.lim.Report, dueReport, 0)
+		case dueUnanswered:
+			l.unanswered(uint32(d.who))
+		case dueKernel:
+			l.dial(&l.kernel.link)
+		case dueStore:
+			l.dial(&l.store.link)
+		case dueControl:
+			l.report()
+		case dueIdle:
+			l.idles(d.who)
+		case dueLinger:
+			l.linger(d.who)
+		case dueKey:
+			for _, h := range l.keys.expire(d.who, l.now, &l.due) {
+				l.shareEnded(h, false, nil)
+			}
+		case dueLeave:
+			l.leave()
+		}
+	}
+}
+
+// decide plays rounds until nothing more has come of them.
+func (l *loop) decide() {
+	for {
+		r := l.next()
+		if len(r.Arrived)+len(r.Returned)+len(r.Needs)+len(r.Ended)+len(r.Gone) == 0 && !r.Woke && !r.Drain {
+			break
+		}
+		if l.ctl == nil {
+			*r = admission.Round{}
+			break
+		}
+		l.fill = 1 - l.fill
+		r.Now = l.now
+		l.count.Rounds++
+		l.ctl.Decide(r, l)
+		*r = admission.Round{Arrived: r.Arrived[:0], Returned: r.Returned[:0], Needs: r.Needs[:0],
+			Ended: r.Ended[:0], Gone: r.Gone[:0]}
+	}
+	l.free()
+	if l.relink {
+		l.relink = false
+		l.linkDown(&l.kernel.link, errStuck)
+	}
+}
+
+// drain takes the notice to leave.
+func (l *loop) drain() {
+	if l.drains {
+		return
+	}
+	l.drains, l.since, l.kill = true, l.now, l.now+l.stop
+	l.next().Drain, l.next().Kill = true, l.kill
+	l.Health(false)
+	l.due.set(l.now, dueLeave, 0)
+}
+
+// leave sees whether nobody sends here any more, or the kill is near: then idle connections are closed, what
+// crosses that is still answered, and the loop ends. The listener stays open to the last, as closing it would
+// cut off those who wait to be accepted.
+func (l *loop) leave() {
+	most := l.kill - l.lim.LeaveBefore
+	quiet := l.now-max(l.last, l.since) >= l.lim.LeaveQuiet && l.now-l.since >= 2*admission.Second
+	if l.shut == 0 && (l.now >= most-l.lim.LeaveCrosses || quiet && l.owed() == 0) {
+		l.shut = l.now
+		for h, i := l.conns.next(0); h != 0; h, i = l.conns.next(i) {
+			if c := l.conns.get(h); c.open == 0 && len(c.wait) == 0 {
+				c.closing = true
+				c.p.close()
+			}
+		}
+	}
+	l.due.set(l.now+admission.Second/100, dueLeave, 0)
+}
+
+func (l *loop) owed() (n int) {
+	for h, i := l.conns.next(0); h != 0; h, i = l.conns.next(i) {
+		if c := l.conns.get(h); c.open != 0 || len(c.wait) > 0 {
+			n++
+		}
+	}
+	return n
+}
+
+// finished says whether all is said and sent.
+func (l *loop) finished() bool {
+	if !l.drains || l.shut == 0 || l.now < l.shut+l.lim.LeaveCrosses {
+		return false
+	}
+	return l.owed() == 0 && l.busy.Load() == 0 || l.now >= l.kill-l.lim.LeaveBefore/2
+}
+
+// lines carries netpoll's own log lines into the log, a few at a time.
+type lines struct {
+	log *logrus.Logger
+	n   atomic.Int64
+	sec atomic.Int64
+}
+
+func (w *lines) Write(b []byte) (int, error) {
+	if s := time.Now().Unix(); w.sec.Swap(s) != s {
+		w.n.Store(0)
+	}
+	if w.n.Add(1) <= 5 {
+		w.log.Debug(string(b))
+	}
+	return len(b), nil
+}
--- /dev/null
+++ b/internal/backend/req.go
@@ -0,0 +1,298 @@
+// Reqs: the life of one from its message to its last word. This owns what a req is known by, its one answer
+// and the end of its slot; it must never answer twice, and never by a judgement of its own but where nothing
+// has been put before the module.
+package backend
+
+import (
+	"umberwinch/admission"
+	"umberwinch/internal/proto"
+)
+
+type runs uint8
+
+const (
+	runNot runs = iota
+	runGoes
+	runOver
+)
+
+type calls uint8
+
+const (
+	callNone  calls = iota
+	callWaits       // for the link
+	callOut
+)
+
+type goes uint8
+
+const (
+	goesNot goes = iota
+	goesWithReply
+	goesWithout
+)
+
+// req is one req in hand.
+type req struct {
+	task     string // its id, as the kernel and the store know it
+	conn     handle
+	close    bool // its connection is not to be used again
+	handler  int
+	buf      *buffer // the message, of which body is a part
+	body     []byte
+	key      string // of repeats; empty if it has none
+	due      admission.Time
+	answered bool
+	gone     bool
+	waits    bool // for another's result
+
+	run                   runs
+	paused, resumed       bool
+	schedNo, goNo, haltNo uint64 // numbers of commands that may have to be sent again; 0: no
+	goes                  goes
+	ask                   []byte // the body of the call it stands at
+	asked                 uint64 // the notice that said so
+	reply                 []byte
+	call                  calls
+	callAt, callUntil     admission.Time
+}
+
+// take brings a new req before the module; a status other than 0 answers it here.
+func (l *loop) take(c *conn, e event, name string) int {
+	q := &e.req
+	i, known := l.prof.Handlers[name]
+	switch {
+	case !known:
+		return 404
+	case q.ID == nil:
+		return 400
+	case l.ctl == nil:
+		return 503 // the kernel is not up: nothing can run
+	}
+	hd := &l.prof.Deployment.Handlers[i]
+	key := ""
+	switch {
+	case hd.Repeat == admission.Uniqued && len(q.OnceKey) > 0:
+		key = name + "/" + string(q.OnceKey)
+	case hd.Repeat == admission.Replayable && l.prof.Fresh > 0 && len(q.ResourceKey) > 0:
+		key = name + "?" + string(q.ResourceKey)
+	}
+	if hd.Repeat == admission.Uniqued && l.keys.full() && l.keys.find(key) == nil {
+		return 503 // it could not be told from its repeats
+	}
+	if h, old := l.byTask(q.ID); old != nil {
+		if !old.gone || old.run != runNot {
+			return 500 // the same try again, and the first may have run
+		}
+		delete(l.tasks, old.task)
+		l.spent = append(l.spent, h)
+	}
+	h, r, ok := l.reqs.take()
+	if !ok {
+		return 503
+	}
+	came := l.now
+	if q.ReceivedAt > 0 {
+		came = min(admission.Time(q.ReceivedAt)*10, l.now)
+	}
+	*r = req{task: string(q.ID), conn: e.from.h, close: q.Close, handler: i, buf: e.buf, body: q.Body, key: key,
+		due: came + hd.Timeout}
+	c.open = h
+	l.tasks[r.task] = h
+	l.count.Reqs++
+	if q.Again {
+		l.count.Again++
+	}
+	l.next().Arrived = append(l.next().Arrived, admission.Req{ID: uint32(h), Handler: i,
+		Tenant: l.prof.Tenants[string(q.Account)], Came: came, KB: q.KB, Again: q.Again, Caller: q.SentBy,
+		Prior: l.keys.prior(key, came)})
+	return 0
+}
+
+func (l *loop) byTask(id []byte) (handle, *req) {
+	h := l.tasks[string(id)]
+	return h, l.reqs.get(h)
+}
+
+// answer gives a req its answer, if it is still owed one.
+func (l *loop) answer(h handle, r *req, a proto.Answer) {
+	l.spent = append(l.spent, h)
+	if r.answered {
+		return
+	}
+	r.answered = true
+	if r.gone {
+		return
+	}
+	if l.now > r.due {
+		l.count.Late++
+	}
+	switch a.Status {
+	case 200:
+		l.count.Done++
+	case 503:
+		l.count.Shed++
+	default:
+		l.count.Errored++
+	}
+	if c := l.conns.get(r.conn); c != nil && c.open == h {
+		a.Close = a.Close || r.close
+		l.reply(c, r.conn, a)
+	}
+}
+
+// runEnded takes the end of a run: its result is the answer, and that of those who wait for it.
+func (l *loop) runEnded(h handle, r *req, how admission.Outcome, ms float64, result []byte) {
+	r.run = runOver
+	l.count.Ends++
+	l.dropCall(r)
+	wait := l.keys.ended(r.key, uint32(h), how == admission.OK, result)
+	l.next().Ended = append(l.next().Ended,
+		admission.End{ID: uint32(h), How: how, Ran: admission.Time(ms * 10)})
+	if how == admission.OK {
+		l.answer(h, r, proto.Answer{Status: 200, Body: result})
+	} else {
+		l.answer(h, r, proto.Answer{Status: 500})
+	}
+	for _, k := range wait {
+		l.shareEnded(k, how == admission.OK, result)
+	}
+}
+
+// shareEnded ends a req that takes another's result.
+func (l *loop) shareEnded(h handle, ok bool, result []byte) {
+	r := l.reqs.get(h)
+	if r == nil || r.answered || r.gone {
+		return
+	}
+	r.waits = false
+	end := admission.End{ID: uint32(h), How: admission.Errored}
+	a := proto.Answer{Status: 500}
+	if ok {
+		end.How, a = admission.OK, proto.Answer{Status: 200, Body: result}
+		l.count.Shared++
+	}
+	l.next().Ended = append(l.next().Ended, end)
+	l.answer(h, r, a)
+}
+
+// free lets go of reqs of which nothing is left to come.
+func (l *loop) free() {
+	for _, h := range l.spent {
+		r := l.reqs.get(h)
+		if r == nil || !(r.answered || r.gone) || r.run == runGoes || r.waits {
+			continue
+		}
+		l.dropCall(r)
+		l.pool.put(r.buf)
+		if l.tasks[r.task] == h {
+			delete(l.tasks, r.task)
+		}
+		l.reqs.drop(h)
+	}
+	l.spent = l.spent[:0]
+}
+
+// ---- What the module decides.
+
+// Run starts a run, or goes on with a paused one.
+func (l *loop) Run(id uint32) {
+	r := l.reqs.get(handle(id))
+	switch {
+	case r == nil || r.run == runOver && !r.paused:
+	case r.run == runGoes && r.paused:
+		l.resched(r)
+	default:
+		r.run, r.paused = runGoes, false
+		l.count.Runs++
+		l.keys.runs(r.key, id)
+		l.sched(r)
+	}
+}
+
+func (l *loop) Pause(id uint32) {
+	if r := l.reqs.get(handle(id)); r != nil && r.run == runGoes {
+		l.halt(r)
+	}
+}
+
+func (l *loop) Shed(id uint32, last bool, comeBack admission.Time) {
+	if r := l.reqs.get(handle(id)); r != nil {
+		l.answer(handle(id), r, proto.Answer{Status: 503, Final: last, BackOff: int64(comeBack+9) / 10})
+	}
+}
+
+func (l *loop) Fail(id uint32) {
+	if r := l.reqs.get(handle(id)); r != nil {
+		l.dropCall(r)
+		r.waits = false
+		l.answer(handle(id), r, proto.Answer{Status: 500})
+	}
+}
+
+func (l *loop) Call(id uint32, until admission.Time) {
+	if r := l.reqs.get(handle(id)); r != nil && r.run == runGoes {
+		l.call(handle(id), r, until)
+	}
+}
+
+func (l *loop) Skip(id uint32) {
+	if r := l.reqs.get(handle(id)); r != nil && r.run == runGoes {
+		l.count.Skips++
+		l.noIO(r)
+	}
+}
+
+func (l *loop) Remember(id uint32, span admission.Time) {
+	if r := l.reqs.get(handle(id)); r != nil && r.key != "" {
+		l.keys.remember(r.key, id, l.now+span, &l.due)
+	}
+}
+
+func (l *loop) Forget(id uint32) {
+	if r := l.reqs.get(handle(id)); r != nil && r.key != "" {
+		for _, h := range l.keys.forget(r.key, id) {
+			l.shareEnded(h, false, nil)
+		}
+	}
+}
+
+// Reuse answers a req with the result of the one it repeats, now or when that is there.
+func (l *loop) Reuse(id uint32) {
+	h := handle(id)
+	r := l.reqs.get(h)
+	if r == nil {
+		return
+	}
+	switch e := l.keys.find(r.key); {
+	case e == nil || e.fate == fateFailed || e.fate == fateDone && !e.kept:
+		l.shareEnded(h, false, nil)
+	case e.fate == fateDone:
+		l.shareEnded(h, true, e.result)
+	default:
+		r.waits = true
+		e.wait = append(e.wait, h)
+	}
+}
+
+// Health has checks and the control plane told.
+func (l *loop) Health(good bool) {
+	l.good, l.control.ready = good, good
+	l.report()
+}
+
+// Say has no place on this wire: no field of an answer carries a value.
+func (l *loop) Say(float64) {}
+
+// IdleClose has connections closed that were idle for so long.
+func (l *loop) IdleClose(after admission.Time) {
+	sooner := after < l.idle
+	l.idle = after
+	for h, i := l.conns.next(0); h != 0 && sooner; h, i = l.conns.next(i) {
+		l.due.set(max(l.conns.get(h).last+after, l.now), dueIdle, h)
+	}
+}
+
+func (l *loop) Wake(at admission.Time) { l.due.set(at, dueWake, 0) }
+
+func (l *loop) Log(line string) { l.logf("%s", line) }
--- a/internal/host/host.go
+++ b/internal/host/host.go
@@ -8,6 +8,7 @@
 	"io"
 
 	"umberwinch/admission"
+	"umberwinch/internal/profile"
 	"umberwinch/internal/simwire"
 )
 
@@ -16,7 +17,7 @@
 	num    uint32
 	ctl    *admission.Controller
 	round  admission.Round
-	meters []string
+	prof   *profile.Profile
 	seen   bool
 	failed bool
 }
@@ -130,12 +131,12 @@
 	if err != nil {
 		return nil, err
 	}
-	d, meters, err := simwire.Profile(text)
+	p, err := profile.Read(text)
 	if err != nil {
 		return nil, err
 	}
-	d.Start = now
-	return &instance{num: num, ctl: admission.New(d), meters: meters}, nil
+	p.Start = now
+	return &instance{num: num, ctl: admission.New(p.Deployment), prof: p}, nil
 }
 
 var outcomes = map[int]admission.Outcome{0: admission.OK, 13: admission.Errored, 8: admission.Unrun,
@@ -183,17 +184,13 @@
 		r.Drain, r.Kill = true, admission.Time(e.U64(1)/100)
 	case simwire.TimeoutFired:
 		r.Woke = true
-		if n := int(e.U8(9)); n > 0 {
+		if n := min(int(e.U8(9)), 4); n > 0 {
 			r.Gauged = true
-			for k := 0; k < min(n, 4, len(in.meters)); k++ {
-				v := e.F32(10 + 4*k)
-				switch in.meters[k] {
-				case "on_cores":
-					r.Gauges.OnCores = v
-				case "links":
-					r.Gauges.Links = v
-				}
+			var read [4]float64
+			for k := range read[:n] {
+				read[k] = e.F32(10 + 4*k)
 			}
+			r.Gauges = in.prof.Gauges(read[:n])
 		}
 	default:
 		err = fmt.Errorf("event code %d, expected a known one", e.Code())
--- a/internal/simwire/profile.go
+++ b/internal/profile/profile.go
@@ -1,4 +1,6 @@
-package simwire
+// Package profile reads the start-up settings, the same on the simulator's wire and on sockets. It turns them
+// into what the module is told and the names that the wire needs; it decides nothing.
+package profile
 
 import (
 	"encoding/json"
@@ -9,9 +11,18 @@
 	"umberwinch/admission"
 )
 
-// profile is the start-up text as it comes; unknown keys are passed over.
-type profile struct {
+// Profile is what the start-up text says: the module's deployment and the names that go with its indices.
+type Profile struct {
+	*admission.Deployment
+	Meters   []string       // the gauges, in order
+	Handlers map[string]int // by name
+	Tenants  map[string]int
+}
+
+// text is the start-up text as it comes; unknown keys are passed over.
+type text struct {
 	Classes []struct {
+		Name      string  `json:"name"`
 		Gain      float64 `json:"gain"`
 		GiveUp    float64 `json:"give_up"`
 		LateShare float64 `json:"late_share"`
@@ -20,6 +31,7 @@
 		Window    float64 `json:"window"`
 	} `json:"classes"`
 	Customers []struct {
+		Name  string  `json:"name"`
 		Quota float64 `json:"quota_per_s"`
 	} `json:"customers"`
 	Family struct {
@@ -83,24 +95,24 @@
 	return v, nil
 }
 
-// Profile reads the start-up text; meters are the gauges' names in order.
-func Profile(text []byte) (d *admission.Deployment, meters []string, err error) {
-	var p profile
-	if err := json.Unmarshal(text, &p); err != nil {
-		return nil, nil, fmt.Errorf("settings are not JSON as expected: %w", err)
+// Read reads the start-up text.
+func Read(raw []byte) (out *Profile, err error) {
+	var p text
+	if err := json.Unmarshal(raw, &p); err != nil {
+		return nil, fmt.Errorf("settings are not JSON as expected: %w", err)
 	}
 	f := &p.Family
 	switch {
 	case len(p.Classes) == 0:
-		return nil, nil, errors.New("settings: no classes, expected at least one")
+		return nil, errors.New("settings: no classes, expected at least one")
 	case f.Cores < 1 || f.Cores > 1<<16:
-		return nil, nil, fmt.Errorf("settings: family_info.cores is %d, expected 1 or more", f.Cores)
+		return nil, fmt.Errorf("settings: family_info.cores is %d, expected 1 or more", f.Cores)
 	case !(f.MemoryKB > 0) || f.RunFactor < 0 || f.KeyKB < 0:
-		return nil, nil, errors.New("settings: family_info.memory_kb, run_factor or key_kb is out of range")
+		return nil, errors.New("settings: family_info.memory_kb, run_factor or key_kb is out of range")
 	case p.Invariants.FallMultiple < 0 || p.Granularity < 0 || p.Invariants.DrainGrace < 0:
-		return nil, nil, errors.New("settings: invariants or granularity are below zero")
+		return nil, errors.New("settings: invariants or granularity are below zero")
 	}
-	d = &admission.Deployment{Fleet: max(p.Fleet, 1), Senders: max(f.Senders, 1), Stage: max(p.Stage, 0),
+	d := &admission.Deployment{Fleet: max(p.Fleet, 1), Senders: max(f.Senders, 1), Stage: max(p.Stage, 0),
 		Granule: max(span(p.Granularity+99), 1), ByWork: p.WorthBy == "work", Beyond: p.OverShare,
 		Cores: f.Cores, Cold: f.Cold, ColdSpeed: p.Invariants.StartCapacity,
 		WarmAfter: span(p.Invariants.WarmAfter), Fall: p.Invariants.FallMultiple, MemKB: f.MemoryKB,
@@ -114,33 +126,49 @@
 		d.MaxPause = span(p.Limits.MaxRetryAfter)
 	}
 	if d.Below, err = pick(belows, f.Below, "family_info.below"); err != nil {
-		return nil, nil, err
+		return nil, err
 	}
 	if d.Stop, err = pick(stops, f.Preemption, "family_info.preemption"); err != nil {
-		return nil, nil, err
+		return nil, err
 	}
 	if d.Voice, err = pick(voices, f.Say, "family_info.say"); err != nil {
-		return nil, nil, err
+		return nil, err
 	}
+	out = &Profile{Deployment: d, Meters: f.Meters, Handlers: map[string]int{}, Tenants: map[string]int{}}
 	for i, c := range p.Classes {
 		h := admission.Handler{Target: span(c.Promise), Timeout: span(c.GiveUp), Value: c.Gain,
 			LateValue: c.LateShare, Window: span(c.Window + 99)}
 		if h.Timeout <= 0 {
-			return nil, nil, fmt.Errorf("settings: classes[%d].give_up is %g, expected above 0", i, c.GiveUp)
+			return nil, fmt.Errorf("settings: classes[%d].give_up is %g, expected above 0", i, c.GiveUp)
 		}
 		if h.Target <= 0 || h.Target > h.Timeout {
 			h.Target = h.Timeout
 		}
 		if h.Repeat, err = pick(repeats, c.Semantics, "classes[].semantics"); err != nil {
-			return nil, nil, err
+			return nil, err
 		}
 		if i < len(f.Degraded) {
 			h.LeanValue = f.Degraded[i]
 		}
+		out.Handlers[c.Name] = i
 		d.Handlers = append(d.Handlers, h)
 	}
-	for _, c := range p.Customers {
+	for i, c := range p.Customers {
+		out.Tenants[c.Name] = i
 		d.Tenants = append(d.Tenants, admission.Tenant{Quota: c.Quota})
 	}
-	return d, f.Meters, nil
+	return out, nil
+}
+
+// Gauges names what the server's gauges read.
+func (p *Profile) Gauges(read []float64) (g admission.Gauges) {
+	for k := 0; k < min(len(read), len(p.Meters)); k++ {
+		switch p.Meters[k] {
+		case "on_cores":
+			g.OnCores = read[k]
+		case "links":
+			g.Links = read[k]
+		}
+	}
+	return g
 }
--- /dev/null
+++ b/internal/proto/http.go
@@ -0,0 +1,334 @@
+// Package proto parses and writes what goes over the backend's sockets: HTTP/1.1, the kernel's lines and the
+// store's lines. It knows no socket and no clock. Every parser takes all the bytes at hand and says how many
+// a whole message took, 0 while it is not whole, so any split of reads gives the same messages; what it
+// returns are views into those bytes.
+package proto
+
+import (
+	"bytes"
+	"errors"
+	"strconv"
+)
+
+// Bounds are the sizes past which a message is bad rather than unfinished.
+type Bounds struct {
+	Head int // an HTTP head, or a line
+	Body int
+}
+
+// Request is an HTTP request with the fields that a backend reads; absent ones are zero.
+type Request struct {
+	Method, Path         []byte
+	Body                 []byte
+	ID                   []byte // 16 hex digits
+	Account              []byte
+	OnceKey, ResourceKey []byte
+	ReceivedAt           int64 // Unix milliseconds
+	SentBy               uint32
+	Again                bool
+	KB                   float64
+	Rank                 float64
+	Close                bool // the connection is not to be used again
+	length               int
+	hasLength            bool
+}
+
+// Response is the head of an HTTP response; its body is passed over.
+type Response struct {
+	Status int
+	Close  bool
+}
+
+var (
+	errHead   = errors.New("head is not as expected")
+	errLarge  = errors.New("message is larger than allowed")
+	errField  = errors.New("field is malformed")
+	errLength = errors.New("body length is missing, repeated or not supported")
+	crlf      = []byte("\r\n")
+	headEnd   = []byte("\r\n\r\n")
+)
+
+// token says which bytes may stand in a field's name or a method.
+var token = func() (t [256]bool) {
+	for c := '0'; c <= '9'; c++ {
+		t[c] = true
+	}
+	for c := 'a'; c <= 'z'; c++ {
+		t[c], t[c-32] = true, true
+	}
+	for _, c := range "!#$%&'*+-.^_`|~" {
+		t[c] = true
+	}
+	return t
+}()
+
+func isToken(b []byte) bool {
+	for _, c := range b {
+		if !token[c] {
+			return false
+		}
+	}
+	return len(b) > 0
+}
+
+// head cuts the head off b; n is 0 while it is not whole.
+func head(b []byte, max int) (line, fields []byte, n int, err error) {
+	i := bytes.Index(b, headEnd)
+	if i < 0 {
+		if len(b) > max {
+			return nil, nil, 0, errLarge
+		}
+		return nil, nil, 0, nil
+	}
+	if i > max {
+		return nil, nil, 0, errLarge
+	}
+	n = i + len(headEnd)
+	line, fields, _ = bytes.Cut(b[:i+2], crlf)
+	if bytes.IndexByte(line, '\n') >= 0 || bytes.IndexByte(line, 0) >= 0 {
+		return nil, nil, 0, errHead
+	}
+	return line, fields, n, nil
+}
+
+// field cuts the next field off fields.
+func field(fields []byte) (name, value, rest []byte, err error) {
+	line, rest, _ := bytes.Cut(fields, crlf)
+	name, value, ok := bytes.Cut(line, []byte(":"))
+	if !ok || !isToken(name) {
+		return nil, nil, nil, errHead
+	}
+	for _, c := range value {
+		if c < ' ' && c != '\t' || c == 0x7f {
+			return nil, nil, nil, errHead
+		}
+	}
+	return name, bytes.Trim(value, " \t"), rest, nil
+}
+
+func digits(b []byte, max int64) (int64, error) {
+	if len(b) == 0 || len(b) > 18 {
+		return 0, errField
+	}
+	n := int64(0)
+	for _, c := range b {
+		if c < '0' || c > '9' {
+			return 0, errField
+		}
+		n = n*10 + int64(c-'0')
+	}
+	if n > max {
+		return 0, errField
+	}
+	return n, nil
+}
+
+func decimal(b []byte, max float64) (float64, error) {
+	if len(b) > 24 {
+		return 0, errField
+	}
+	v, err := strconv.ParseFloat(string(b), 64)
+	if err != nil || !(v >= 0 && v <= max) {
+		return 0, errField
+	}
+	return v, nil
+}
+
+// IsID says whether b is a request id: 16 hex digits.
+func IsID(b []byte) bool {
+	for _, c := range b {
+		if !(c >= '0' && c <= '9' || c >= 'a' && c <= 'f' || c >= 'A' && c <= 'F') {
+			return false
+		}
+	}
+	return len(b) == 16
+}
+
+// listed says whether a comma-separated list holds word.
+func listed(value []byte, word string) bool {
+	for len(value) > 0 {
+		part, rest, _ := bytes.Cut(value, []byte(","))
+		if bytes.EqualFold(bytes.Trim(part, " \t"), []byte(word)) {
+			return true
+		}
+		value = rest
+	}
+	return false
+}
+
+func is(name []byte, word string) bool { return bytes.EqualFold(name, []byte(word)) }
+
+// ParseRequest reads the request at the start of b; n is 0 while it is not whole.
+func ParseRequest(b []byte, max Bounds) (q Request, n int, err error) {
+	for len(b) > n && (b[n] == '\r' || b[n] == '\n') && n < 4 {
+		n++ // empty lines before a request are passed over
+	}
+	skip := n
+	line, fields, n, err := head(b[skip:], max.Head)
+	if n == 0 || err != nil {
+		return q, 0, err
+	}
+	q.Method, line, _ = bytes.Cut(line, []byte(" "))
+	path, version, _ := bytes.Cut(line, []byte(" "))
+	q.Path, _, _ = bytes.Cut(path, []byte("?"))
+	if !isToken(q.Method) || len(path) == 0 || path[0] != '/' {
+		return q, 0, errHead
+	}
+	switch string(version) {
+	case "HTTP/1.1":
+	case "HTTP/1.0":
+		q.Close = true
+	default:
+		return q, 0, errHead
+	}
+	for len(fields) > 0 {
+		var name, value []byte
+		if name, value, fields, err = field(fields); err != nil {
+			return q, 0, err
+		}
+		if err = q.field(name, value, max.Body); err != nil {
+			return q, 0, err
+		}
+	}
+	n += skip
+	if len(b) < n+q.length {
+		return q, 0, nil
+	}
+	q.Body = b[n : n+q.length]
+	return q, n + q.length, nil
+}
+
+func (q *Request) field(name, value []byte, maxBody int) (err error) {
+	var v int64
+	switch {
+	case is(name, "content-length"):
+		v, err = digits(value, 1<<40)
+		if err != nil || q.hasLength && int(v) != q.length {
+			return errLength
+		}
+		if v > int64(maxBody) {
+			return errLarge
+		}
+		q.length, q.hasLength = int(v), true
+	case is(name, "transfer-encoding"):
+		return errLength
+	case is(name, "connection"):
+		q.Close = q.Close && !listed(value, "keep-alive") || listed(value, "close")
+	case is(name, "request-id"):
+		if !IsID(value) {
+			return errField
+		}
+		q.ID = value
+	case is(name, "received-at"):
+		q.ReceivedAt, err = digits(value, 1<<50)
+	case is(name, "sent-by"):
+		v, err = digits(value, 1<<32-1)
+		q.SentBy = uint32(v)
+	case is(name, "account"):
+		q.Account = value
+	case is(name, "attempt-again"):
+		q.Again = string(value) == "1"
+	case is(name, "footprint-kb"):
+		q.KB, err = decimal(value, 1e6)
+	case is(name, "priority-rank"):
+		q.Rank, err = decimal(value, 1)
+	case is(name, "once-key"):
+		q.OnceKey = value
+	case is(name, "resource-key"):
+		q.ResourceKey = value
+	}
+	return err
+}
+
+// ParseResponse reads the response at the start of b, body included; n is 0 while it is not whole.
+func ParseResponse(b []byte, max Bounds) (p Response, n int, err error) {
+	line, fields, n, err := head(b, max.Head)
+	if n == 0 || err != nil {
+		return p, 0, err
+	}
+	version, rest, _ := bytes.Cut(line, []byte(" "))
+	code, _, _ := bytes.Cut(rest, []byte(" "))
+	if string(version) != "HTTP/1.1" && string(version) != "HTTP/1.0" || len(code) != 3 {
+		return p, 0, errHead
+	}
+	v, err := digits(code, 999)
+	if err != nil || v < 100 {
+		return p, 0, errHead
+	}
+	p.Status, p.Close = int(v), string(version) == "HTTP/1.0"
+	length, has := int64(0), false
+	for len(fields) > 0 {
+		var name, value []byte
+		if name, value, fields, err = field(fields); err != nil {
+			return p, 0, err
+		}
+		switch {
+		case is(name, "content-length"):
+			was := length
+			if length, err = digits(value, int64(max.Body)); err != nil || has && was != length {
+				return p, 0, errLength
+			}
+			has = true
+		case is(name, "transfer-encoding"):
+			return p, 0, errLength
+		case is(name, "connection"):
+			p.Close = p.Close && !listed(value, "keep-alive") || listed(value, "close")
+		}
+	}
+	if p.Status == 204 || p.Status == 304 || p.Status < 200 {
+		length = 0
+	} else if !has {
+		p.Close = true // its body ends with the connection
+	}
+	if len(b) < n+int(length) {
+		return p, 0, nil
+	}
+	return p, n + int(length), nil
+}
+
+var reasons = map[int]string{200: "OK", 400: "Bad Request", 404: "Not Found", 405: "Method Not Allowed",
+	500: "Internal Server Error", 503: "Service Unavailable"}
+
+// Answer is what goes out for a request.
+type Answer struct {
+	Status  int
+	BackOff int64 // milliseconds to keep away; 0: not said
+	Final   bool  // no other backend is to be tried
+	Close   bool
+	Body    []byte
+}
+
+// AppendAnswer writes the answer whole.
+func AppendAnswer(b []byte, a Answer) []byte {
+	b = append(b, "HTTP/1.1 "...)
+	b = strconv.AppendInt(b, int64(a.Status), 10)
+	b = append(b, ' ')
+	b = append(b, reasons[a.Status]...)
+	b = append(b, "\r\nContent-Length: "...)
+	b = strconv.AppendInt(b, int64(len(a.Body)), 10)
+	if a.BackOff > 0 {
+		b = append(b, "\r\nBack-Off-Ms: "...)
+		b = strconv.AppendInt(b, a.BackOff, 10)
+	}
+	if a.Final {
+		b = append(b, "\r\nFinal-Refusal: 1"...)
+	}
+	if a.Close {
+		b = append(b, "\r\nConnection: close"...)
+	}
+	b = append(b, "\r\n\r\n"...)
+	return append(b, a.Body...)
+}
+
+// AppendReport writes a report to the control plane.
+func AppendReport(b []byte, host, name string, ready bool) []byte {
+	word := "NotReady"
+	if ready {
+		word = "Ready"
+	}
+	body := `{"condition":"` + word + `"}`
+	b = append(b, "PUT /v2/endpoints/"+name+" HTTP/1.1\r\nHost: "+host+
+		"\r\nContent-Type: application/json\r\nContent-Length: "...)
+	b = strconv.AppendInt(b, int64(len(body)), 10)
+	return append(append(b, "\r\n\r\n"...), body...)
+}
