Due time from Budget-Ms, work from Work-Estimate, the module's value in Server-Hint

Checked: a trace of each req and a print of every field the parser passes over. Ruled out: reset connections (none) and a stuck loop. At fault: take() in req.go told the module no due time, so it counted on the whole client timeout.

--- a/cmd/umberwinch/main.go
+++ b/cmd/umberwinch/main.go
@@ -16,6 +16,9 @@
 	log := logrus.New()
 	log.SetFormatter(&logrus.TextFormatter{DisableColors: true, FullTimestamp: true,
 		TimestampFormat: "15:04:05.000"})
+	if level, err := logrus.ParseLevel(os.Getenv("UMBERWINCH_LOG")); err == nil {
+		log.SetLevel(level)
+	}
 	signals := make(chan os.Signal, 4)
 	signal.Notify(signals, syscall.SIGTERM, syscall.SIGUSR1)
 	c, err := backend.ReadConfig(os.Getenv("NODE_CONFIG"), os.Getenv("NODE_NAME"), os.Getenv("NODE_LISTEN"))
--- a/internal/backend/front.go
+++ b/internal/backend/front.go
@@ -165,6 +165,7 @@
 	p.close()
 	if r := l.reqs.get(open); r != nil && !r.answered {
 		r.gone = true
+		l.trace(r, "gone")
 		r.waits = false
 		l.count.Gone++
 		l.next().Gone = append(l.next().Gone, uint32(open))
@@ -217,7 +218,7 @@
 
 // reply sends an answer on a connection and goes on to what else it has brought.
 func (l *loop) reply(c *conn, h handle, a proto.Answer) {
-	a.Close = a.Close || l.drains
+	a.Close, a.Hint, a.Says = a.Close || l.drains, l.hint, l.says
 	l.out = proto.AppendAnswer(l.out[:0], a)
 	if !c.p.send(l.out, l.lim.ConnQueue) {
 		c.closing = true // it takes nothing: given up
--- a/internal/backend/kernel.go
+++ b/internal/backend/kernel.go
@@ -173,6 +173,7 @@
 		}
 		l.runEnded(h, r, how, n.Spent, n.Bytes)
 	case "IOREQ":
+		l.trace(r, "stands at a call")
 		r.ask, r.asked = append(r.ask[:0], n.Bytes...), n.Index
 		l.next().Needs = append(l.next().Needs, uint32(h))
 	}
--- a/internal/backend/loop.go
+++ b/internal/backend/loop.go
@@ -83,6 +83,8 @@
 	relink  bool
 
 	good   bool
+	hint   float64 // the value that answers carry, once the module has said one
+	says   bool
 	idle   admission.Time
 	drains bool
 	stop   admission.Time // how long after the notice the kill comes
@@ -92,6 +94,7 @@
 	last   admission.Time // when a req last came
 
 	count   Counters
+	debug   bool
 	logged  int
 	logFrom admission.Time
 }
@@ -117,6 +120,13 @@
 	}
 }
 
+// trace writes what happens to one req, when asked to by the log's level.
+func (l *loop) trace(r *req, what string, args ...any) {
+	if l.debug {
+		l.log.WithField("req", r.task).Debugf(what, args...)
+	}
+}
+
 // Run serves until the program is told to leave and all that was read is answered.
 func Run(c *Config, log *logrus.Logger, signals <-chan os.Signal, drain, count os.Signal) error {
 	lim := NewLimits(c.Limits.Cores, c.Limits.MemoryMB, c.Limits.Sockets)
@@ -154,7 +164,7 @@
 	for _, h := range prof.Deployment.Handlers {
 		late = max(late, h.Timeout)
 	}
-	l := &loop{lim: lim, log: log, in: make(chan event, lim.HandOver), pool: pool{most: lim.Buffers},
+	l := &loop{lim: lim, log: log, debug: log.IsLevelEnabled(logrus.DebugLevel), in: make(chan event, lim.HandOver), pool: pool{most: lim.Buffers},
 		timer: time.NewTimer(time.Hour), prof: prof, names: make([]string, len(prof.Deployment.Handlers)),
 		conns: newTable[conn](lim.Conns + 8), reqs: newTable[req](lim.Reqs), tasks: map[string]handle{},
 		keys: newKeys(lim.Entries, lim.Results, late), good: true,
--- a/internal/backend/req.go
+++ b/internal/backend/req.go
@@ -95,20 +95,30 @@
 	if q.ReceivedAt > 0 {
 		came = min(admission.Time(q.ReceivedAt)*10, l.now)
 	}
+	due := admission.Time(0)
+	if q.Budget > 0 {
+		due = came + admission.Time(q.Budget*10)
+	}
 	*r = req{task: string(q.ID), conn: e.from.h, close: q.Close, handler: i, buf: e.buf, body: q.Body, key: key,
-		due: came + hd.Timeout}
+		due: due}
+	if due == 0 {
+		r.due = came + hd.Timeout
+	}
 	c.open = h
 	l.tasks[r.task] = h
 	l.count.Reqs++
 	if q.Again {
 		l.count.Again++
 	}
+	l.trace(r, "came %.1f ms ago, handler %s, sender %d, again %v, conn %d", inMS(l.now-came), name, q.SentBy, q.Again, r.conn)
 	l.next().Arrived = append(l.next().Arrived, admission.Req{ID: uint32(h), Handler: i,
-		Tenant: l.prof.Tenants[string(q.Account)], Came: came, KB: q.KB, Again: q.Again, Caller: q.SentBy,
+		Tenant: l.prof.Tenants[string(q.Account)], Came: came, Due: due, Hint: admission.Time(q.Estimate * 10), KB: q.KB, Again: q.Again, Caller: q.SentBy,
 		Prior: l.keys.prior(key, came)})
 	return 0
 }
 
+func inMS(t admission.Time) float64 { return float64(t) / 10 }
+
 func (l *loop) byTask(id []byte) (handle, *req) {
 	h := l.tasks[string(id)]
 	return h, l.reqs.get(h)
@@ -121,6 +131,7 @@
 		return
 	}
 	r.answered = true
+	l.trace(r, "answer %d, gone %v", a.Status, r.gone)
 	if r.gone {
 		return
 	}
@@ -143,6 +154,7 @@
 
 // runEnded takes the end of a run: its result is the answer, and that of those who wait for it.
 func (l *loop) runEnded(h handle, r *req, how admission.Outcome, ms float64, result []byte) {
+	l.trace(r, "run ended %d after %.1f ms", how, ms)
 	r.run = runOver
 	l.count.Ends++
 	l.dropCall(r)
@@ -205,6 +217,7 @@
 	default:
 		r.run, r.paused = runGoes, false
 		l.count.Runs++
+		l.trace(r, "run")
 		l.keys.runs(r.key, id)
 		l.sched(r)
 	}
@@ -212,6 +225,7 @@
 
 func (l *loop) Pause(id uint32) {
 	if r := l.reqs.get(handle(id)); r != nil && r.run == runGoes {
+		l.trace(r, "pause")
 		l.halt(r)
 	}
 }
@@ -281,8 +295,8 @@
 	l.report()
 }
 
-// Say has no place on this wire: no field of an answer carries a value.
-func (l *loop) Say(float64) {}
+// Say has every answer carry the value from now on.
+func (l *loop) Say(value float64) { l.hint, l.says = value, true }
 
 // IdleClose has connections closed that were idle for so long.
 func (l *loop) IdleClose(after admission.Time) {
--- a/internal/backend/store.go
+++ b/internal/backend/store.go
@@ -19,6 +19,7 @@
 	s := &l.store
 	r.call, r.callAt, r.callUntil = callWaits, l.now, until
 	l.count.Calls++
+	l.trace(r, "call until %.1f ms", inMS(until-l.now))
 	if s.addr == "" || s.way == nil && l.now < s.again {
 		l.callEnded(h, r, admission.Unrun)
 		return
@@ -53,6 +54,7 @@
 // callEnded tells the module of the end of a call, in the next round.
 func (l *loop) callEnded(h handle, r *req, how admission.Outcome) {
 	l.endCall(r)
+	l.trace(r, "call ended %d after %.1f ms", how, inMS(l.now-r.callAt))
 	switch how {
 	case admission.OK:
 		l.count.CallsOK++
--- a/internal/proto/http.go
+++ b/internal/proto/http.go
@@ -26,6 +26,8 @@
 	ReceivedAt           int64 // Unix milliseconds
 	SentBy               uint32
 	Again                bool
+	Budget               float64 // milliseconds that the caller waits, from ReceivedAt on; 0: not stated
+	Estimate             float64 // milliseconds of work expected; 0: not stated
 	KB                   float64
 	Rank                 float64
 	Close                bool // the connection is not to be used again
@@ -232,6 +234,10 @@
 		q.KB, err = decimal(value, 1e6)
 	case is(name, "priority-rank"):
 		q.Rank, err = decimal(value, 1)
+	case is(name, "budget-ms"):
+		q.Budget, err = decimal(value, 1e9)
+	case is(name, "work-estimate"):
+		q.Estimate, err = decimal(value, 1e9)
 	case is(name, "once-key"):
 		q.OnceKey = value
 	case is(name, "resource-key"):
@@ -295,6 +301,8 @@
 	BackOff int64 // milliseconds to keep away; 0: not said
 	Final   bool  // no other backend is to be tried
 	Close   bool
+	Hint    float64 // the free value that goes with every answer, where Says is set
+	Says    bool
 	Body    []byte
 }
 
@@ -313,6 +321,10 @@
 	if a.Final {
 		b = append(b, "\r\nFinal-Refusal: 1"...)
 	}
+	if a.Says {
+		b = append(b, "\r\nServer-Hint: "...)
+		b = strconv.AppendFloat(b, a.Hint, 'f', 4, 64)
+	}
 	if a.Close {
 		b = append(b, "\r\nConnection: close"...)
 	}
