Pipelined reqs read before a drain are answered; idle store links renewed before the call

Found by reading: a message that waited behind another on its connection was dropped when the drain's answer said that the connection closes; now only the last answer says so. A call on a store link left idle counted as refused while the link was opened anew.

--- a/internal/backend/buffers.go
+++ b/internal/backend/buffers.go
@@ -1,6 +1,7 @@
-// Buffers of one size, used again from a pool, and the way out of a connection that is built on them. Callbacks
-// and the loop share the pool, so it is safe for both; what a buffer holds belongs to whoever took it. The way
-// out never makes its caller wait for a socket: bytes are queued and flushed by a goroutine of their own.
+// Buffers of one size, used again from a pool, and the ways into and out of a connection that are built on
+// them. Callbacks and the loop share the pool, so it is safe for both; what a buffer holds belongs to whoever
+// took it. The way out must never make its caller wait for a socket: bytes are queued, and flushed by a
+// goroutine of their own.
 package backend
 
 import (
--- a/internal/backend/control.go
+++ b/internal/backend/control.go
@@ -1,6 +1,6 @@
-// Control: the reports that keep this server on the list that sidecars follow. It owns the link to the control
-// plane and says there what the module says of health; that the control plane is away must never show
-// anywhere else.
+// Control: the reports that keep this server on the list that sidecars follow. It owns the link to the
+// control plane and says there what the module says of health; that the control plane is away must never
+// show anywhere else.
 package backend
 
 import (
--- a/internal/backend/front.go
+++ b/internal/backend/front.go
@@ -35,8 +35,8 @@
 	deaf  bool         // what comes is passed over
 }
 
-// door is the listener: at the bound of connections it lets them wait in the system's queue. The first time it
-// answers as if descriptors had run out, on which netpoll takes it off its poller and asks again from a
+// door is the listener: at the bound of connections it lets them wait in the system's queue. The first time
+// it answers as if descriptors had run out, on which netpoll takes it off its poller and asks again from a
 // goroutine of its own; that one may wait until there is room, so nothing spins and none is turned away.
 type door struct {
 	netpoll.Listener
@@ -218,7 +218,8 @@
 
 // reply sends an answer on a connection and goes on to what else it has brought.
 func (l *loop) reply(c *conn, h handle, a proto.Answer) {
-	a.Close, a.Hint, a.Says = a.Close || l.drains, l.hint, l.says
+	// What was read before is still answered, on the same connection: only the last answer says that it closes.
+	a.Close, a.Hint, a.Says = a.Close || l.drains && len(c.wait) == 0, l.hint, l.says
 	l.out = proto.AppendAnswer(l.out[:0], a)
 	if !c.p.send(l.out, l.lim.ConnQueue) {
 		c.closing = true // it takes nothing: given up
--- a/internal/backend/helper_test.go
+++ b/internal/backend/helper_test.go
@@ -1,7 +1,8 @@
 package backend
 
-// What the tests share: the program itself, built once and started on free ports, and small stand-ins for the
-// kernel, the store and the control plane, written from the protocol alone. Every wait is bounded by patience.
+// What the tests share: the program itself, built once and started on free ports, and small stand-ins for
+// the kernel, the store and the control plane, written from the protocol alone. Every wait is bounded by
+// patience.
 
 import (
 	"bufio"
@@ -31,7 +32,8 @@
 	if err == nil {
 		program = filepath.Join(dir, "umberwinch")
 		var out []byte
-		if out, err = exec.Command("go", "build", "-o", program, "umberwinch/cmd/umberwinch").CombinedOutput(); err != nil {
+		build := exec.Command("go", "build", "-o", program, "umberwinch/cmd/umberwinch")
+		if out, err = build.CombinedOutput(); err != nil {
 			err = fmt.Errorf("%w: %s", err, out)
 		}
 	}
@@ -167,8 +169,8 @@
 	}
 }
 
-// kernel is the stand-in for the kernel: it tells notices only as the test says, keeps them for new links, and
-// answers OPEN and SYSINFO by itself.
+// kernel is the stand-in for the kernel: it tells notices only as the test says, keeps them for new links,
+// and answers OPEN and SYSINFO by itself.
 type kernelSide struct {
 	*side
 	kept   [][]byte
@@ -317,11 +319,13 @@
 	err    error
 }
 
-const family = `"family_info":{"below":"tier","cancel_seen":true,"cores":2,"degraded_worth":[0.5,0,0],"fresh":%s,
- "idle":30000000,"key_kb":10,"memory_kb":50000,"meters":["core_use","on_cores","heap_share","links"],
+const family = `"family_info":{"below":"tier","cancel_seen":true,"cores":2,"degraded_worth":[0.5,0,0],
+ "fresh":%s,"idle":30000000,"key_kb":10,"memory_kb":50000,
+ "meters":["core_use","on_cores","heap_share","links"],
  "preemption":"pause","run_factor":2,"say":"%s","senders":2}`
 
-const classes = `"classes":[{"name":"get","gain":1,"give_up":GIVEUP,"promise":PROMISE,"semantics":"idempotent"},
+const classes = `"classes":[
+ {"name":"get","gain":1,"give_up":GIVEUP,"promise":PROMISE,"semantics":"idempotent"},
  {"name":"put","gain":2,"give_up":GIVEUP,"promise":PROMISE,"semantics":"deduplicated","window":WINDOW},
  {"name":"act","gain":2,"give_up":GIVEUP,"promise":PROMISE,"semantics":"at_most_once"}]`
 
--- a/internal/backend/kernel.go
+++ b/internal/backend/kernel.go
@@ -1,5 +1,5 @@
-// Kernel: the link to the process that does the work. It owns the order of commands and notices: each notice is
-// handled once and in its order, and a command that may have been lost with a link is sent again, but only
+// Kernel: the link to the process that does the work. It owns the order of commands and notices: each notice
+// is handled once and in its order, and a command that may have been lost with a link is sent again, but only
 // after what the kernel told meanwhile was learned, and never for a run that had ended. Every command and
 // every asking for gauges takes the next number; an answered asking proves that all before it on the same
 // link were read.
--- a/internal/backend/limits.go
+++ b/internal/backend/limits.go
@@ -42,13 +42,14 @@
 	ReportWait   admission.Time // a report with no answer for so long is sent again
 	RetryLeast   admission.Time // first wait before a link is tried again, which doubles
 	RetryMost    admission.Time
-	LeaveBefore  admission.Time // everything stops so long before the kill; the module's last answers go before
+	LeaveBefore  admission.Time // the end is so long before the kill, after the module's last answers
 	LeaveQuiet   admission.Time // nothing came in for so long: nobody sends here any more
 	LeaveCrosses admission.Time // what crosses the close of a connection may come so late
 	LogEvery     admission.Time // of lines beyond a few, one is written so often
 }
 
-const bufSize = 8 << 10 // a 4 KiB result in base64 with its line, or a 2 KiB body with its head, fits twice over
+// A 4 KiB result in base64 with its line fits, and a 2 KiB body with its head does twice over.
+const bufSize = 8 << 10
 
 // NewLimits derives the bounds from what the machine allows.
 func NewLimits(cores float64, memoryMB, sockets int) Limits {
--- a/internal/backend/link.go
+++ b/internal/backend/link.go
@@ -1,7 +1,7 @@
 // Links: the three connections that the program opens itself, to kernel, store and control plane. This owns
-// when they are dialled, how long after a failure they are dialled again, and which of them a piece of news is
-// about: each dial has an epoch, and news of an earlier one is dropped. What goes over a link is none of its
-// business.
+// when they are dialled, how long after a failure they are dialled again, and which of them a piece of news
+// is about: each dial has an epoch, and news of an earlier one is dropped. It must never look at what goes
+// over a link.
 package backend
 
 import (
--- a/internal/backend/loop.go
+++ b/internal/backend/loop.go
@@ -128,12 +128,13 @@
 }
 
 // Run serves until the program is told to leave and all that was read is answered.
-func Run(c *Config, log *logrus.Logger, signals <-chan os.Signal, drain, count os.Signal) error {
+func Run(c *Node, log *logrus.Logger, signals <-chan os.Signal, drain, count os.Signal) error {
 	lim := NewLimits(c.Limits.Cores, c.Limits.MemoryMB, c.Limits.Sockets)
-	debug.SetMemoryLimit(int64(lim.MemoryMB) << 20 * 6 / 10) // the rest is for what is not Go's heap, and for peaks
+	// Six tenths: the rest is for what is not Go's heap, and for peaks between collections.
+	debug.SetMemoryLimit(int64(lim.MemoryMB) << 20 * 6 / 10)
 	netpoll.SetNumLoops(lim.Cores)
 	netpoll.SetLoggerOutput(&lines{log: log})
-	prof, err := profile.Read(c.Settings)
+	prof, err := profile.Read(c.Profile)
 	if err != nil {
 		return err
 	}
@@ -159,16 +160,18 @@
 	return nil
 }
 
-func newLoop(c *Config, lim Limits, prof *profile.Profile, log *logrus.Logger) *loop {
+func newLoop(c *Node, lim Limits, prof *profile.Profile, log *logrus.Logger) *loop {
 	late := admission.Time(0)
 	for _, h := range prof.Deployment.Handlers {
 		late = max(late, h.Timeout)
 	}
-	l := &loop{lim: lim, log: log, debug: log.IsLevelEnabled(logrus.DebugLevel), in: make(chan event, lim.HandOver), pool: pool{most: lim.Buffers},
-		timer: time.NewTimer(time.Hour), prof: prof, names: make([]string, len(prof.Deployment.Handlers)),
+	l := &loop{lim: lim, log: log, debug: log.IsLevelEnabled(logrus.DebugLevel),
+		in: make(chan event, lim.HandOver), pool: pool{most: lim.Buffers}, timer: time.NewTimer(time.Hour),
+		prof:  prof,
+		names: make([]string, len(prof.Deployment.Handlers)),
 		conns: newTable[conn](lim.Conns + 8), reqs: newTable[req](lim.Reqs), tasks: map[string]handle{},
 		keys: newKeys(lim.Entries, lim.Results, late), good: true,
-		// Sidecars close idle connections by themselves; until the module says more this only clears out dead ones.
+		// Sidecars close idle connections by themselves; until the module says more this only ends dead ones.
 		idle: 2 * max(prof.Idle, 30*admission.Second), stop: admission.Time(c.StopMS) * 10, now: clock()}
 	for name, i := range prof.Handlers {
 		l.names[i] = name
--- a/internal/backend/config.go
+++ b/internal/backend/node.go
@@ -1,4 +1,4 @@
-// Config: what the program is told at its start, from one file. It is read once; nothing here decides.
+// Node: what the program is told at its start, from one file. It is read once; nothing here decides.
 package backend
 
 import (
@@ -7,8 +7,8 @@
 	"os"
 )
 
-// Config is the start-up file.
-type Config struct {
+// Node is the start-up file.
+type Node struct {
 	Name    string  `json:"name"`
 	Listen  string  `json:"listen"`
 	Kernel  string  `json:"kernel"`
@@ -20,16 +20,16 @@
 		MemoryMB int     `json:"memory_mb"`
 		Sockets  int     `json:"sockets"`
 	} `json:"limits"`
-	Settings json.RawMessage `json:"settings"`
+	Profile json.RawMessage `json:"settings"`
 }
 
-// ReadConfig reads the start-up file; name and address of the environment come before the file's.
-func ReadConfig(path, name, listen string) (*Config, error) {
+// ReadNode reads the start-up file; name and address of the environment come before the file's.
+func ReadNode(path, name, listen string) (*Node, error) {
 	raw, err := os.ReadFile(path)
 	if err != nil {
 		return nil, err
 	}
-	var c Config
+	var c Node
 	if err := json.Unmarshal(raw, &c); err != nil {
 		return nil, fmt.Errorf("%s is not JSON as expected: %w", path, err)
 	}
--- a/internal/backend/req.go
+++ b/internal/backend/req.go
@@ -99,8 +99,8 @@
 	if q.Budget > 0 {
 		due = came + admission.Time(q.Budget*10)
 	}
-	*r = req{task: string(q.ID), conn: e.from.h, close: q.Close, handler: i, buf: e.buf, body: q.Body, key: key,
-		due: due}
+	*r = req{task: string(q.ID), conn: e.from.h, close: q.Close, handler: i, buf: e.buf, body: q.Body,
+		key: key, due: due}
 	if due == 0 {
 		r.due = came + hd.Timeout
 	}
@@ -110,10 +110,10 @@
 	if q.Again {
 		l.count.Again++
 	}
-	l.trace(r, "came %.1f ms ago, handler %s, sender %d, again %v, conn %d", inMS(l.now-came), name, q.SentBy, q.Again, r.conn)
+	l.trace(r, "came %.1f ms ago, handler %s, sender %d, again %v", inMS(l.now-came), name, q.SentBy, q.Again)
 	l.next().Arrived = append(l.next().Arrived, admission.Req{ID: uint32(h), Handler: i,
-		Tenant: l.prof.Tenants[string(q.Account)], Came: came, Due: due, Hint: admission.Time(q.Estimate * 10), KB: q.KB, Again: q.Again, Caller: q.SentBy,
-		Prior: l.keys.prior(key, came)})
+		Tenant: l.prof.Tenants[string(q.Account)], Came: came, Due: due, Hint: admission.Time(q.Estimate * 10),
+		KB: q.KB, Again: q.Again, Caller: q.SentBy, Prior: l.keys.prior(key, came)})
 	return 0
 }
 
--- a/internal/backend/scenario_test.go
+++ b/internal/backend/scenario_test.go
@@ -16,8 +16,8 @@
 	"io"
 )
 
-// Scenarios are the text files in testdata: the program is started with its stand-ins and spoken to. A line is
-// one of the following; a text with spaces or escapes is quoted as in Go.
+// Scenarios are the text files in testdata: the program is started with its stand-ins and spoken to. A line
+// is one of the following; a text with spaces or escapes is quoted as in Go.
 //
 //	node KEY=VALUE ...               what differs from the usual start; the first line, if at all
 //	NAME sends CLASS ID [key=K] [about=K] [body=T] [age=MS] [budget=MS] [again] [close] [split=N]
@@ -240,8 +240,9 @@
 	switch verb {
 	case "sends":
 		age, _ := strconv.Atoi(m["age"])
-		text := fmt.Sprintf("POST /rpc/%s HTTP/1.1\r\nHost: service.internal\r\nrequest-id: %s\r\nReceived-At: %d\r\n"+
-			"Sent-By: 4\r\nFootprint-Kb: 24.5\r\nPriority-Rank: 0.6250\r\nContent-Length: %d\r\n", w[0], long(w[1]),
+		text := fmt.Sprintf("POST /rpc/%s HTTP/1.1\r\nHost: service.internal\r\nrequest-id: %s\r\n"+
+			"Received-At: %d\r\nSent-By: 4\r\nFootprint-Kb: 24.5\r\n"+
+			"Priority-Rank: 0.6250\r\nContent-Length: %d\r\n", w[0], long(w[1]),
 			time.Now().UnixMilli()-int64(age), len(m["body"]))
 		for field, on := range map[string]string{"Once-Key: " + m["key"]: m["key"],
 			"Resource-Key: " + m["about"]: m["about"], "Budget-Ms: " + m["budget"]: m["budget"],
--- a/internal/backend/store.go
+++ b/internal/backend/store.go
@@ -1,6 +1,6 @@
 // Store: the calls that runs make below. It owns the link to the store and which calls are out, and says how
-// each one ended: never ran, may have run, went well. It must never say that a call did not run unless that is
-// proven, and never make one by itself: each is the module's decision.
+// each one ended: never ran, may have run, went well. It must never say that a call did not run unless that
+// is proven, and never make one by itself: each is the module's decision.
 package backend
 
 import (
@@ -17,6 +17,10 @@
 // call makes the call that a run stands at.
 func (l *loop) call(h handle, r *req, until admission.Time) {
 	s := &l.store
+	if s.way != nil && s.out == 0 && l.now-s.used > l.lim.StoreIdle {
+		// The store closes connections left idle; a call that crosses that close would prove nothing.
+		l.linkDown(&s.link, nil)
+	}
 	r.call, r.callAt, r.callUntil = callWaits, l.now, until
 	l.count.Calls++
 	l.trace(r, "call until %.1f ms", inMS(until-l.now))
@@ -24,10 +28,6 @@
 		l.callEnded(h, r, admission.Unrun)
 		return
 	}
-	if s.way != nil && s.out == 0 && l.now-s.used > l.lim.StoreIdle {
-		// The store closes connections left idle; a call that crosses that close would prove nothing.
-		l.linkDown(&s.link, nil)
-	}
 	l.due.set(until+l.lim.CallGrace, dueCall, h)
 	if s.way == nil {
 		l.dial(&s.link)
--- a/internal/backend/tables_test.go
+++ b/internal/backend/tables_test.go
@@ -19,7 +19,8 @@
 	tab.drop(a)
 	tab.drop(a)
 	c, v, ok := tab.take()
-	if !ok || c == a || c.slot() != a.slot() || *v != 0 || tab.get(a) != nil || tab.get(c) == nil || tab.get(0) != nil {
+	if !ok || c == a || c.slot() != a.slot() || *v != 0 || tab.get(a) != nil || tab.get(c) != v ||
+		tab.get(0) != nil {
 		t.Errorf("slot of %d was taken again as %d: %v, %d", a, c, ok, *v)
 	}
 	if h, i := tab.next(0); h != c {
--- a/internal/proto/proto_test.go
+++ b/internal/proto/proto_test.go
@@ -68,14 +68,16 @@
 var readers = map[string]reader{"request": readRequest, "response": readResponse, "reply": readReply,
 	"notice": readNotice}
 
-const full = "POST /rpc/pay?x=1 HTTP/1.1\r\nHost: s\r\nRequest-Id: 9b1f03aa5c7e2d41\r\nreceived-at:1764576000123\r\n" +
-	"Sent-By: 4\r\nAccount: acme\r\nAttempt-Again: 1\r\nFootprint-Kb: 24.5\r\nPriority-Rank: 0.625\r\n" +
+const full = "POST /rpc/pay?x=1 HTTP/1.1\r\nHost: s\r\nRequest-Id: 9b1f03aa5c7e2d41\r\n" +
+	"received-at:1764576000123\r\nSent-By: 4\r\nAccount: acme\r\nAttempt-Again: 1\r\n" +
+	"Footprint-Kb: 24.5\r\nPriority-Rank: 0.625\r\n" +
 	"Once-Key: k\r\nResource-Key: r\r\nBudget-Ms: 12\r\nContent-Length: 3\r\n\r\na\r\n"
 
 var cases = []struct{ kind, in, out string }{
-	{"request", full + "GET /h HTTP/1.0\r\n\r\n", `POST /rpc/pay "a\r\n" id=9b1f03aa5c7e2d41 at=1764576000123 by=4 ` +
-		"true 24.5 0.625 \"acme\" \"k\" \"r\" false 12 0\n" +
-		"GET /h \"\" id= at=0 by=0 false 0 0 \"\" \"\" \"\" true 0 0\n0 left"},
+	{"request", full + "GET /h HTTP/1.0\r\n\r\n",
+		`POST /rpc/pay "a\r\n" id=9b1f03aa5c7e2d41 at=1764576000123 by=4 ` +
+			"true 24.5 0.625 \"acme\" \"k\" \"r\" false 12 0\n" +
+			"GET /h \"\" id= at=0 by=0 false 0 0 \"\" \"\" \"\" true 0 0\n0 left"},
 	{"request", "\r\nGET / HTTP/1.1\r\nConnection: x, Close\r\n\r\n",
 		"GET / \"\" id= at=0 by=0 false 0 0 \"\" \"\" \"\" true 0 0\n0 left"},
 	{"request", "GET / HTTP/1.1\r\nContent-Length: 2\r\n\r\na", "1 short"},
@@ -92,20 +94,22 @@
 	{"request", "GET / HTTP/1.1\r\nFootprint-Kb: NaN\r\n\r\n", "bad"},
 	{"request", "GET / HTTP/1.1\r\nReceived-At: 1764576000123999999999\r\n\r\n", "bad"},
 	{"request", "GET /" + strings.Repeat("a", 400), "bad"},
-	{"response", "HTTP/1.1 204 No Content\r\nContent-Length: 9\r\n\r\nHTTP/1.1 500 x\r\nContent-Length: 1\r\n\r\na",
-		"{204 false}\n{500 false}\n0 left"},
+	{"response", "HTTP/1.1 204 No Content\r\nContent-Length: 9\r\n\r\n" +
+		"HTTP/1.1 500 x\r\nContent-Length: 1\r\n\r\na", "{204 false}\n{500 false}\n0 left"},
 	{"response", "HTTP/1.1 20 x\r\n\r\n", "bad"},
 	{"response", "HTTP/1.1 200 x\r\nContent-Length: 65\r\n\r\n", "bad"},
 	{"reply", "9b1f03aa5c7e2d41 OK 4\r\na\r\nb\r\n9b1f03aa5c7e2d42 BUSY\r\n9b1f03aa5c7e2d43 ERR\r\n" +
 		"9b1f03aa5c7e2d44 LATE\r\n9b1f03aa5c7e2d45 VOID\r\n9b", `9b1f03aa5c7e2d41 0 "a\r\nb"` + "\n" +
-		"9b1f03aa5c7e2d42 1 \"\"\n9b1f03aa5c7e2d43 2 \"\"\n9b1f03aa5c7e2d44 3 \"\"\n9b1f03aa5c7e2d45 4 \"\"\n2 left"},
+		"9b1f03aa5c7e2d42 1 \"\"\n9b1f03aa5c7e2d43 2 \"\"\n" +
+		"9b1f03aa5c7e2d44 3 \"\"\n9b1f03aa5c7e2d45 4 \"\"\n2 left"},
 	{"reply", "9b1f03aa5c7e2d41 OK 1\r\nabc", "bad"},
 	{"reply", "9b1f03aa5c7e2d41 OK 65\r\n", "bad"},
 	{"reply", "9b1f03aa5c7e2d41 BUSY 1\r\n", "bad"},
 	{"reply", "9b1f03aa5c7e2d41 WHAT\r\n", "bad"},
 	{"reply", "short OK 1\r\n", "bad"},
 	{"notice", `{"verb":"REAP","index":7,"task":"9b","outcome":"OK","spent":12.5,"bytes":"AP8="}` + "\r\n" +
-		` { "verb" : "INFO", "nonce": "a\"\\\u0041", "readings": [1, 2.5e0] , "new": {"a": [null, true, "}"]} }` + "\n{",
+		` { "verb" : "INFO", "nonce": "a\"\\\u0041", "readings": [1, 2.5e0] , ` +
+		`"new": {"a": [null, true, "}"]} }` + "\n{",
 		"REAP 9b OK  \"\\x00\\xff\" 7 12.5 []\nINFO   a\"\\A \"\" 0 0 [1 2.5]\n1 left"},
 	{"notice", `{"verb":"REAP","bytes":"A"}` + "\n", "bad"},
 	{"notice", `{"verb":"REAP"} x` + "\n", "bad"},
@@ -130,7 +134,7 @@
 	}
 }
 
-// FuzzReaders: whatever comes, no parser fails otherwise than by its error, nor reads it differently when cut.
+// FuzzReaders: whatever comes, no parser fails but by its error, nor reads it differently when cut.
 func FuzzReaders(f *testing.F) {
 	for _, c := range cases {
 		f.Add([]byte(c.in), 3)
@@ -147,10 +151,11 @@
 
 func TestWriters(t *testing.T) {
 	body := []byte("a\x00\"\r\n")
+	refusal := Answer{Status: 503, BackOff: 20, Final: true, Close: true, Says: true, Hint: 0.5}
 	b64 := base64.StdEncoding.EncodeToString(body)
 	for got, want := range map[string]string{
-		string(AppendSched(nil, "9b", `q"\`+"\x01", body)): `{"verb":"SCHED","task":"9b","handler":"q\"\\\u0001","bytes":"` +
-			b64 + `"}`,
+		string(AppendSched(nil, "9b", `q"\`+"\x01", body)): "" +
+			`{"verb":"SCHED","task":"9b","handler":"q\"\\\u0001","bytes":"` + b64 + `"}`,
 		string(AppendIODone(nil, "9b", body)):    `{"verb":"IODONE","task":"9b","bytes":"` + b64 + `"}`,
 		string(AppendOpen(nil, 12)):              `{"verb":"OPEN","index":12}`,
 		string(AppendTask(nil, "PREEMPT", "9b")): `{"verb":"PREEMPT","task":"9b"}`,
@@ -158,11 +163,10 @@
 		string(AppendSysInfo(nil, 7)):            `{"verb":"SYSINFO","nonce":"7"}`,
 		string(AppendDrop(nil, "9b")):            "DROP 9b\r",
 		string(AppendCall(nil, "9b", 250, body)): "CALL 9b 250 5\r\n" + string(body) + "\r",
-		string(AppendAnswer(nil, Answer{Status: 200, Body: body})) + "\n": "HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\n" +
-			string(body),
-		string(AppendAnswer(nil, Answer{Status: 503, BackOff: 20, Final: true, Close: true, Says: true, Hint: 0.5})): "" +
-			"HTTP/1.1 503 Service Unavailable\r\nContent-Length: 0\r\nBack-Off-Ms: 20\r\nFinal-Refusal: 1\r\n" +
-			"Server-Hint: 0.5000\r\nConnection: close\r\n\r",
+		string(AppendAnswer(nil, Answer{Status: 200, Body: body})) + "\n": "" +
+			"HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\n" + string(body),
+		string(AppendAnswer(nil, refusal)): "HTTP/1.1 503 Service Unavailable\r\nContent-Length: 0\r\n" +
+			"Back-Off-Ms: 20\r\nFinal-Refusal: 1\r\nServer-Hint: 0.5000\r\nConnection: close\r\n\r",
 	} {
 		if got != want+"\n" {
 			t.Errorf("%q, expected %q", got, want)
