The module hears of a kill 30 ms early; the program never ends while an answer is owed

Seen: scenario drain lost a last answer on two cores. Cause: finished() ended the loop 10 ms before the kill, while the module's last answers come between 44 and 4 ms before it (two ticks and two rounds, less what the wheel and the timer round up). The module is now told of the kill 30 ms early, and the loop ends only when nothing is owed, and not within 120 ms of a new connection, whose first req may be on its way.

--- a/internal/backend/front.go
+++ b/internal/backend/front.go
@@ -145,7 +145,7 @@
 		p.close()
 		return
 	}
-	p.h, c.p, c.last = h, p, l.now
+	p.h, c.p, c.last, l.met = h, p, l.now, l.now
 	l.count.Conns++
 	l.due.set(l.now+l.idle, dueIdle, h)
 }
--- a/internal/backend/limits.go
+++ b/internal/backend/limits.go
@@ -42,7 +42,7 @@
 	ReportWait   admission.Time // a report with no answer for so long is sent again
 	RetryLeast   admission.Time // first wait before a link is tried again, which doubles
 	RetryMost    admission.Time
-	LeaveBefore  admission.Time // the end is so long before the kill, after the module's last answers
+	LeaveBefore  admission.Time // the module is told of a kill so much earlier, for its answers to get out
 	LeaveQuiet   admission.Time // nothing came in for so long: nobody sends here any more
 	LeaveCrosses admission.Time // what crosses the close of a connection may come so late
 	LogEvery     admission.Time // of lines beyond a few, one is written so often
@@ -82,7 +82,7 @@
 		Linger: 2 * admission.Second,
 		// Three reports can be lost before the 3 s after which a server is taken off the list.
 		Report: 700 * ms, ReportWait: 600 * ms, RetryLeast: 20 * ms, RetryMost: 500 * ms,
-		LeaveBefore: 10 * ms, LeaveQuiet: 1500 * ms, LeaveCrosses: 120 * ms, LogEvery: admission.Second,
+		LeaveBefore: 30 * ms, LeaveQuiet: 1500 * ms, LeaveCrosses: 120 * ms, LogEvery: admission.Second,
 	}
 	// A req outlives its connection while it still runs: twice the connections, within the ids' range.
 	l.Reqs = min(2*l.Conns, maxSlots)
--- a/internal/backend/loop.go
+++ b/internal/backend/loop.go
@@ -92,6 +92,7 @@
 	since  admission.Time // when the notice came
 	shut   admission.Time // idle connections were closed then; 0: not yet
 	last   admission.Time // when a req last came
+	met    admission.Time // when a connection last came: its first req may be on its way
 
 	count   Counters
 	debug   bool
@@ -346,7 +347,7 @@
 	if l.drains {
 		return
 	}
-	l.drains, l.since, l.kill = true, l.now, l.now+l.stop
+	l.drains, l.since, l.kill = true, l.now, l.now+l.stop-l.lim.LeaveBefore
 	l.next().Drain, l.next().Kill = true, l.kill
 	l.Health(false)
 	l.due.set(l.now, dueLeave, 0)
@@ -356,7 +357,7 @@
 // crosses that is still answered, and the loop ends. The listener stays open to the last, as closing it would
 // cut off those who wait to be accepted.
 func (l *loop) leave() {
-	most := l.kill - l.lim.LeaveBefore - admission.Second/20 // the module's last answers come in between
+	most := l.kill - admission.Second/20 // the module's last answers come after
 	quiet := l.now-max(l.last, l.since) >= l.lim.LeaveQuiet && l.now-l.since >= 2*admission.Second
 	if l.shut == 0 && (l.now >= most-l.lim.LeaveCrosses || quiet && l.owed() == 0) {
 		l.shut = l.now
@@ -381,10 +382,11 @@
 
 // finished says whether all is said and sent.
 func (l *loop) finished() bool {
-	if !l.drains || l.shut == 0 || l.now < l.shut+l.lim.LeaveCrosses {
+	if !l.drains || l.shut == 0 ||
+		l.now < min(max(l.shut, l.met)+l.lim.LeaveCrosses, l.kill+l.lim.LeaveBefore/2) {
 		return false
 	}
-	return l.owed() == 0 && l.busy.Load() == 0 || l.now >= l.kill-l.lim.LeaveBefore
+	return l.owed() == 0 && l.busy.Load() == 0 // while anything is owed it's the kill that ends it
 }
 
 // lines carries netpoll's own log lines into the log, a few at a time.
