--- a/internal/backend/limits.go
+++ b/internal/backend/limits.go
@@ -64,9 +64,10 @@
 		Cores: max(int(cores), 1), MemoryMB: memoryMB, Sockets: sockets,
 		// A sidecar sends one at a time; two more let one that pipelines go on without a gap.
 		Ahead: 2,
-		// Four buffers and netpoll's own two for each connection may take a quarter of the memory; descriptors
-		// are kept back for the links, each twice while it is opened again, the pollers and standard streams.
-		Conns: max(min(sockets-40, memoryMB<<20/4/(6*bufSize)), 8),
+		// Descriptors are kept back for the links, each twice while it is opened again, listener, pollers and
+		// standard streams. Sidecars use up to half of all, so no more than that is kept back. One
+		// connection's buffers, netpoll's two and one of ours, are three; all together half of the memory.
+		Conns: max(min(sockets-min(24, sockets/2), memoryMB<<20/2/(3*bufSize)), 8),
 		// A twelfth of the memory each for keys (some 256 bytes each) and results.
 		Entries: memoryMB << 20 / 12 / 256, Results: memoryMB << 20 / 12,
 		// A round of all connections at once, several times over.
@@ -86,6 +87,7 @@
 	}
 	// A req outlives its connection while it still runs: twice the connections, within the ids' range.
 	l.Reqs = min(2*l.Conns, maxSlots)
-	l.Buffers = l.Conns*(l.Ahead+2) + 2*l.Reqs + 4*l.LinkQueue
+	// A quarter of the memory: one each for all connections and their reqs, several times over.
+	l.Buffers = memoryMB << 20 / 4 / bufSize
 	return l
 }
--- a/internal/backend/tables_test.go
+++ b/internal/backend/tables_test.go
@@ -1,12 +1,62 @@
 package backend
 
 import (
+	"bytes"
 	"slices"
+	"sync/atomic"
 	"testing"
+	"time"
+
+	"github.com/cloudwego/netpoll"
 
 	"umberwinch/admission"
 )
 
+// slow is a connection whose other side takes nothing until it is let.
+type slow struct {
+	netpoll.Connection
+	let    chan bool
+	got    bytes.Buffer
+	closed chan bool
+}
+
+func (s *slow) Write(b []byte) (int, error) {
+	<-s.let
+	return s.got.Write(b)
+}
+
+func (s *slow) Close() error { close(s.closed); return nil }
+
+// A peer that takes nothing makes nobody wait: what it is sent is bounded, and goes out whole and in order.
+func TestWayOutNeverWaits(t *testing.T) {
+	s := &slow{let: make(chan bool), closed: make(chan bool)}
+	p, busy := pool{most: 8}, atomic.Int64{}
+	w := &way{c: s, pool: &p, busy: &busy}
+	part, sent := bytes.Repeat([]byte("0123456789abcdef"), bufSize/32), 0
+	for w.send(part, 4) {
+		sent++
+	}
+	if sent < 4 || sent > 16 || busy.Load() != 1 {
+		t.Errorf("%d halves of a buffer were taken, %d busy", sent, busy.Load())
+	}
+	w.close()
+	if w.send(part, 100) {
+		t.Error("taken after the close")
+	}
+	close(s.let)
+	select {
+	case <-s.closed:
+	case <-time.After(patience):
+		t.Fatal("never closed")
+	}
+	if want := bytes.Repeat(part, sent); !bytes.Equal(s.got.Bytes(), want) {
+		t.Errorf("%d bytes went out, expected %d", s.got.Len(), len(want))
+	}
+	if p.out != 0 {
+		t.Errorf("%d buffers are still out", p.out)
+	}
+}
+
 // Late news of a slot's earlier tenant must find nothing, and a full table must say so.
 func TestSlots(t *testing.T) {
 	tab := newTable[int](2)
