--- a/internal/backend/link.go
+++ b/internal/backend/link.go
@@ -30,7 +30,7 @@
 	dials  bool
 	wait   admission.Time // before it is dialled again, after a failure
 	again  admission.Time // not before then
-	ended  what
+	retry  what
 	parser parser
 }
 
@@ -46,7 +46,7 @@
 		return
 	}
 	if l.now < k.again {
-		l.due.set(k.again, k.ended, 0)
+		l.due.set(k.again, k.retry, 0)
 		return
 	}
 	k.dials = true
--- a/internal/backend/loop.go
+++ b/internal/backend/loop.go
@@ -133,8 +133,10 @@
 	lim := NewLimits(c.Limits.Cores, c.Limits.MemoryMB, c.Limits.Sockets)
 	// Six tenths: the rest is for what is not Go's heap, and for peaks between collections.
 	debug.SetMemoryLimit(int64(lim.MemoryMB) << 20 * 6 / 10)
-	netpoll.SetNumLoops(lim.Cores)
-	netpoll.SetLoggerOutput(&lines{log: log})
+	if err := netpoll.Configure(netpoll.Config{PollerNum: lim.Cores, LoggerOutput: &lines{log: log},
+		LoadBalance: netpoll.RoundRobin}); err != nil {
+		return err
+	}
 	prof, err := profile.Read(c.Profile)
 	if err != nil {
 		return err
@@ -178,7 +180,7 @@
 		l.names[i] = name
 	}
 	bounds := lim.Line
-	l.kernel.link = link{which: toKernel, what: "kernel", addr: c.Kernel, ended: dueKernel,
+	l.kernel.link = link{which: toKernel, what: "kernel", addr: c.Kernel, retry: dueKernel,
 		parser: func(b []byte) (e event, n int, err error) {
 			line, n, err := proto.Line(b, bounds.Head)
 			if n == 0 || err != nil {
@@ -187,14 +189,14 @@
 			note, err := proto.ParseNotice(line)
 			return event{kind: newsNotice, notice: &note}, n, err
 		}}
-	l.store.link = link{which: toStore, what: "store", addr: c.Store, ended: dueStore,
+	l.store.link = link{which: toStore, what: "store", addr: c.Store, retry: dueStore,
 		parser: func(b []byte) (e event, n int, err error) {
 			e.kind = newsReply
 			e.reply, n, err = proto.ParseReply(b, bounds)
 			return e, n, err
 		}}
 	l.control = control{name: c.Name, ready: true, link: link{which: toControl, what: "control", addr: c.Control,
-		ended: dueControl, parser: func(b []byte) (e event, n int, err error) {
+		retry: dueControl, parser: func(b []byte) (e event, n int, err error) {
 			e.kind = newsReport
 			e.status, n, err = proto.ParseResponse(b, bounds)
 			return e, n, err
