Two tries of one key read in one round run once, not twice

At fault: the prior came from the table of keys alone, which the module fills only when it decides the round. Now a req also repeats one of its own round. The table of keys counts as full a round early for the same reason.

--- a/internal/backend/keys.go
+++ b/internal/backend/keys.go
@@ -56,8 +56,8 @@
 	return k.tab.get(k.by[key])
 }
 
-// full says whether no further key can be taken in.
-func (k *keys) full() bool { return k.tab.n >= k.tab.most }
+// full says whether a round of further keys could not be taken in.
+func (k *keys) full(round int) bool { return k.tab.n+round > k.tab.most }
 
 // remember makes or renews the entry of a key, which passes to the req named.
 func (k *keys) remember(key string, id uint32, until admission.Time, due *deadlines) {
--- a/internal/backend/req.go
+++ b/internal/backend/req.go
@@ -77,7 +77,7 @@
 	case hd.Repeat == admission.Replayable && l.prof.Fresh > 0 && len(q.ResourceKey) > 0:
 		key = name + "?" + string(q.ResourceKey)
 	}
-	if hd.Repeat == admission.Uniqued && l.keys.full() && l.keys.find(key) == nil {
+	if hd.Repeat == admission.Uniqued && l.keys.full(l.lim.PerRound) && l.keys.find(key) == nil {
 		return 503 // it could not be told from its repeats
 	}
 	if h, old := l.byTask(q.ID); old != nil {
@@ -113,7 +113,24 @@
 	l.trace(r, "came %.1f ms ago, handler %s, sender %d, again %v", inMS(l.now-came), name, q.SentBy, q.Again)
 	l.next().Arrived = append(l.next().Arrived, admission.Req{ID: uint32(h), Handler: i,
 		Tenant: l.prof.Tenants[string(q.Account)], Came: came, Due: due, Hint: admission.Time(q.Estimate * 10),
-		KB: q.KB, Again: q.Again, Caller: q.SentBy, Prior: l.keys.prior(key, came)})
+		KB: q.KB, Again: q.Again, Caller: q.SentBy, Prior: l.prior(key, came)})
+	return 0
+}
+
+// prior is the req that one with this key repeats; 0: none. Guards against two tries that are read in one
+// round, as after the machine stood still: neither is remembered yet, and both would run.
+func (l *loop) prior(key string, came admission.Time) uint32 {
+	if key == "" {
+		return 0
+	}
+	if id := l.keys.prior(key, came); id != 0 {
+		return id
+	}
+	for _, q := range l.next().Arrived {
+		if r := l.reqs.get(handle(q.ID)); r != nil && r.key == key {
+			return q.ID
+		}
+	}
 	return 0
 }
 
--- a/internal/backend/scenario_test.go
+++ b/internal/backend/scenario_test.go
@@ -37,7 +37,7 @@
 //	store gets LINE ..., store says ID WORD [TEXT], store cut | down | up
 //	control gets CONDITION           skipping others, control down | up | cut
 //	after MS                         the clock goes on by so much, where what is tested goes by it
-//	signal TERM | USR1, exits, log TEXT, counts KEY=N ...
+//	signal TERM | USR1 | STOP | CONT, exits, log TEXT, counts KEY=N ...
 type play struct {
 	*node
 	file  string
@@ -142,7 +142,8 @@
 		}
 		p.toSide(p.ctl, w[1], rest, nil)
 	case "signal":
-		p.cmd.Process.Signal(map[string]os.Signal{"TERM": syscall.SIGTERM, "USR1": syscall.SIGUSR1}[w[1]])
+		p.cmd.Process.Signal(map[string]os.Signal{"TERM": syscall.SIGTERM, "USR1": syscall.SIGUSR1,
+			"STOP": syscall.SIGSTOP, "CONT": syscall.SIGCONT}[w[1]])
 	case "after":
 		ms, _ := strconv.Atoi(w[1])
 		time.Sleep(time.Duration(ms) * time.Millisecond)
