A round's reqs are decided in the order in which they reached the machine

Seen by reading: callbacks of several connections hand over what came at once in any order, while the design gives slots in strict arrival order. arrange() sorts a round by when its reqs came and then says whom each repeats, which take() did before the order was known. Test: TestArrange.

--- a/internal/backend/loop.go
+++ b/internal/backend/loop.go
@@ -332,6 +332,7 @@
 		}
 		l.fill = 1 - l.fill
 		r.Now = l.now
+		l.arrange(r.Arrived)
 		l.count.Rounds++
 		l.ctl.Decide(r, l)
 		*r = admission.Round{Arrived: r.Arrived[:0], Returned: r.Returned[:0], Needs: r.Needs[:0],
--- a/internal/backend/req.go
+++ b/internal/backend/req.go
@@ -4,6 +4,9 @@
 package backend
 
 import (
+	"cmp"
+	"slices"
+
 	"umberwinch/admission"
 	"umberwinch/internal/proto"
 )
@@ -113,25 +116,28 @@
 	l.trace(r, "came %.1f ms ago, handler %s, sender %d, again %v", inMS(l.now-came), name, q.SentBy, q.Again)
 	l.next().Arrived = append(l.next().Arrived, admission.Req{ID: uint32(h), Handler: i,
 		Tenant: l.prof.Tenants[string(q.Account)], Came: came, Due: due, Hint: admission.Time(q.Estimate * 10),
-		KB: q.KB, Again: q.Again, Caller: q.SentBy, Prior: l.prior(key, came)})
+		KB: q.KB, Again: q.Again, Caller: q.SentBy})
 	return 0
 }
 
-// prior is the req that one with this key repeats; 0: none. Guards against two tries that are read in one
-// round, as after the machine stood still: neither is remembered yet, and both would run.
-func (l *loop) prior(key string, came admission.Time) uint32 {
-	if key == "" {
-		return 0
-	}
-	if id := l.keys.prior(key, came); id != 0 {
-		return id
-	}
-	for _, q := range l.next().Arrived {
-		if r := l.reqs.get(handle(q.ID)); r != nil && r.key == key {
-			return q.ID
+// arrange puts the reqs of a round in the order in which they reached the machine, as callbacks hand over in
+// any order what came at once, and says whom each repeats. Guards against two tries that are read in one round,
+// as after the machine stood still: neither is remembered yet, and both would run.
+func (l *loop) arrange(all []admission.Req) {
+	slices.SortStableFunc(all, func(a, b admission.Req) int { return cmp.Compare(a.Came, b.Came) })
+	for i := range all {
+		q := &all[i]
+		key := l.reqs.get(handle(q.ID)).key
+		if key == "" {
+			continue
+		}
+		q.Prior = l.keys.prior(key, q.Came)
+		for k := 0; k < i && q.Prior == 0; k++ {
+			if l.reqs.get(handle(all[k].ID)).key == key {
+				q.Prior = all[k].ID
+			}
 		}
 	}
-	return 0
 }
 
 func inMS(t admission.Time) float64 { return float64(t) / 10 }
--- a/internal/backend/tables_test.go
+++ b/internal/backend/tables_test.go
@@ -136,3 +136,24 @@
 		t.Errorf("left: %v, %d bytes", k.by, k.bytes)
 	}
 }
+
+// A round is decided in the order in which its reqs came, and a key's later try repeats the earlier one.
+func TestArrange(t *testing.T) {
+	l := &loop{reqs: newTable[req](8), keys: newKeys(10, 100, 50)}
+	var all []admission.Req
+	for i, came := range []admission.Time{30, 10, 20, 10, 15} {
+		h, r, _ := l.reqs.take()
+		r.key = []string{"a", "", "a", "b", "b"}[i]
+		all = append(all, admission.Req{ID: uint32(h), Came: came})
+	}
+	ids := []uint32{all[1].ID, all[3].ID, all[4].ID, all[2].ID, all[0].ID}
+	priors := []uint32{0, 77, 77, 0, all[2].ID}
+	var due deadlines
+	l.keys.remember("b", 77, 1000, &due)
+	l.arrange(all)
+	for i, q := range all {
+		if q.ID != ids[i] || q.Prior != priors[i] {
+			t.Errorf("at %d is %d repeating %d, expected %d, %d", i, q.ID, q.Prior, ids[i], priors[i])
+		}
+	}
+}
