Deadlines of idle connections and of a link that is away no longer pile up

Found by reading: each report that found the control plane away set one more deadline to try again, which set the next one, and each shorter idle time one more for every connection. Now each has one that means anything. Test: TestDeadlinesDoNotPileUp.

--- a/internal/backend/front.go
+++ b/internal/backend/front.go
@@ -23,6 +23,7 @@
 	open    handle // the req that is being served on it
 	wait    []event
 	last    admission.Time // when it last carried anything
+	look    admission.Time // when it is next looked at for being idle
 	closing bool           // what follows on it is not read
 }
 
@@ -147,7 +148,7 @@
 	}
 	p.h, c.p, c.last, l.met = h, p, l.now, l.now
 	l.count.Conns++
-	l.due.set(l.now+l.idle, dueIdle, h)
+	l.lookAt(h, c, l.now+l.idle)
 }
 
 // left takes the end of a connection: whoever waited for an answer on it is gone.
@@ -251,16 +252,23 @@
 }
 
 // idles closes a connection that has been idle for as long as the module lets it be.
-func (l *loop) idles(h handle) {
+func (l *loop) idles(h handle, at admission.Time) {
 	c := l.conns.get(h)
 	switch {
-	case c == nil || c.closing:
+	case c == nil || c.closing || at != c.look:
 	case c.open != 0:
-		l.due.set(l.now+l.idle, dueIdle, h)
+		l.lookAt(h, c, l.now+l.idle)
 	case l.now < c.last+l.idle:
-		l.due.set(c.last+l.idle, dueIdle, h)
+		l.lookAt(h, c, c.last+l.idle)
 	default:
 		c.closing = true
 		c.p.close()
 	}
 }
+
+// lookAt has a connection looked at for being idle; what was set for it before means nothing any more, so that
+// the module may change its mind as often as it likes.
+func (l *loop) lookAt(h handle, c *conn, at admission.Time) {
+	c.look = at
+	l.due.set(at, dueIdle, h)
+}
--- a/internal/backend/link.go
+++ b/internal/backend/link.go
@@ -30,6 +30,7 @@
 	dials  bool
 	wait   admission.Time // before it is dialled again, after a failure
 	again  admission.Time // not before then
+	armed  admission.Time // the last time for which a deadline was set
 	retry  what
 	parser parser
 }
@@ -46,7 +47,11 @@
 		return
 	}
 	if l.now < k.again {
-		l.due.set(k.again, k.retry, 0)
+		// Guards against a deadline more for every report that finds the link down: one is enough.
+		if k.armed != k.again {
+			k.armed = k.again
+			l.due.set(k.again, k.retry, 0)
+		}
 		return
 	}
 	k.dials = true
--- a/internal/backend/loop.go
+++ b/internal/backend/loop.go
@@ -306,7 +306,7 @@
 		case dueControl:
 			l.report()
 		case dueIdle:
-			l.idles(d.who)
+			l.idles(d.who, d.at)
 		case dueLinger:
 			l.linger(d.who)
 		case dueKey:
--- a/internal/backend/req.go
+++ b/internal/backend/req.go
@@ -329,7 +329,8 @@
 	sooner := after < l.idle
 	l.idle = after
 	for h, i := l.conns.next(0); h != 0 && sooner; h, i = l.conns.next(i) {
-		l.due.set(max(l.conns.get(h).last+after, l.now), dueIdle, h)
+		c := l.conns.get(h)
+		l.lookAt(h, c, max(c.last+after, l.now))
 	}
 }
 
