Unknown handlers, paths and tenants and missing fields: 400, close, counted; bad start-up file: status 2

Before, an unknown handler got 404 on a connection that stayed open, an unknown tenant counted as the first one, and a uniqued req without its key could have run twice.

--- a/cmd/umberwinch/main.go
+++ b/cmd/umberwinch/main.go
@@ -22,10 +22,11 @@
 	signals := make(chan os.Signal, 4)
 	signal.Notify(signals, syscall.SIGTERM, syscall.SIGUSR1)
 	c, err := backend.ReadNode(os.Getenv("NODE_CONFIG"), os.Getenv("NODE_NAME"), os.Getenv("NODE_LISTEN"))
-	if err == nil {
-		err = backend.Run(c, log, signals, syscall.SIGTERM, syscall.SIGUSR1)
-	}
 	if err != nil {
+		log.Error(err)
+		os.Exit(2)
+	}
+	if err = backend.Run(c, log, signals, syscall.SIGTERM, syscall.SIGUSR1); err != nil {
 		log.Error(err)
 		os.Exit(1)
 	}
--- a/internal/backend/front.go
+++ b/internal/backend/front.go
@@ -193,9 +193,7 @@
 func (l *loop) begin(c *conn, e event) {
 	h := e.from.h
 	if e.kind == newsBad {
-		l.count.Bad++
-		l.logf("bad request: %v", e.err)
-		l.reply(c, h, proto.Answer{Status: 400, Close: true})
+		l.reply(c, h, proto.Answer{Status: l.bad("%v", e.err), Close: true})
 		return
 	}
 	e.from.ahead.Add(-1)
@@ -211,8 +209,9 @@
 			return
 		}
 	default:
-		a.Status = 404
+		a.Status = l.bad("path %q", path)
 	}
+	a.Close = a.Close || a.Status == 400
 	l.pool.put(e.buf)
 	l.reply(c, h, a)
 }
--- a/internal/backend/loop.go
+++ b/internal/backend/loop.go
@@ -137,11 +137,7 @@
 		LoadBalance: netpoll.RoundRobin}); err != nil {
 		return err
 	}
-	prof, err := profile.Read(c.Profile)
-	if err != nil {
-		return err
-	}
-	l := newLoop(c, lim, prof, log)
+	l := newLoop(c, lim, log)
 	d, err := newDoor(c.Listen, lim.Conns)
 	if err != nil {
 		return fmt.Errorf("listen on %s: %w", c.Listen, err)
@@ -163,7 +159,8 @@
 	return nil
 }
 
-func newLoop(c *Node, lim Limits, prof *profile.Profile, log *logrus.Logger) *loop {
+func newLoop(c *Node, lim Limits, log *logrus.Logger) *loop {
+	prof := c.prof
 	late := admission.Time(0)
 	for _, h := range prof.Deployment.Handlers {
 		late = max(late, h.Timeout)
--- a/internal/backend/node.go
+++ b/internal/backend/node.go
@@ -5,6 +5,8 @@
 	"encoding/json"
 	"fmt"
 	"os"
+
+	"umberwinch/internal/profile"
 )
 
 // Node is the start-up file.
@@ -21,6 +23,8 @@
 		Sockets  int     `json:"sockets"`
 	} `json:"limits"`
 	Profile json.RawMessage `json:"settings"`
+
+	prof *profile.Profile
 }
 
 // ReadNode reads the start-up file; name and address of the environment come before the file's.
@@ -45,5 +49,8 @@
 	case !(c.StopMS > 0):
 		return nil, fmt.Errorf("%s: stop_ms is %g, expected above 0", path, c.StopMS)
 	}
+	if c.prof, err = profile.Read(c.Profile); err != nil {
+		return nil, fmt.Errorf("%s: %w", path, err)
+	}
 	return &c, nil
 }
--- a/internal/backend/req.go
+++ b/internal/backend/req.go
@@ -64,18 +64,22 @@
 func (l *loop) take(c *conn, e event, name string) int {
 	q := &e.req
 	i, known := l.prof.Handlers[name]
+	hasKey := !known || l.prof.Deployment.Handlers[i].Repeat != admission.Uniqued || len(q.OnceKey) > 0
+	tenant, listed := l.prof.Tenants[string(q.Account)]
 	switch {
 	case !known:
-		return 404
-	case q.ID == nil:
-		return 400
+		return l.bad("handler %q, expected one of the settings", name)
+	case q.ID == nil || q.ReceivedAt == 0 || !q.HasSender || q.KB == 0 || !hasKey:
+		return l.bad("a field of the request is missing")
+	case len(q.Account) > 0 && !listed && len(l.prof.Tenants) > 0:
+		return l.bad("tenant %q, expected one of the settings", q.Account)
 	case l.ctl == nil:
 		return 503 // the kernel is not up: nothing can run
 	}
 	hd := &l.prof.Deployment.Handlers[i]
 	key := ""
 	switch {
-	case hd.Repeat == admission.Uniqued && len(q.OnceKey) > 0:
+	case hd.Repeat == admission.Uniqued:
 		key = name + "/" + string(q.OnceKey)
 	case hd.Repeat == admission.Replayable && l.prof.Fresh > 0 && len(q.ResourceKey) > 0:
 		key = name + "?" + string(q.ResourceKey)
@@ -94,10 +98,7 @@
 	if !ok {
 		return 503
 	}
-	came := l.now
-	if q.ReceivedAt > 0 {
-		came = min(admission.Time(q.ReceivedAt)*10, l.now)
-	}
+	came := min(admission.Time(q.ReceivedAt)*10, l.now)
 	due := admission.Time(0)
 	if q.Budget > 0 {
 		due = came + admission.Time(q.Budget*10)
@@ -115,11 +116,18 @@
 	}
 	l.trace(r, "came %.1f ms ago, handler %s, sender %d, again %v", inMS(l.now-came), name, q.SentBy, q.Again)
 	l.next().Arrived = append(l.next().Arrived, admission.Req{ID: uint32(h), Handler: i,
-		Tenant: l.prof.Tenants[string(q.Account)], Came: came, Due: due, Hint: admission.Time(q.Estimate * 10),
+		Tenant: tenant, Came: came, Due: due, Hint: admission.Time(q.Estimate * 10),
 		KB: q.KB, Again: q.Again, Caller: q.SentBy})
 	return 0
 }
 
+// bad counts and logs what is no request for this server; it never comes before the module.
+func (l *loop) bad(format string, args ...any) int {
+	l.count.Bad++
+	l.logf("bad request: "+format, args...)
+	return 400
+}
+
 // arrange puts the reqs of a round in the order in which they reached the machine, as callbacks hand over in
 // any order what came at once, and says whom each repeats. Guards against two tries that are read in one round,
 // as after the machine stood still: neither is remembered yet, and both would run.
--- a/internal/backend/scenario_test.go
+++ b/internal/backend/scenario_test.go
@@ -20,7 +20,8 @@
 // is one of the following; a text with spaces or escapes is quoted as in Go.
 //
 //	node KEY=VALUE ...               what differs from the usual start; the first line, if at all
-//	NAME sends CLASS ID [key=K] [about=K] [body=T] [age=MS] [budget=MS] [again] [close] [split=N]
+//	NAME sends CLASS ID [key=K] [about=K] [body=T] [age=MS] [budget=MS] [account=N] [again] [close]
+//	                                 [split=N]
 //	NAME raw TEXT                    bytes as they are
 //	NAME gets STATUS [body=T] [close] [back] [final] [hint=any]
 //	NAME checks STATUS               a health check on a connection of its own
@@ -249,7 +250,7 @@
 			"Priority-Rank: 0.6250\r\nContent-Length: %d\r\n", w[0], long(w[1]),
 			time.Now().UnixMilli()-int64(age), len(m["body"]))
 		for field, on := range map[string]string{"Once-Key: " + m["key"]: m["key"],
-			"Resource-Key: " + m["about"]: m["about"], "Budget-Ms: " + m["budget"]: m["budget"],
+			"Resource-Key: " + m["about"]: m["about"], "Account: " + m["account"]: m["account"], "Budget-Ms: " + m["budget"]: m["budget"],
 			"Attempt-Again: 1":  fmt.Sprint(map[bool]string{true: "1"}[again]),
 			"Connection: close": fmt.Sprint(map[bool]string{true: "1"}[bye])} {
 			if on != "" {
--- a/internal/backend/tables_test.go
+++ b/internal/backend/tables_test.go
@@ -2,6 +2,9 @@
 
 import (
 	"bytes"
+	"os"
+	"os/exec"
+	"path/filepath"
 	"slices"
 	"sync/atomic"
 	"testing"
@@ -137,6 +140,23 @@
 	}
 }
 
+// What is wrong with the start-up file is told in one line, and the program ends with status 2.
+func TestWrongStart(t *testing.T) {
+	for _, text := range []string{"", "{", `{"name":"n"}`, `{"name":"n","listen":"127.0.0.1:0","kernel":"x"}`,
+		`{"name":"n","listen":"127.0.0.1:0","kernel":"127.0.0.1:1","stop_ms":9,"settings":{}}`} {
+		file := filepath.Join(t.TempDir(), "config.json")
+		if err := os.WriteFile(file, []byte(text), 0o600); err != nil {
+			t.Fatal(err)
+		}
+		cmd := exec.Command(program)
+		cmd.Env = append(os.Environ(), "NODE_CONFIG="+file)
+		out, _ := cmd.CombinedOutput()
+		if cmd.ProcessState.ExitCode() != 2 || bytes.Count(out, []byte("\n")) != 1 {
+			t.Errorf("%s: status %d, %s", text, cmd.ProcessState.ExitCode(), out)
+		}
+	}
+}
+
 // A round is decided in the order in which its reqs came, and a key's later try repeats the earlier one.
 func TestArrange(t *testing.T) {
 	l := &loop{reqs: newTable[req](8), keys: newKeys(10, 100, 50)}
--- a/internal/proto/http.go
+++ b/internal/proto/http.go
@@ -25,6 +25,7 @@
 	OnceKey, ResourceKey []byte
 	ReceivedAt           int64 // Unix milliseconds
 	SentBy               uint32
+	HasSender            bool
 	Again                bool
 	Budget               float64 // milliseconds that the caller waits, from ReceivedAt on; 0: not stated
 	Estimate             float64 // milliseconds of work expected; 0: not stated
@@ -225,7 +226,7 @@
 		q.ReceivedAt, err = digits(value, 1<<50)
 	case is(name, "sent-by"):
 		v, err = digits(value, 1<<32-1)
-		q.SentBy = uint32(v)
+		q.SentBy, q.HasSender = uint32(v), true
 	case is(name, "account"):
 		q.Account = value
 	case is(name, "attempt-again"):
@@ -292,7 +293,7 @@
 	return p, n + int(length), nil
 }
 
-var reasons = map[int]string{200: "OK", 400: "Bad Request", 404: "Not Found", 405: "Method Not Allowed",
+var reasons = map[int]string{200: "OK", 400: "Bad Request",
 	500: "Internal Server Error", 503: "Service Unavailable"}
 
 // Answer is what goes out for a request.
