--- a/internal/backend/scenario_test.go
+++ b/internal/backend/scenario_test.go
@@ -250,7 +250,8 @@
 			"Priority-Rank: 0.6250\r\nContent-Length: %d\r\n", w[0], long(w[1]),
 			time.Now().UnixMilli()-int64(age), len(m["body"]))
 		for field, on := range map[string]string{"Once-Key: " + m["key"]: m["key"],
-			"Resource-Key: " + m["about"]: m["about"], "Account: " + m["account"]: m["account"], "Budget-Ms: " + m["budget"]: m["budget"],
+			"Resource-Key: " + m["about"]: m["about"],
+			"Account: " + m["account"]:    m["account"], "Budget-Ms: " + m["budget"]: m["budget"],
 			"Attempt-Again: 1":  fmt.Sprint(map[bool]string{true: "1"}[again]),
 			"Connection: close": fmt.Sprint(map[bool]string{true: "1"}[bye])} {
 			if on != "" {
