--- a/internal/backend/tables_test.go
+++ b/internal/backend/tables_test.go
@@ -1,11 +1,17 @@
 package backend
 
 import (
+	"bufio"
 	"bytes"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
 	"os"
 	"os/exec"
 	"path/filepath"
 	"slices"
+	"strings"
 	"sync/atomic"
 	"testing"
 	"time"
@@ -200,3 +206,54 @@
 		t.Errorf("%d deadlines are set, expected 2", len(l.due.heap))
 	}
 }
+
+// With as many connections as sidecars may open and as many results as are kept, the program stays well inside
+// the memory and descriptors it is told of.
+func TestFullTables(t *testing.T) {
+	n := start(t, map[string]string{"memory_mb": "64", "sockets": "1024", "window": "60000000"})
+	go func() { // the kernel serves whatever comes with the largest result
+		for line, ok := n.kernel.next("SYSINFO"); ok; line, ok = n.kernel.next("SYSINFO") {
+			if w := strings.Fields(line); w[0] == "SCHED" {
+				n.kernel.tell("REAP", w[1], "OK", strings.Repeat("r", 4096))
+			}
+		}
+	}()
+	var conns []net.Conn
+	for range 512 {
+		conns = append(conns, n.dial())
+	}
+	done := 0
+	for pass := range 4 {
+		for i, c := range conns {
+			fmt.Fprintf(c, "POST /rpc/put HTTP/1.1\r\nRequest-Id: %016x\r\nReceived-At: %d\r\nSent-By: 1\r\n"+
+				"Footprint-Kb: 1\r\nOnce-Key: %d-%d\r\nContent-Length: 2048\r\n\r\n%s", pass<<16+i+1,
+				time.Now().UnixMilli(), pass, i, strings.Repeat("b", 2048))
+		}
+		for _, c := range conns {
+			a, err := http.ReadResponse(bufio.NewReader(c), nil)
+			if err != nil {
+				t.Fatal(err)
+			}
+			body, err := io.ReadAll(a.Body)
+			if err != nil || a.StatusCode == 200 && len(body) != 4096 {
+				t.Fatalf("%d bytes, %v", len(body), err)
+			}
+			if a.StatusCode == 200 {
+				done++
+			}
+		}
+	}
+	proc := fmt.Sprintf("/proc/%d/", n.cmd.Process.Pid)
+	status, err := os.ReadFile(proc + "status")
+	if err != nil {
+		t.Skip("no /proc here to read the memory from")
+	}
+	files, _ := os.ReadDir(proc + "fd")
+	_, peak, _ := strings.Cut(string(status), "VmHWM:")
+	kb := 0
+	fmt.Sscan(peak, &kb)
+	t.Logf("%d done, %d KB at the peak, %d descriptors", done, kb, len(files))
+	if done < 1024 || kb == 0 || kb > 56<<10 || len(files) < 512 || len(files) > 560 {
+		t.Errorf("%d done, %d KB at the peak, %d descriptors", done, kb, len(files))
+	}
+}
