--- a/internal/backend/node.go
+++ b/internal/backend/node.go
@@ -3,6 +3,7 @@
 
 import (
 	"encoding/json"
+	"errors"
 	"fmt"
 	"os"
 
@@ -29,6 +30,9 @@
 
 // ReadNode reads the start-up file; name and address of the environment come before the file's.
 func ReadNode(path, name, listen string) (*Node, error) {
+	if path == "" {
+		return nil, errors.New("NODE_CONFIG is not set, expected the path of the start-up file")
+	}
 	raw, err := os.ReadFile(path)
 	if err != nil {
 		return nil, err
