Read once more: dead state and checks out, twins folded

Out: what the control plane last heard (written, never read), a deaf check and an epoch check that could not fail, a second drop of a call already dropped, a limit nobody used, a one-line wrapper. Folded: the Connection rule of both HTTP parsers, letting go of what waits on a connection, the stand-ins' count of lines; the nonce is read by strconv, which also passes over an empty or overlong one. Nothing else behaves otherwise; the tests are as they were.

--- a/internal/backend/control.go
+++ b/internal/backend/control.go
@@ -11,8 +11,6 @@
 	link
 	name    string
 	ready   bool // what the next report says
-	told    bool // what the last answered one said
-	heard   bool // one was answered at all
 	sending bool // a report is out and not answered
 	sent    bool // what it said
 }
@@ -44,9 +42,7 @@
 		return
 	}
 	c.sending = false
-	if p.Status == 204 {
-		c.told, c.heard = c.sent, true
-	} else {
+	if p.Status != 204 {
 		l.count.ReportsLost++
 		l.logf("control plane answered %d", p.Status)
 	}
--- a/internal/backend/front.go
+++ b/internal/backend/front.go
@@ -118,9 +118,6 @@
 func (l *loop) heard(p *peer, nc netpoll.Connection) error {
 	if !p.deaf {
 		err := p.in.read(nc.Reader(), func(b []byte) (e event, n int, err error) {
-			if p.deaf {
-				return e, 0, nil
-			}
 			e.kind, e.from = newsReq, p
 			if e.req, n, err = proto.ParseRequest(b, l.lim.Request); n > 0 && err == nil &&
 				int(p.ahead.Add(1)) > l.lim.Ahead+1 {
@@ -157,9 +154,7 @@
 	if c == nil {
 		return
 	}
-	for _, e := range c.wait {
-		l.pool.put(e.buf)
-	}
+	l.passOver(c)
 	open := c.open
 	l.conns.drop(p.h)
 	p.h = 0
@@ -229,10 +224,7 @@
 	c.open, c.last = 0, l.now
 	if a.Close {
 		c.closing = true
-		for _, e := range c.wait {
-			l.pool.put(e.buf)
-		}
-		c.wait = nil
+		l.passOver(c)
 		l.due.set(l.now+l.lim.Linger, dueLinger, h)
 		return
 	}
@@ -243,6 +235,14 @@
 	}
 }
 
+// passOver lets go of what a connection has brought and no answer will go out for.
+func (l *loop) passOver(c *conn) {
+	for _, e := range c.wait {
+		l.pool.put(e.buf)
+	}
+	c.wait = nil
+}
+
 // linger closes a connection that the other side should have closed.
 func (l *loop) linger(h handle) {
 	if c := l.conns.get(h); c != nil && c.closing {
--- a/internal/backend/helper_test.go
+++ b/internal/backend/helper_test.go
@@ -101,6 +101,11 @@
 func (f *feed) count(prefix string) (n int) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
+	return f.tally(prefix)
+}
+
+// tally is count for those that hold the lock already, as in until.
+func (f *feed) tally(prefix string) (n int) {
 	for _, l := range f.all {
 		if strings.HasPrefix(l, prefix) {
 			n++
@@ -421,13 +426,5 @@
 // settled waits until the loop has run twice more, so that all it was to say on the kernel's link is said.
 func (n *node) settled() bool {
 	was := n.kernel.count("SYSINFO")
-	return n.kernel.until(func() bool {
-		now := 0
-		for _, l := range n.kernel.all {
-			if l == "SYSINFO" {
-				now++
-			}
-		}
-		return now >= was+3
-	})
+	return n.kernel.until(func() bool { return n.kernel.tally("SYSINFO") >= was+3 })
 }
--- a/internal/backend/kernel.go
+++ b/internal/backend/kernel.go
@@ -6,6 +6,8 @@
 package backend
 
 import (
+	"strconv"
+
 	"umberwinch/admission"
 	"umberwinch/internal/proto"
 )
@@ -75,7 +77,7 @@
 	r.schedNo, r.resumed, r.paused = l.tell(), true, false
 }
 
-func (l *loop) ioDone(_ handle, r *req, reply []byte) {
+func (l *loop) ioDone(r *req, reply []byte) {
 	r.reply = append(r.reply[:0], reply...)
 	r.goes = goesWithReply
 	l.goOn(r)
@@ -208,12 +210,9 @@
 // info takes gauges; the first on a link says that all that was missed has been told.
 func (l *loop) info(n proto.Notice) {
 	k := &l.kernel
-	no := uint64(0)
-	for _, c := range n.Nonce {
-		if c < '0' || c > '9' {
-			return
-		}
-		no = no*10 + uint64(c-'0')
+	no, err := strconv.ParseUint(string(n.Nonce), 10, 64)
+	if err != nil {
+		return
 	}
 	if k.stand == kernelReplays && no == k.replay {
 		l.replayed()
@@ -261,10 +260,3 @@
 		}
 	}
 }
-
-// halt stops a run.
-func (l *loop) halt(r *req) {
-	l.count.Pauses++
-	r.paused = true
-	l.preempt(r)
-}
--- a/internal/backend/limits.go
+++ b/internal/backend/limits.go
@@ -14,7 +14,6 @@
 type Limits struct {
 	Cores    int
 	MemoryMB int
-	Sockets  int
 
 	Conns     int // connections of sidecars at one time
 	Ahead     int // reqs read from one connection and not begun yet
@@ -61,7 +60,7 @@
 		sockets = 1024
 	}
 	l := Limits{
-		Cores: max(int(cores), 1), MemoryMB: memoryMB, Sockets: sockets,
+		Cores: max(int(cores), 1), MemoryMB: memoryMB,
 		// A sidecar sends one at a time; two more let one that pipelines go on without a gap.
 		Ahead: 2,
 		// Descriptors are kept back for the links, each twice while it is opened again, listener, pollers and
--- a/internal/backend/link.go
+++ b/internal/backend/link.go
@@ -96,13 +96,7 @@
 // dialled takes the end of a dial.
 func (l *loop) dialled(e event) {
 	k := l.linkOf(e.link)
-	if e.epoch != k.epoch || !k.dials {
-		if e.conn != nil {
-			(&way{c: e.conn, pool: &l.pool, busy: &l.busy}).close()
-		}
-		return
-	}
-	k.dials = false
+	k.dials = false // one at a time, so the epoch is still its own
 	if e.err != nil {
 		l.linkLost(k, e.err)
 		return
@@ -134,12 +128,12 @@
 
 // linkLost sets the wait before the next dial and tells whoever uses the link.
 func (l *loop) linkLost(k *link, err error) {
-	k.wait = min(max(2*k.wait, l.lim.RetryLeast), l.lim.RetryMost)
-	k.again = l.now + k.wait
-	if err != nil {
-		l.logf("%s link: %v", k.what, err)
-	} else {
+	if err == nil {
 		k.wait, k.again = 0, 0 // closed in good order
+	} else {
+		k.wait = min(max(2*k.wait, l.lim.RetryLeast), l.lim.RetryMost)
+		k.again = l.now + k.wait
+		l.logf("%s link: %v", k.what, err)
 	}
 	switch k.which {
 	case toKernel:
--- a/internal/backend/req.go
+++ b/internal/backend/req.go
@@ -228,7 +228,6 @@
 		if r == nil || !(r.answered || r.gone) || r.run == runGoes || r.waits {
 			continue
 		}
-		l.dropCall(r)
 		l.pool.put(r.buf)
 		if l.tasks[r.task] == h {
 			delete(l.tasks, r.task)
@@ -260,7 +259,9 @@
 func (l *loop) Pause(id uint32) {
 	if r := l.reqs.get(handle(id)); r != nil && r.run == runGoes {
 		l.trace(r, "pause")
-		l.halt(r)
+		l.count.Pauses++
+		r.paused = true
+		l.preempt(r)
 	}
 }
 
--- a/internal/backend/store.go
+++ b/internal/backend/store.go
@@ -95,7 +95,7 @@
 	switch p.Verdict {
 	case proto.CallOK:
 		how = admission.OK
-		l.ioDone(h, r, p.Body)
+		l.ioDone(r, p.Body)
 	case proto.CallBusy, proto.CallVoid:
 		how = admission.Unrun
 	case proto.CallErr:
--- a/internal/proto/http.go
+++ b/internal/proto/http.go
@@ -159,6 +159,11 @@
 	return false
 }
 
+// closes says what a Connection field makes of whether the connection is to be closed.
+func closes(already bool, value []byte) bool {
+	return already && !listed(value, "keep-alive") || listed(value, "close")
+}
+
 func is(name []byte, word string) bool { return bytes.EqualFold(name, []byte(word)) }
 
 // ParseRequest reads the request at the start of b; n is 0 while it is not whole.
@@ -216,7 +221,7 @@
 	case is(name, "transfer-encoding"):
 		return errLength
 	case is(name, "connection"):
-		q.Close = q.Close && !listed(value, "keep-alive") || listed(value, "close")
+		q.Close = closes(q.Close, value)
 	case is(name, "request-id"):
 		if !IsID(value) {
 			return errField
@@ -279,7 +284,7 @@
 		case is(name, "transfer-encoding"):
 			return p, 0, errLength
 		case is(name, "connection"):
-			p.Close = p.Close && !listed(value, "keep-alive") || listed(value, "close")
+			p.Close = closes(p.Close, value)
 		}
 	}
 	if p.Status == 204 || p.Status == 304 || p.Status < 200 {
