SIGHUP reloads addresses; store calls on wires; crowds at the door; a key goes with its body

Cause of each, by the code: main.go notified only TERM and USR1; req.go keyed a uniqued req by Once-Key alone, so the key with another body got the kept result; front.go let a connection idle for a minute and blocked its listener at the bound, so what was held for good filled the door (374 of 384 descriptors); store.go had one link for every call. Ruled out for the bad clients: ids of open reqs (already 500), no 'served' came without a key.

Changed: a start-up file is read anew, checked whole and logged, links move at once and without back-off, news belongs to the dial that brought it. Store calls go out on a bounded set of connections, one call each while there is room; a reply counts only there and no req calls twice over one. Silent and half-said connections end after 1.5 s, the longest idle are closed from 15/16 of the table on. EINVAL ends a run as never run, which the module counts neither as a run nor in its shares. The kernel's link is opened anew, not taken as whole, when the end of the replay is not told; proofs count after 100 ms only. A report no longer waits for the answer to the one before.

--- a/admission/admission.go
+++ b/admission/admission.go
@@ -810,17 +810,17 @@
 	}
 	c.running--
 	c.mem -= it.kb * (c.runKB - 1)
+	it.failed = it.failed || e.How != OK
+	h.met.add(c.now, 0, -one(e.How == Unrun)) // it was no req that any caller meant: not to be counted
 	if e.How == OK {
 		c.moved()
 		c.judge(late)
 		h.met.add(c.now, one(!late), 0)
 		h.laps.add(c.now, float64(e.Ran), it.cost)
 		h.work.add(c.now, float64(max(e.Ran-it.spent, 0)), 1)
-	} else {
-		it.failed = true
 	}
 	switch {
-	case h.once || it.kept == 0:
+	case h.once && e.How != Unrun || it.kept == 0:
 	case it.failed:
 		c.forget(it)
 	default:
--- a/cmd/umberwinch/main.go
+++ b/cmd/umberwinch/main.go
@@ -20,13 +20,17 @@
 		log.SetLevel(level)
 	}
 	signals := make(chan os.Signal, 4)
-	signal.Notify(signals, syscall.SIGTERM, syscall.SIGUSR1)
-	c, err := backend.ReadNode(os.Getenv("NODE_CONFIG"), os.Getenv("NODE_NAME"), os.Getenv("NODE_LISTEN"))
+	signal.Notify(signals, syscall.SIGTERM, syscall.SIGUSR1, syscall.SIGHUP)
+	read := func() (*backend.Node, error) {
+		return backend.ReadNode(os.Getenv("NODE_CONFIG"), os.Getenv("NODE_NAME"), os.Getenv("NODE_LISTEN"))
+	}
+	c, err := read()
 	if err != nil {
 		log.Error(err)
 		os.Exit(2)
 	}
-	if err = backend.Run(c, log, signals, syscall.SIGTERM, syscall.SIGUSR1); err != nil {
+	if err = backend.Run(c, log, signals, backend.Words{Drain: syscall.SIGTERM, Count: syscall.SIGUSR1,
+		Reload: syscall.SIGHUP, Read: read}); err != nil {
 		log.Error(err)
 		os.Exit(1)
 	}
--- a/internal/backend/control.go
+++ b/internal/backend/control.go
@@ -1,6 +1,6 @@
 // Control: the reports that keep this server on the list that sidecars follow. It owns the link to the
 // control plane and says there what the module says of health; that the control plane is away must never
-// show anywhere else.
+// show anywhere else. A report that is not answered may count all the same, and must never hold up another.
 package backend
 
 import (
@@ -12,27 +12,30 @@
 	name    string
 	ready   bool // what the next report says
 	sending bool // a report is out and not answered
-	sent    bool // what it said
+	owed    bool // a report is to go out as soon as the link is up
 }
 
-// report sends the state now, or as soon as the link is up and the last report is answered.
+// report sends the state now, or as soon as the link is up.
 func (l *loop) report() {
 	c := &l.control
-	if c.addr == "" || c.sending {
+	c.owed = true
+	if c.sending {
+		// On a link of its own, so that a late answer can't pass for this one's. It is dialled at once: this
+		// happens no more often than reports are due and health changes.
+		l.linkDown(&c.link, nil)
 		return
 	}
-	if c.way == nil {
+	if !c.up() {
 		l.dial(&c.link)
 		return
 	}
 	l.out = proto.AppendReport(l.out[:0], c.addr, c.name, c.ready)
-	if !c.way.send(l.out, l.lim.LinkQueue) {
-		l.linkDown(&c.link, nil)
+	if !c.line.way.send(l.out, l.lim.LinkQueue) {
+		l.linkDown(&c.link, errStuck)
 		return
 	}
-	c.sending, c.sent = true, c.ready
+	c.sending, c.owed = true, false
 	l.count.Reports++
-	l.due.set(l.now+l.lim.ReportWait, dueUnanswered, handle(c.epoch))
 }
 
 // reported takes the answer to a report.
@@ -41,7 +44,7 @@
 	if !c.sending {
 		return
 	}
-	c.sending = false
+	c.sending, c.wait = false, 0
 	if p.Status != 204 {
 		l.count.ReportsLost++
 		l.logf("control plane answered %d", p.Status)
@@ -49,14 +52,17 @@
 	if p.Close {
 		l.linkDown(&c.link, nil)
 	}
-	if c.ready != c.sent {
+}
+
+func (l *loop) controlUp() {
+	if l.control.owed {
 		l.report()
 	}
 }
 
-// unanswered gives up a link on which a report was not answered.
-func (l *loop) unanswered(epoch uint32) {
-	if c := &l.control; c.epoch == epoch && c.sending {
-		l.linkDown(&c.link, errNoAnswer)
+func (l *loop) controlDown() {
+	if c := &l.control; c.sending {
+		l.count.ReportsLost++
+		c.sending, c.owed = false, true
 	}
 }
--- a/internal/backend/counters.go
+++ b/internal/backend/counters.go
@@ -13,6 +13,9 @@
 	Calls, CallsOK, CallsUnrun, CallsOther uint64
 	Skips, Dropped                         uint64
 	KernelLinks, StoreLinks, ControlLinks  uint64
+	WiresLost, Strays                      uint64 // store connections lost with calls out; replies to no call
+	Reloads                                uint64
+	Silent, Evicted                        uint64 // connections closed: said nothing whole in time; for room
 	Resent, Refused                        uint64 // kernel commands sent again, and not carried out
 	Reports, ReportsLost                   uint64
 	Rounds, Wakes, Ungauged, Slow          uint64 // Slow: rounds that began over 10 ms after their time
@@ -24,6 +27,7 @@
 		"runs": c.Runs, "ends": c.Ends, "pauses": c.Pauses, "calls": c.Calls, "calls_ok": c.CallsOK,
 		"calls_unrun": c.CallsUnrun, "calls_other": c.CallsOther, "skips": c.Skips, "dropped": c.Dropped,
 		"kernel_links": c.KernelLinks, "store_links": c.StoreLinks, "control_links": c.ControlLinks,
-		"resent": c.Resent, "refused": c.Refused, "reports": c.Reports, "reports_lost": c.ReportsLost,
+		"wires_lost": c.WiresLost, "strays": c.Strays, "reloads": c.Reloads, "silent": c.Silent,
+		"evicted": c.Evicted, "resent": c.Resent, "refused": c.Refused, "reports": c.Reports, "reports_lost": c.ReportsLost,
 		"rounds": c.Rounds, "wakes": c.Wakes, "ungauged": c.Ungauged, "slow": c.Slow}
 }
--- a/internal/backend/deadlines.go
+++ b/internal/backend/deadlines.go
@@ -1,5 +1,5 @@
 // Deadlines: one ordered structure for everything that is to happen at a time: the module's wake-ups, gauges
-// that don't come, calls, reports, links to be tried again, closing and idle connections, keys. It knows
+// that don't come, calls, reports, links to be tried again, the sweep of connections, keys. It knows
 // times only; what has come is dealt with by the loop. An entry can't be taken back: whoever it names sees
 // whether it still means anything.
 package backend
@@ -14,12 +14,9 @@
 	dueReplay
 	dueCall
 	dueReport
-	dueUnanswered
 	dueKernel
-	dueStore
 	dueControl
-	dueIdle
-	dueLinger
+	dueSweep
 	dueKey
 	dueLeave
 )
--- a/internal/backend/front.go
+++ b/internal/backend/front.go
@@ -22,18 +22,31 @@
 	p       *peer
 	open    handle // the req that is being served on it
 	wait    []event
+	since   admission.Time // when it was opened
 	last    admission.Time // when it last carried anything
-	look    admission.Time // when it is next looked at for being idle
+	said    said
 	closing bool           // what follows on it is not read
+	until   admission.Time // it waits so long for the other side to close it
 }
 
+// said is what a connection has brought whole so far.
+type said uint8
+
+const (
+	saidNothing said = iota
+	saidCheck
+	saidReq
+)
+
 // peer is the same connection as its callbacks know it.
 type peer struct {
 	way
 	h     handle // the loop's
 	in    intake
 	ahead atomic.Int32 // messages handed over and not begun
+	half  atomic.Int64 // since when a message is not whole; 0: there is none
 	deaf  bool         // what comes is passed over
+	over  int          // bytes that were
 }
 
 // door is the listener: at the bound of connections it lets them wait in the system's queue. The first time
@@ -127,13 +140,23 @@
 			return e, n, err
 		}, l.put)
 		if err == nil {
+			if p.in.buf == nil {
+				p.half.Store(0)
+			} else if p.half.Load() == 0 {
+				p.half.Store(int64(clock()))
+			}
 			return nil
 		}
 		p.deaf = true
 		p.in.drop()
 		l.put(event{kind: newsBad, from: p, err: err})
 	}
-	nc.Reader().Skip(nc.Reader().Len())
+	n := nc.Reader().Len()
+	// Guards against endless bodies: they take cores for as long as they are read, and the answer is out.
+	if p.over += n; p.over > l.lim.Deaf {
+		p.close()
+	}
+	nc.Reader().Skip(n)
 	return nc.Reader().Release()
 }
 
@@ -143,9 +166,84 @@
 		p.close()
 		return
 	}
-	p.h, c.p, c.last, l.met = h, p, l.now, l.now
+	p.h, c.p, c.since, c.last, l.met = h, p, l.now, l.now, l.now
 	l.count.Conns++
-	l.lookAt(h, c, l.now+l.idle)
+	if l.conns.n > l.lim.Crowd {
+		l.makeRoom()
+	}
+}
+
+// makeRoom closes the connections that are of least use while there are too many: of those that have said
+// nothing whole the oldest, then the one idle for longest. Guards against crowds that say nothing, and callers
+// that keep what they no longer use. What crosses such a close is sent again by its sidecar.
+func (l *loop) makeRoom() {
+	for {
+		var out *conn
+		n := 0
+		for h, i := l.conns.next(0); h != 0; h, i = l.conns.next(i) {
+			c := l.conns.get(h)
+			if c.closing {
+				continue
+			}
+			n++
+			least := l.lim.IdleLeast
+			if c.said == saidNothing {
+				least = l.lim.SilentLeast
+			}
+			if c.open != 0 || len(c.wait) > 0 || l.now-c.last < least {
+				continue
+			}
+			if out == nil || c.said == saidNothing && out.said != saidNothing ||
+				(c.said == saidNothing) == (out.said == saidNothing) && c.last < out.last {
+				out = c
+			}
+		}
+		if out == nil || n <= l.lim.Crowd {
+			return
+		}
+		l.count.Evicted++
+		l.closeConn(out)
+	}
+}
+
+// closeConn ends a connection on which nothing is owed.
+func (l *loop) closeConn(c *conn) {
+	c.closing = true
+	l.passOver(c)
+	c.p.close()
+}
+
+// sweep looks over all connections: those whose other side should have closed them, those that don't get to the
+// end of a message, and those idle for as long as the module lets them be.
+func (l *loop) sweep(at admission.Time) {
+	if l.now-at >= l.lim.Sweep {
+		return // this process stood still: what came meanwhile is not read yet
+	}
+	if l.conns.n > l.lim.Crowd {
+		l.makeRoom()
+	}
+	for h, i := l.conns.next(0); h != 0; h, i = l.conns.next(i) {
+		c := l.conns.get(h)
+		half, idle := admission.Time(c.p.half.Load()), l.idle
+		if c.said == saidCheck {
+			idle = min(idle, l.lim.CheckIdle)
+		}
+		switch {
+		case c.closing:
+			if c.until != 0 && l.now >= c.until {
+				c.p.close()
+			}
+		case c.open != 0 || len(c.wait) > 0:
+		case half != 0 && l.now-max(half, c.last) >= l.lim.FirstWord:
+			l.count.Silent++
+			l.reply(c, h, proto.Answer{Status: l.bad("a message does not get to its end"), Close: true})
+		case c.said == saidNothing && l.now-c.since >= l.lim.FirstWord:
+			l.count.Silent++
+			l.closeConn(c)
+		case half == 0 && l.now-c.last >= idle:
+			l.closeConn(c)
+		}
+	}
 }
 
 // left takes the end of a connection: whoever waited for an answer on it is gone.
@@ -193,18 +291,22 @@
 	}
 	e.from.ahead.Add(-1)
 	a := proto.Answer{Close: e.req.Close}
-	switch path := string(e.req.Path); {
-	case path == "/health":
+	switch method, path := string(e.req.Method), string(e.req.Path); {
+	case path == "/health" && method == "GET":
 		l.count.Checks++
+		c.said = max(c.said, saidCheck)
 		if a.Status = 200; !l.good {
 			a.Status = 503
 		}
-	case len(path) > 5 && path[:5] == "/rpc/":
-		if a.Status = l.take(c, e, path[5:]); a.Status == 0 {
+	case len(path) > 5 && path[:5] == "/rpc/" && method == "POST":
+		if a.Status = l.take(c, e, path[5:]); a.Status != 400 {
+			c.said = saidReq
+		}
+		if a.Status == 0 {
 			return
 		}
 	default:
-		a.Status = l.bad("path %q", path)
+		a.Status = l.bad("%s of path %q", method, path)
 	}
 	a.Close = a.Close || a.Status == 400
 	l.pool.put(e.buf)
@@ -225,7 +327,7 @@
 	if a.Close {
 		c.closing = true
 		l.passOver(c)
-		l.due.set(l.now+l.lim.Linger, dueLinger, h)
+		c.until = l.now + l.lim.Linger
 		return
 	}
 	if len(c.wait) > 0 {
@@ -242,32 +344,3 @@
 	}
 	c.wait = nil
 }
-
-// linger closes a connection that the other side should have closed.
-func (l *loop) linger(h handle) {
-	if c := l.conns.get(h); c != nil && c.closing {
-		c.p.close()
-	}
-}
-
-// idles closes a connection that has been idle for as long as the module lets it be.
-func (l *loop) idles(h handle, at admission.Time) {
-	c := l.conns.get(h)
-	switch {
-	case c == nil || c.closing || at != c.look:
-	case c.open != 0:
-		l.lookAt(h, c, l.now+l.idle)
-	case l.now < c.last+l.idle:
-		l.lookAt(h, c, c.last+l.idle)
-	default:
-		c.closing = true
-		c.p.close()
-	}
-}
-
-// lookAt has a connection looked at for being idle; what was set for it before means nothing any more, so that
-// the module may change its mind as often as it likes.
-func (l *loop) lookAt(h handle, c *conn, at admission.Time) {
-	c.look = at
-	l.due.set(at, dueIdle, h)
-}
--- a/internal/backend/kernel.go
+++ b/internal/backend/kernel.go
@@ -26,20 +26,22 @@
 
 type kernel struct {
 	link
-	stand  stand
-	index  uint64 // the last notice handled
-	sent   uint64 // number of the last command
-	acked  uint64 // commands to this one are known to have been read
-	asked  uint64 // number of the asking for gauges that a wake-up waits for
-	askBy  admission.Time
-	replay uint64 // number of the asking that ends the replay
-	fresh  bool   // no notice came over this link yet
+	stand   stand
+	index   uint64 // the last notice handled
+	sent    uint64 // number of the last command
+	acked   uint64 // commands to this one are known to have been read
+	proof   uint64 // so are these, but not for long: what was on its way when a link breaks may be lost all the same
+	proofAt admission.Time
+	asked   uint64 // number of the asking for gauges that a wake-up waits for
+	askBy   admission.Time
+	replay  uint64 // number of the asking that ends the replay
+	fresh   bool   // no notice came over this link yet
 }
 
 func (l *loop) kernelUp() {
 	k := &l.kernel
 	k.stand, k.fresh = kernelOpened, true
-	k.way.send(proto.AppendOpen(l.out[:0], k.index), l.lim.LinkQueue)
+	k.line.way.send(proto.AppendOpen(l.out[:0], k.index), l.lim.LinkQueue)
 }
 
 func (l *loop) kernelDown() {
@@ -54,7 +56,7 @@
 	if k.stand != kernelLive {
 		return unsent
 	}
-	if !k.way.send(l.out, l.lim.LinkQueue) {
+	if !k.line.way.send(l.out, l.lim.LinkQueue) {
 		l.relink = true // not from within a round: what is lost is sent again on the next link
 		return unsent
 	}
@@ -136,8 +138,10 @@
 		l.count.Refused++
 		l.logf("kernel did not carry out %q for %q", n.Outcome, n.Task)
 		if h, r := l.byTask(n.Task); r != nil && string(n.Outcome) == "SCHED" && r.run == runGoes {
-			// It never ran and never will: nobody else can answer it.
-			l.runEnded(h, r, admission.Errored, 0, nil)
+			// It never ran and never will, as it is no req that the kernel knows of: nobody else can answer it,
+			// and whoever sent it is not listened to any more.
+			r.close = true
+			l.runEnded(h, r, admission.Unrun, 0, nil)
 		}
 		return
 	}
@@ -197,14 +201,14 @@
 			l.next().Drain, l.next().Kill = true, l.kill
 		}
 	}
-	k.stand = kernelReplays
+	k.stand, k.wait = kernelReplays, 0
 	k.sent++
 	k.replay = k.sent
-	if !k.way.send(proto.AppendSysInfo(l.out[:0], k.replay), l.lim.LinkQueue) {
+	if !k.line.way.send(proto.AppendSysInfo(l.out[:0], k.replay), l.lim.LinkQueue) {
 		l.linkDown(&k.link, errStuck)
 		return
 	}
-	l.due.set(l.now+l.lim.ReplayWait, dueReplay, handle(k.epoch))
+	l.due.set(l.now+l.lim.ReplayWait, dueReplay, handle(k.replay))
 }
 
 // info takes gauges; the first on a link says that all that was missed has been told.
@@ -220,7 +224,9 @@
 	if k.stand != kernelLive || no > k.sent {
 		return
 	}
-	k.acked = max(k.acked, no)
+	if l.now >= k.proofAt+l.lim.AckLag {
+		k.acked, k.proof, k.proofAt = k.proof, no, l.now
+	}
 	if l.wakes && (no == k.asked || no == k.replay) {
 		k.asked, l.wakes = 0, false
 		r := l.next()
@@ -229,6 +235,14 @@
 	}
 }
 
+// unreplayed opens the link anew where the end of the replay is not told: to send again before all is learned
+// could run twice what has ended meanwhile.
+func (l *loop) unreplayed(no uint64) {
+	if k := &l.kernel; k.stand == kernelReplays && uint32(k.replay) == uint32(no) {
+		l.linkDown(&k.link, errNoAnswer)
+	}
+}
+
 // replayed makes a link live: what may have been lost with the last one goes out again.
 func (l *loop) replayed() {
 	k := &l.kernel
--- a/internal/backend/limits.go
+++ b/internal/backend/limits.go
@@ -16,6 +16,9 @@
 	MemoryMB int
 
 	Conns     int // connections of sidecars at one time
+	Crowd     int // from so many on, those that say nothing and then the longest idle are closed for room
+	Wires     int // connections to the store
+	Deaf      int // bytes passed over after a bad message, for its sender to read the answer
 	Ahead     int // reqs read from one connection and not begun yet
 	Reqs      int // reqs in hand
 	Entries   int // keys known
@@ -33,12 +36,17 @@
 	WriteStuck time.Duration // a peer that takes nothing for so long is given up
 
 	GaugeWait    admission.Time // a wake-up waits at most so long for its gauges
-	ReplayWait   admission.Time // a link that doesn't say that its replay is over is taken as whole
+	ReplayWait   admission.Time // a link that doesn't say that its replay is over is opened anew
+	AckLag       admission.Time // commands answered for less long ago may still be lost with their link
 	CallGrace    admission.Time // past its time a call that the store does not end is given up
 	StoreIdle    admission.Time // a store connection unused for so long is not trusted with a call
+	Sweep        admission.Time // connections are looked over so often
+	FirstWord    admission.Time // a message that is not whole so long after it might have begun: closed
+	CheckIdle    admission.Time // a connection that has brought nothing but health checks may be idle so long
+	IdleLeast    admission.Time // one that was used this lately is not closed to make room
+	SilentLeast  admission.Time // nor one opened this lately
 	Linger       admission.Time // how long a closing connection waits for the other side
 	Report       admission.Time // time between reports
-	ReportWait   admission.Time // a report with no answer for so long is sent again
 	RetryLeast   admission.Time // first wait before a link is tried again, which doubles
 	RetryMost    admission.Time
 	LeaveBefore  admission.Time // the module is told of a kill so much earlier, for its answers to get out
@@ -63,10 +71,14 @@
 		Cores: max(int(cores), 1), MemoryMB: memoryMB,
 		// A sidecar sends one at a time; two more let one that pipelines go on without a gap.
 		Ahead: 2,
-		// Descriptors are kept back for the links, each twice while it is opened again, listener, pollers and
-		// standard streams. Sidecars use up to half of all, so no more than that is kept back. One
-		// connection's buffers, netpoll's two and one of ours, are three; all together half of the memory.
-		Conns: max(min(sockets-min(24, sockets/2), memoryMB<<20/2/(3*bufSize)), 8),
+		// More than the runs of any core count seen: then each call has a connection to itself.
+		Wires: min(max(sockets/8, 2), 64),
+		// Descriptors are kept back for the store's connections, the links, each twice while it is opened again,
+		// listener, pollers and standard streams. Sidecars use up to half of all, so no more than that is kept
+		// back. One connection's buffers, netpoll's two and one of ours, are three; all together half of the
+		// memory.
+		Conns: max(min(sockets-min(24+sockets/8, sockets/2), memoryMB<<20/2/(3*bufSize)), 8),
+		Deaf:  256 << 10,
 		// A twelfth of the memory each for keys (some 256 bytes each) and results.
 		Entries: memoryMB << 20 / 12 / 256, Results: memoryMB << 20 / 12,
 		// A round of all connections at once, several times over.
@@ -76,16 +88,21 @@
 		Line:    proto.Bounds{Head: bufSize - 64, Body: bufSize - 512},
 		Dial:    time.Second, WriteStuck: 3 * time.Second,
 		// The kernel is on this machine: its answer takes well under a ms, and a due time has 44 ms to spare.
-		GaugeWait: 8 * ms, ReplayWait: 500 * ms,
+		GaugeWait: 8 * ms, ReplayWait: 500 * ms, AckLag: 100 * ms,
+		// Looked over several times in the least idle time; a first message takes a few ms, its sender is owed
+		// an end within 3 s.
+		Sweep: 100 * ms, FirstWord: 1500 * ms, CheckIdle: 3 * admission.Second, IdleLeast: 100 * ms,
+		SilentLeast: 20 * ms,
 		// The store ends calls by itself; this only guards against one that forgets.
-		CallGrace: 200 * ms, StoreIdle: 8 * admission.Second,
+		CallGrace: 200 * ms, StoreIdle: 500 * ms,
 		Linger: 2 * admission.Second,
 		// Three reports can be lost before the 3 s after which a server is taken off the list.
-		Report: 700 * ms, ReportWait: 600 * ms, RetryLeast: 20 * ms, RetryMost: 500 * ms,
+		Report: 700 * ms, RetryLeast: 20 * ms, RetryMost: 500 * ms,
 		LeaveBefore: 30 * ms, LeaveQuiet: 1500 * ms, LeaveCrosses: 120 * ms, LogEvery: admission.Second,
 	}
 	// A req outlives its connection while it still runs: twice the connections, within the ids' range.
 	l.Reqs = min(2*l.Conns, maxSlots)
+	l.Crowd = l.Conns - max(l.Conns/16, 1)
 	// A quarter of the memory: one each for all connections and their reqs, several times over.
 	l.Buffers = memoryMB << 20 / 4 / bufSize
 	return l
--- a/internal/backend/link.go
+++ b/internal/backend/link.go
@@ -1,7 +1,7 @@
-// Links: the three connections that the program opens itself, to kernel, store and control plane. This owns
-// when they are dialled, how long after a failure they are dialled again, and which of them a piece of news
-// is about: each dial has an epoch, and news of an earlier one is dropped. It must never look at what goes
-// over a link.
+// Links: the connections that the program opens itself, to kernel, store and control plane. This owns how one
+// is dialled, which dial a piece of news is about, and how long after a failure the next dial waits. What comes
+// belongs to the line that brought it, and a line that is no longer its owner's is not listened to. It must
+// never look at what goes over a line.
 package backend
 
 import (
@@ -18,32 +18,52 @@
 	errStuck    = errors.New("the other side takes nothing")
 	errClosed   = errors.New("closed by the other side")
 	errGap      = errors.New("a notice is missing")
+	errMoved    = errors.New("the address is another one now")
 )
 
-// link is one connection that is opened by this side.
+const (
+	toKernel = iota
+	toStore
+	toControl
+)
+
+// line is one dial and the connection that came of it.
+type line struct {
+	which  int
+	wire   handle // the store's, where it is one of those
+	way    *way   // nil until it is open
+	err    error  // it ended, maybe before the loop had heard that it began
+	parser parser
+}
+
+// backoff is the wait before the next dial to one address.
+type backoff struct {
+	wait  admission.Time
+	again admission.Time // not before then
+}
+
+func (b *backoff) failed(l *loop) {
+	b.wait = min(max(2*b.wait, l.lim.RetryLeast), l.lim.RetryMost)
+	b.again = l.now + b.wait
+}
+
+// link is the one line to kernel or control plane, replaced when it ends.
 type link struct {
+	backoff
 	which  int
 	what   string
 	addr   string
-	way    *way // nil while down
-	epoch  uint32
-	dials  bool
-	wait   admission.Time // before it is dialled again, after a failure
-	again  admission.Time // not before then
+	line   *line          // open, or being dialled; nil while down
 	armed  admission.Time // the last time for which a deadline was set
 	retry  what
 	parser parser
 }
 
-const (
-	toKernel = iota
-	toStore
-	toControl
-)
+func (k *link) up() bool { return k.line != nil && k.line.way != nil }
 
 // dial opens a link unless that goes on already or its wait is not over.
 func (l *loop) dial(k *link) {
-	if k.dials || k.way != nil || k.addr == "" {
+	if k.line != nil || k.addr == "" {
 		return
 	}
 	if l.now < k.again {
@@ -54,27 +74,30 @@
 		}
 		return
 	}
-	k.dials = true
-	k.epoch++
-	which, epoch, addr, parse := k.which, k.epoch, k.addr, k.parser
+	k.line = &line{which: k.which, parser: k.parser}
+	l.open(k.line, k.addr)
+}
+
+// open dials a line; what comes of it is handed over under its name.
+func (l *loop) open(n *line, addr string) {
 	go func() {
 		c, err := netpoll.NewDialer().DialConnection("tcp", addr, l.lim.Dial)
 		if err != nil {
-			l.put(event{kind: newsDialled, link: which, epoch: epoch, err: err})
+			l.put(event{kind: newsDialled, line: n, err: err})
 			return
 		}
 		c.SetWriteTimeout(l.lim.WriteStuck)
 		in := &intake{pool: &l.pool}
-		down := func(err error) { l.put(event{kind: newsDown, link: which, epoch: epoch, err: err}) }
+		down := func(err error) { l.put(event{kind: newsDown, line: n, err: err}) }
 		c.AddCloseCallback(func(netpoll.Connection) error {
 			in.drop()
 			down(errClosed)
 			return nil
 		})
-		l.put(event{kind: newsDialled, link: which, epoch: epoch, conn: c})
+		l.put(event{kind: newsDialled, line: n, conn: c})
 		c.SetOnRequest(func(_ context.Context, c netpoll.Connection) error {
-			err := in.read(c.Reader(), parse, func(e event) {
-				e.link, e.epoch = which, epoch
+			err := in.read(c.Reader(), n.parser, func(e event) {
+				e.line = n
 				l.put(e)
 			})
 			if err != nil {
@@ -90,62 +113,126 @@
 }
 
 func (l *loop) linkOf(which int) *link {
-	return [...]*link{&l.kernel.link, &l.store.link, &l.control.link}[which]
+	if which == toKernel {
+		return &l.kernel.link
+	}
+	return &l.control.link
 }
 
-// dialled takes the end of a dial.
-func (l *loop) dialled(e event) {
-	k := l.linkOf(e.link)
-	k.dials = false // one at a time, so the epoch is still its own
-	if e.err != nil {
-		l.linkLost(k, e.err)
+// lined takes news of a line, unless its owner has let go of it.
+func (l *loop) lined(e event) {
+	n := e.line
+	if e.kind == newsDown && n.err == nil {
+		n.err = e.err
+	}
+	var w *wire
+	if n.which == toStore {
+		w = l.store.wires.get(n.wire)
+	}
+	if n.which == toStore && w == nil || n.which != toStore && l.linkOf(n.which).line != n {
+		if e.conn != nil {
+			e.conn.Close() // dialled for an address that was replaced meanwhile
+		}
 		return
 	}
-	k.way, k.wait = &way{c: e.conn, pool: &l.pool, busy: &l.busy}, 0
-	switch e.link {
+	switch e.kind {
+	case newsDialled:
+		if e.err == nil {
+			e.err = n.err
+		}
+		if e.err == nil {
+			n.way = &way{c: e.conn, pool: &l.pool, busy: &l.busy}
+			l.lineUp(n, w)
+			return
+		}
+		if e.conn != nil {
+			e.conn.Close()
+		}
+		l.lineLost(n, w, e.err)
+	case newsDown:
+		if n.way != nil {
+			l.lineLost(n, w, e.err)
+		}
+	case newsNotice:
+		l.noticed(*e.notice)
+	case newsReply:
+		l.replied(n.wire, w, e.reply)
+	case newsReport:
+		l.reported(e.status)
+	}
+}
+
+func (l *loop) lineUp(n *line, w *wire) {
+	switch n.which {
 	case toKernel:
 		l.count.KernelLinks++
 		l.kernelUp()
 	case toStore:
 		l.count.StoreLinks++
-		l.storeUp()
+		l.wireUp(n.wire, w)
 	case toControl:
 		l.count.ControlLinks++
-		l.report()
+		l.controlUp()
 	}
 }
 
-// linkDown gives up a link that was open.
-func (l *loop) linkDown(k *link, err error) {
-	if k.way == nil {
+func (l *loop) lineLost(n *line, w *wire, err error) {
+	if n.which == toStore {
+		l.wireLost(n.wire, w, err)
 		return
 	}
-	k.way.close()
-	k.way = nil
-	k.epoch++ // whatever is still to come of it is late news
-	l.linkLost(k, err)
+	l.linkDown(l.linkOf(n.which), err)
 }
 
-// linkLost sets the wait before the next dial and tells whoever uses the link.
-func (l *loop) linkLost(k *link, err error) {
+// linkDown gives up a link, sets the wait before the next dial and tells whoever uses it.
+func (l *loop) linkDown(k *link, err error) {
+	if k.line == nil {
+		return
+	}
+	if k.line.way != nil {
+		k.line.way.close()
+	}
+	k.line = nil // whatever is still to come of it is late news
 	if err == nil {
-		k.wait, k.again = 0, 0 // closed in good order
+		k.backoff = backoff{} // closed in good order
 	} else {
-		k.wait = min(max(2*k.wait, l.lim.RetryLeast), l.lim.RetryMost)
-		k.again = l.now + k.wait
+		k.failed(l)
 		l.logf("%s link: %v", k.what, err)
 	}
-	switch k.which {
-	case toKernel:
+	if k.which == toKernel {
 		l.kernelDown()
+	} else {
+		l.controlDown()
+	}
+	l.dial(k)
+}
+
+// move has a link go to another address, at once.
+func (l *loop) move(k *link, addr string) {
+	if k.addr == addr {
+		return
+	}
+	l.logf("%s link: %v", k.what, errMoved)
+	k.addr, k.backoff = addr, backoff{}
+	if k.line == nil {
 		l.dial(k)
-	case toStore:
-		l.storeDown()
-	case toControl:
-		if l.control.sending {
-			l.count.ReportsLost++
-		}
-		l.control.sending = false
-		l.dial(k)
+		return
+	}
+	l.linkDown(k, nil)
+}
+
+// reload takes a start-up file that was read anew, or word that it can't be used: then the old one stays.
+func (l *loop) reload(c *Node, err error) {
+	if err != nil {
+		l.log.Errorf("start-up file not taken, the old one stays: %v", err)
+		return
+	}
+	l.count.Reloads++
+	if what := l.told.fixed(c); what != "" {
+		l.log.Warnf("start-up file: %s can't change while the program serves and stays as it was", what)
 	}
+	l.log.Infof("start-up file taken: kernel %s, store %s, control plane %s", c.Kernel, c.Store, c.Control)
+	l.move(&l.kernel.link, c.Kernel)
+	l.move(&l.control.link, c.Control)
+	l.moveStore(c.Store)
 }
--- a/internal/backend/loop.go
+++ b/internal/backend/loop.go
@@ -35,6 +35,7 @@
 	newsReport
 	newsDrain
 	newsCount
+	newsReload
 )
 
 var errAhead = errors.New("too many requests ahead of their answers")
@@ -43,8 +44,7 @@
 type event struct {
 	kind   news
 	from   *peer
-	link   int
-	epoch  uint32
+	line   *line
 	conn   netpoll.Connection
 	err    error
 	buf    *buffer
@@ -52,6 +52,7 @@
 	notice *proto.Notice
 	reply  proto.Reply
 	status proto.Response
+	node   *Node
 }
 
 type loop struct {
@@ -62,6 +63,7 @@
 	busy  atomic.Int64 // ways out that still have something to send
 	timer *time.Timer
 
+	told  *Node // the start-up file
 	prof  *profile.Profile
 	names []string // of handlers
 	ctl   *admission.Controller
@@ -128,8 +130,14 @@
 	}
 }
 
+// Words are what the program is told while it serves: the signals, and how its start-up file is read anew.
+type Words struct {
+	Drain, Count, Reload os.Signal
+	Read                 func() (*Node, error)
+}
+
 // Run serves until the program is told to leave and all that was read is answered.
-func Run(c *Node, log *logrus.Logger, signals <-chan os.Signal, drain, count os.Signal) error {
+func Run(c *Node, log *logrus.Logger, signals <-chan os.Signal, words Words) error {
 	lim := NewLimits(c.Limits.Cores, c.Limits.MemoryMB, c.Limits.Sockets)
 	// Six tenths: the rest is for what is not Go's heap, and for peaks between collections.
 	debug.SetMemoryLimit(int64(lim.MemoryMB) << 20 * 6 / 10)
@@ -148,10 +156,13 @@
 	go func() {
 		for s := range signals {
 			switch s {
-			case drain:
+			case words.Drain:
 				l.put(event{kind: newsDrain})
-			case count:
+			case words.Count:
 				l.put(event{kind: newsCount})
+			case words.Reload:
+				next, err := words.Read() // not by the loop: a file may be slow
+				l.put(event{kind: newsReload, node: next, err: err})
 			}
 		}
 	}()
@@ -167,7 +178,7 @@
 	}
 	l := &loop{lim: lim, log: log, debug: log.IsLevelEnabled(logrus.DebugLevel),
 		in: make(chan event, lim.HandOver), pool: pool{most: lim.Buffers}, timer: time.NewTimer(time.Hour),
-		prof:  prof,
+		told: c, prof: prof,
 		names: make([]string, len(prof.Deployment.Handlers)),
 		conns: newTable[conn](lim.Conns + 8), reqs: newTable[req](lim.Reqs), tasks: map[string]handle{},
 		keys: newKeys(lim.Entries, lim.Results, late), good: true,
@@ -186,7 +197,7 @@
 			note, err := proto.ParseNotice(line)
 			return event{kind: newsNotice, notice: &note}, n, err
 		}}
-	l.store.link = link{which: toStore, what: "store", addr: c.Store, retry: dueStore,
+	l.store = store{addr: c.Store, wires: newTable[wire](lim.Wires),
 		parser: func(b []byte) (e event, n int, err error) {
 			e.kind = newsReply
 			e.reply, n, err = proto.ParseReply(b, bounds)
@@ -204,6 +215,7 @@
 func (l *loop) run() {
 	l.dial(&l.kernel.link)
 	l.due.set(l.now, dueReport, 0)
+	l.due.set(l.now+l.lim.Sweep, dueSweep, 0)
 	for !l.finished() {
 		wait := time.Hour
 		if at, ok := l.due.first(); ok {
@@ -239,28 +251,14 @@
 		return // the message's buffer goes with the req
 	case newsGone:
 		l.left(e.from)
-	case newsDialled:
-		l.dialled(e)
 	case newsDrain:
 		l.drain()
 	case newsCount:
 		l.log.WithFields(l.count.fields()).Info("counters")
+	case newsReload:
+		l.reload(e.node, e.err)
 	default:
-		if k := l.linkOf(e.link); e.epoch == k.epoch && k.way != nil {
-			switch e.kind {
-			case newsDown:
-				if e.link == toStore && e.err == errClosed && l.store.out == 0 {
-					e.err = nil // it closes what is idle; the next call needs no wait
-				}
-				l.linkDown(k, e.err)
-			case newsNotice:
-				l.noticed(*e.notice)
-			case newsReply:
-				l.replied(e.reply)
-			case newsReport:
-				l.reported(e.status)
-			}
-		}
+		l.lined(e)
 	}
 	l.pool.put(e.buf)
 }
@@ -285,27 +283,20 @@
 				l.ungauged()
 			}
 		case dueReplay:
-			if handle(l.kernel.epoch) == d.who {
-				l.replayed()
-				l.ungauged()
-			}
+			l.unreplayed(uint64(d.who))
 		case dueCall:
 			l.callLate(d.who)
 		case dueReport:
 			l.report()
 			l.due.set(l.now+l.lim.Report, dueReport, 0)
-		case dueUnanswered:
-			l.unanswered(uint32(d.who))
 		case dueKernel:
 			l.dial(&l.kernel.link)
-		case dueStore:
-			l.dial(&l.store.link)
 		case dueControl:
-			l.report()
-		case dueIdle:
-			l.idles(d.who, d.at)
-		case dueLinger:
-			l.linger(d.who)
+			l.dial(&l.control.link)
+		case dueSweep:
+			l.sweep(d.at)
+			l.sweepWires()
+			l.due.set(l.now+l.lim.Sweep, dueSweep, 0)
 		case dueKey:
 			for _, h := range l.keys.expire(d.who, l.now, &l.due) {
 				l.shareEnded(h, false, nil)
@@ -363,8 +354,7 @@
 		l.shut = l.now
 		for h, i := l.conns.next(0); h != 0; h, i = l.conns.next(i) {
 			if c := l.conns.get(h); c.open == 0 && len(c.wait) == 0 {
-				c.closing = true
-				c.p.close()
+				l.closeConn(c)
 			}
 		}
 	}
--- a/internal/backend/node.go
+++ b/internal/backend/node.go
@@ -1,11 +1,15 @@
-// Node: what the program is told at its start, from one file. It is read once; nothing here decides.
+// Node: what the program is told at its start, from one file, and told anew while it serves. A file is checked
+// whole before anything of it counts; nothing here decides about a req, and nothing here knows a socket.
 package backend
 
 import (
+	"bytes"
 	"encoding/json"
 	"errors"
 	"fmt"
+	"net"
 	"os"
+	"strings"
 
 	"umberwinch/internal/profile"
 )
@@ -50,6 +54,9 @@
 	switch {
 	case c.Name == "" || c.Listen == "" || c.Kernel == "":
 		return nil, fmt.Errorf("%s: name, listen and kernel are needed", path)
+	case !address(c.Listen) || !address(c.Kernel) || c.Store != "" && !address(c.Store) ||
+		c.Control != "" && !address(c.Control):
+		return nil, fmt.Errorf("%s: an address is not HOST:PORT", path)
 	case !(c.StopMS > 0):
 		return nil, fmt.Errorf("%s: stop_ms is %g, expected above 0", path, c.StopMS)
 	}
@@ -58,3 +65,23 @@
 	}
 	return &c, nil
 }
+
+func address(s string) bool {
+	_, port, err := net.SplitHostPort(s)
+	return err == nil && port != ""
+}
+
+// fixed names what another file says otherwise and a program that serves can't change any more.
+func (c *Node) fixed(next *Node) string {
+	var out []string
+	for _, f := range []struct {
+		name string
+		same bool
+	}{{"name", c.Name == next.Name}, {"listen", c.Listen == next.Listen}, {"stop_ms", c.StopMS == next.StopMS},
+		{"limits", c.Limits == next.Limits}, {"settings", bytes.Equal(c.Profile, next.Profile)}} {
+		if !f.same {
+			out = append(out, f.name)
+		}
+	}
+	return strings.Join(out, ", ")
+}
--- a/internal/backend/req.go
+++ b/internal/backend/req.go
@@ -5,6 +5,7 @@
 
 import (
 	"cmp"
+	"crypto/sha256"
 	"slices"
 
 	"umberwinch/admission"
@@ -58,6 +59,8 @@
 	reply                 []byte
 	call                  calls
 	callAt, callUntil     admission.Time
+	wire                  handle   // the call is out on, or waits for
+	wires                 []handle // that carried a call of it
 }
 
 // take brings a new req before the module; a status other than 0 answers it here.
@@ -80,7 +83,10 @@
 	key := ""
 	switch {
 	case hd.Repeat == admission.Uniqued:
-		key = name + "/" + string(q.OnceKey)
+		// Guards against a key that comes with another body: it is another req, whose run the kernel refuses,
+		// and must neither be answered with the true one's result nor stand in its way, whichever comes first.
+		sum := sha256.Sum256(q.Body)
+		key = name + "/" + string(q.OnceKey) + "/" + string(sum[:16])
 	case hd.Repeat == admission.Replayable && l.prof.Fresh > 0 && len(q.ResourceKey) > 0:
 		key = name + "?" + string(q.ResourceKey)
 	}
@@ -188,7 +194,7 @@
 	l.trace(r, "run ended %d after %.1f ms", how, ms)
 	r.run = runOver
 	l.count.Ends++
-	l.dropCall(r)
+	l.dropCall(h, r)
 	l.spent = append(l.spent, h)
 	wait := l.keys.ended(r.key, uint32(h), how == admission.OK, result)
 	l.next().Ended = append(l.next().Ended,
@@ -196,6 +202,8 @@
 	switch {
 	case how == admission.OK:
 		l.answer(h, r, proto.Answer{Status: 200, Body: result})
+	case how == admission.Unrun:
+		l.answer(h, r, proto.Answer{Status: 400})
 	case how != admission.Stopped || !r.paused: // that it was paused or dropped is no answer
 		l.answer(h, r, proto.Answer{Status: 500})
 	}
@@ -273,7 +281,7 @@
 
 func (l *loop) Fail(id uint32) {
 	if r := l.reqs.get(handle(id)); r != nil {
-		l.dropCall(r)
+		l.dropCall(handle(id), r)
 		r.waits = false
 		l.answer(handle(id), r, proto.Answer{Status: 500})
 	}
@@ -334,14 +342,7 @@
 func (l *loop) Say(value float64) { l.hint, l.says = value, true }
 
 // IdleClose has connections closed that were idle for so long.
-func (l *loop) IdleClose(after admission.Time) {
-	sooner := after < l.idle
-	l.idle = after
-	for h, i := l.conns.next(0); h != 0 && sooner; h, i = l.conns.next(i) {
-		c := l.conns.get(h)
-		l.lookAt(h, c, max(c.last+after, l.now))
-	}
-}
+func (l *loop) IdleClose(after admission.Time) { l.idle = after }
 
 func (l *loop) Wake(at admission.Time) { l.due.set(at, dueWake, 0) }
 
--- a/internal/backend/store.go
+++ b/internal/backend/store.go
@@ -1,59 +1,126 @@
-// Store: the calls that runs make below. It owns the link to the store and which calls are out, and says how
-// each one ended: never ran, may have run, went well. It must never say that a call did not run unless that
-// is proven, and never make one by itself: each is the module's decision.
+// Store: the calls that runs make below. It owns a bounded set of connections to the store, called wires, which
+// of them each call is out on, and says how each call ended: never ran, may have run, went well. It must never
+// say that a call did not run unless that is proven, never take a reply for another call than the one it was
+// made for, and never make a call by itself: each is the module's decision.
+//
+// A wire carries one call at a time while the bound on wires allows, as whatever spoils one reply spoils all
+// that is out on its wire. No req calls twice over one wire, so that a second copy of a reply can't pass for the
+// reply to its next call. A wire is used no more, and ends with its last call, once it brought a reply that
+// nobody waits for, a call on it was given up or got no reply in its time, or the store has moved. That a wire
+// is reset at a call after it was idle proves nothing: the same is seen where the call ran and its reply was
+// lost. So idle wires are let go of early instead.
 package backend
 
 import (
+	"slices"
+
 	"umberwinch/admission"
 	"umberwinch/internal/proto"
 )
 
 type store struct {
-	link
-	out  int            // calls sent and not ended
-	used admission.Time // when the link last carried anything
+	backoff
+	addr   string
+	wires  table[wire]
+	parser parser
+}
+
+// wire is one connection to the store.
+type wire struct {
+	line *line
+	out  []handle       // reqs whose calls are out on it, or wait for it to open
+	used admission.Time // when it last carried anything
+	done bool           // not trusted with another call
 }
 
+func (w *wire) idle() bool { return len(w.out) == 0 }
+
 // call makes the call that a run stands at.
 func (l *loop) call(h handle, r *req, until admission.Time) {
-	s := &l.store
-	if s.way != nil && s.out == 0 && l.now-s.used > l.lim.StoreIdle {
-		// The store closes connections left idle; a call that crosses that close would prove nothing.
-		l.linkDown(&s.link, nil)
-	}
 	r.call, r.callAt, r.callUntil = callWaits, l.now, until
 	l.count.Calls++
 	l.trace(r, "call until %.1f ms", inMS(until-l.now))
-	if s.addr == "" || s.way == nil && l.now < s.again {
+	at, w := l.pickWire(r)
+	if w == nil {
 		l.callEnded(h, r, admission.Unrun)
 		return
 	}
+	// Only wires that are still there matter, so this stays as short as their table.
+	gone := func(h handle) bool { return l.store.wires.get(h) == nil }
+	r.wire, r.wires = at, append(slices.DeleteFunc(r.wires, gone), at)
+	w.out = append(w.out, h)
 	l.due.set(until+l.lim.CallGrace, dueCall, h)
-	if s.way == nil {
-		l.dial(&s.link)
-		return
+	if w.line.way != nil {
+		l.sendCall(h, r, w)
 	}
-	l.sendCall(h, r)
 }
 
-func (l *loop) sendCall(h handle, r *req) {
+// pickWire finds the wire for a call: the idle one used last, else a new one, else the one with the fewest calls.
+func (l *loop) pickWire(r *req) (best handle, _ *wire) {
 	s := &l.store
+	l.sweepWires()
+	for h, i := s.wires.next(0); h != 0; h, i = s.wires.next(i) {
+		w := s.wires.get(h)
+		if w.done || slices.Contains(r.wires, h) {
+			continue
+		}
+		b := s.wires.get(best)
+		if b == nil || len(w.out) < len(b.out) || w.idle() && b.idle() && w.used > b.used {
+			best = h
+		}
+	}
+	if b := s.wires.get(best); b != nil && b.idle() || s.addr == "" || l.now < s.again {
+		return best, b
+	}
+	h, w, ok := s.wires.take()
+	if !ok {
+		return best, s.wires.get(best)
+	}
+	*w = wire{line: &line{which: toStore, wire: h, parser: s.parser}, used: l.now}
+	l.open(w.line, s.addr)
+	return h, w
+}
+
+// sweepWires lets go of wires that were idle for too long to be trusted with a call.
+func (l *loop) sweepWires() {
+	for h, i := l.store.wires.next(0); h != 0; h, i = l.store.wires.next(i) {
+		if w := l.store.wires.get(h); w.idle() && l.now-w.used > l.lim.StoreIdle {
+			l.dropWire(h, w)
+		}
+	}
+}
+
+func (l *loop) dropWire(h handle, w *wire) {
+	if w.line.way != nil {
+		w.line.way.close()
+	}
+	l.store.wires.drop(h)
+}
+
+// retire has a wire used no more; it ends with its last call.
+func (l *loop) retire(h handle, w *wire) {
+	w.done = true
+	if w.idle() {
+		l.dropWire(h, w)
+	}
+}
+
+func (l *loop) sendCall(h handle, r *req, w *wire) {
 	wait := max((r.callUntil-l.now+9)/10, 1)
 	l.out = proto.AppendCall(l.out[:0], r.task, int64(wait), r.ask)
-	if !s.way.send(l.out, l.lim.LinkQueue) {
+	if !w.line.way.send(l.out, l.lim.LinkQueue) {
 		// The queue is full because the store takes nothing: this call never left, the others may have.
+		at := r.wire
 		l.callEnded(h, r, admission.Unrun)
-		l.linkDown(&s.link, errStuck)
+		l.wireLost(at, l.store.wires.get(at), errStuck)
 		return
 	}
-	r.call = callOut
-	s.out++
-	s.used = l.now
+	r.call, w.used = callOut, l.now
 }
 
 // callEnded tells the module of the end of a call, in the next round.
 func (l *loop) callEnded(h handle, r *req, how admission.Outcome) {
-	l.endCall(r)
+	l.endCall(h, r)
 	l.trace(r, "call ended %d after %.1f ms", how, inMS(l.now-r.callAt))
 	switch how {
 	case admission.OK:
@@ -67,29 +134,38 @@
 		admission.Return{ID: uint32(h), How: how, Took: l.now - r.callAt})
 }
 
-func (l *loop) endCall(r *req) {
-	if r.call == callOut {
-		l.store.out--
+// endCall takes a call off its wire.
+func (l *loop) endCall(h handle, r *req) {
+	if w := l.store.wires.get(r.wire); w != nil {
+		if i := slices.Index(w.out, h); i >= 0 {
+			w.out = slices.Delete(w.out, i, i+1)
+		}
+		if w.done && w.idle() {
+			l.dropWire(r.wire, w)
+		}
 	}
-	r.call = callNone
+	r.call, r.wire = callNone, 0
 }
 
-// dropCall gives up a call that nobody waits for any more.
-func (l *loop) dropCall(r *req) {
-	if r.call == callOut && l.store.way != nil {
+// dropCall gives up a call that nobody waits for any more. Its wire may still bring the reply.
+func (l *loop) dropCall(h handle, r *req) {
+	if w := l.store.wires.get(r.wire); w != nil && r.call == callOut {
 		l.out = proto.AppendDrop(l.out[:0], r.task)
-		l.store.way.send(l.out, l.lim.LinkQueue)
+		w.line.way.send(l.out, l.lim.LinkQueue)
 		l.count.Dropped++
+		w.done = true
 	}
-	l.endCall(r)
+	l.endCall(h, r)
 }
 
-// replied takes a reply of the store.
-func (l *loop) replied(p proto.Reply) {
-	l.store.used = l.now
+// replied takes a reply of the store: it counts only for a call that is out on the wire that brought it.
+func (l *loop) replied(at handle, w *wire, p proto.Reply) {
+	w.used = l.now
 	h, r := l.byTask(p.ID)
-	if r == nil || r.call != callOut {
-		return // given up meanwhile
+	if r == nil || r.call != callOut || r.wire != at {
+		l.count.Strays++
+		l.retire(at, w)
+		return
 	}
 	how := admission.Unclear
 	switch p.Verdict {
@@ -117,29 +193,64 @@
 	if r.call == callWaits {
 		how = admission.Unrun
 	}
-	l.dropCall(r)
+	l.dropCall(h, r)
 	l.callEnded(h, r, how)
 }
 
-// storeUp sends the calls that waited for the link.
-func (l *loop) storeUp() {
-	l.store.used = l.now
-	for h, i := l.reqs.next(0); h != 0 && l.store.way != nil; h, i = l.reqs.next(i) {
-		if r := l.reqs.get(h); r.call == callWaits {
-			l.sendCall(h, r)
+// wireUp sends the calls that waited for a wire.
+func (l *loop) wireUp(at handle, w *wire) {
+	l.store.backoff = backoff{}
+	w.used = l.now
+	for _, h := range slices.Clone(w.out) {
+		if r := l.reqs.get(h); r != nil && r.call == callWaits && l.store.wires.get(at) != nil {
+			l.sendCall(h, r, w)
 		}
 	}
+	if w := l.store.wires.get(at); w != nil && w.done && w.idle() {
+		l.dropWire(at, w)
+	}
 }
 
-// storeDown ends every call: those that had gone out may have run.
-func (l *loop) storeDown() {
-	for h, i := l.reqs.next(0); h != 0; h, i = l.reqs.next(i) {
-		switch r := l.reqs.get(h); r.call {
-		case callOut:
-			l.callEnded(h, r, admission.Unclear)
-		case callWaits:
-			l.callEnded(h, r, admission.Unrun)
+// wireLost ends every call on a wire: those that had gone out may have run.
+func (l *loop) wireLost(at handle, w *wire, err error) {
+	if w == nil {
+		return
+	}
+	if w.line.way == nil {
+		l.store.failed(l) // it could not be opened
+	}
+	if len(w.out) > 0 {
+		l.count.WiresLost++
+		l.logf("store: %v with %d calls out", err, len(w.out))
+	}
+	w.done = false // or the last of its calls would end it again
+	for _, h := range slices.Clone(w.out) {
+		how := admission.Unrun
+		if r := l.reqs.get(h); r != nil {
+			if r.call == callOut {
+				how = admission.Unclear
+			}
+			l.callEnded(h, r, how)
+		}
+	}
+	l.dropWire(at, w)
+}
+
+// moveStore has new calls go to another address; those that are out stay where they are.
+func (l *loop) moveStore(addr string) {
+	s := &l.store
+	if s.addr == addr {
+		return
+	}
+	s.addr, s.backoff = addr, backoff{}
+	for h, i := s.wires.next(0); h != 0; h, i = s.wires.next(i) {
+		w := s.wires.get(h)
+		if w.line.way != nil {
+			l.retire(h, w)
+			continue
 		}
+		// Not open yet, so nothing went out: what waits for it goes to the new address.
+		w.line = &line{which: toStore, wire: h, parser: s.parser}
+		l.open(w.line, addr)
 	}
-	l.store.out = 0
 }
--- a/internal/proto/http.go
+++ b/internal/proto/http.go
@@ -237,9 +237,13 @@
 	case is(name, "attempt-again"):
 		q.Again = string(value) == "1"
 	case is(name, "footprint-kb"):
-		q.KB, err = decimal(value, 1e6)
+		if q.KB, err = decimal(value, 2000); q.KB == 0 || q.KB == 2000 {
+			err = errField
+		}
 	case is(name, "priority-rank"):
-		q.Rank, err = decimal(value, 1)
+		if q.Rank, err = decimal(value, 1); q.Rank == 1 {
+			err = errField
+		}
 	case is(name, "budget-ms"):
 		q.Budget, err = decimal(value, 1e9)
 	case is(name, "work-estimate"):
