--- a/internal/backend/loop.go
+++ b/internal/backend/loop.go
@@ -145,6 +145,8 @@
 		LoadBalance: netpoll.RoundRobin}); err != nil {
 		return err
 	}
+	log.Infof("%s on %s: %g cores, %d MB, %d descriptors, %d connections, %d to the store", c.Name, c.Listen,
+		c.Limits.Cores, lim.MemoryMB, c.Limits.Sockets, lim.Conns, lim.Wires)
 	l := newLoop(c, lim, log)
 	d, err := newDoor(c.Listen, lim.Conns)
 	if err != nil {
