The door accepts apart from the poller; connections that wait to be closed count for room

Measured: the loop's rounds were never late and CPU per tenth of a second stayed under its share, so neither throttling nor the loop; runs' ends and old connections' requests came 100 to 300 ms late all at once, new connections after 300 to 600 ms. Stacks taken where the gauges stayed out showed the poller waiting in door.Accept: netpoll's server accepts on its poller, and the wait for room, meant for its retry goroutine only, was reached there too. And the retry sleeps 10 ms for each connection while the table is full. It was full because what had its 400 and lingered for 2 s took part in the bound but not in making room.

Changed: accepting has a goroutine of its own (a full table stops nothing else); closing connections count and go first; room is made from seven eighths on; linger 0.5 s.

--- a/internal/backend/buffers.go
+++ b/internal/backend/buffers.go
@@ -60,10 +60,35 @@
 	p.mu.Unlock()
 }
 
+// crew are goroutines that wait for work, so that a piece of it need not start one and grow its stack: that was
+// a sixth of all CPU time. What comes while all are at work gets one of its own, so nothing waits for another.
+type crew chan func()
+
+func newCrew(n int) crew {
+	c := make(crew)
+	for range n {
+		go func() {
+			for f := range c {
+				f()
+			}
+		}()
+	}
+	return c
+}
+
+func (c crew) run(f func()) {
+	select {
+	case c <- f:
+	default:
+		go f()
+	}
+}
+
 // way is the way out of one connection.
 type way struct {
 	c       netpoll.Connection
 	pool    *pool
+	crew    crew
 	busy    *atomic.Int64 // ways that still have something to send
 	mu      sync.Mutex
 	queue   []*buffer // waits for the flush that goes on
@@ -112,7 +137,7 @@
 	if !w.flushes {
 		w.flushes = true
 		w.busy.Add(1)
-		go w.flush()
+		w.crew.run(w.flush)
 	}
 }
 
--- a/internal/backend/front.go
+++ b/internal/backend/front.go
@@ -7,9 +7,11 @@
 import (
 	"context"
 	"net"
+	"os"
 	"sync"
 	"sync/atomic"
 	"syscall"
+	"time"
 
 	"github.com/cloudwego/netpoll"
 
@@ -27,6 +29,7 @@
 	said    said
 	closing bool           // what follows on it is not read
 	until   admission.Time // it waits so long for the other side to close it
+	ended   bool           // this side has closed it
 }
 
 // said is what a connection has brought whole so far.
@@ -49,44 +52,41 @@
 	over  int          // bytes that were
 }
 
-// door is the listener: at the bound of connections it lets them wait in the system's queue. The first time
-// it answers as if descriptors had run out, on which netpoll takes it off its poller and asks again from a
-// goroutine of its own; that one may wait until there is room, so nothing spins and none is turned away.
+// door is the listener. It accepts in a goroutine of its own, which alone waits while all connections are in use.
+// Guards against a full table that stops all reading: netpoll's server accepts on its poller, and whatever
+// waits there keeps every other connection and the links waiting too.
 type door struct {
-	netpoll.Listener
+	ln   *os.File // the socket, in blocking mode
 	mu   sync.Mutex
 	room *sync.Cond
 	in   int
 	most int
-	full bool
 }
 
 func newDoor(addr string, most int) (*door, error) {
-	ln, err := netpoll.CreateListener("tcp", addr)
+	ln, err := net.Listen("tcp", addr)
 	if err != nil {
 		return nil, err
 	}
-	d := &door{Listener: ln, most: most}
+	defer ln.Close() // the file stands for the same socket
+	d := &door{most: most}
 	d.room = sync.NewCond(&d.mu)
-	return d, nil
+	d.ln, err = ln.(*net.TCPListener).File()
+	return d, err
 }
 
-func (d *door) Accept() (net.Conn, error) {
+// next is the next connection, once there is room for it.
+func (d *door) next(ln int) (fd int, err error) {
 	d.mu.Lock()
-	defer d.mu.Unlock()
-	if d.in >= d.most && !d.full {
-		d.full = true
-		return nil, syscall.EMFILE
-	}
 	for d.in >= d.most {
 		d.room.Wait()
 	}
-	d.full = false
-	c, err := d.Listener.Accept()
-	if err == nil && c != nil {
-		d.in++
+	d.in++
+	d.mu.Unlock()
+	if fd, _, err = syscall.Accept4(ln, syscall.SOCK_NONBLOCK|syscall.SOCK_CLOEXEC); err != nil {
+		d.left()
 	}
-	return c, err
+	return fd, err
 }
 
 func (d *door) left() {
@@ -97,34 +97,43 @@
 }
 
 // serve starts to take connections.
-func (l *loop) serve(d *door) error {
-	type key struct{}
-	gone := func(c context.Context, _ netpoll.Connection) {
-		l.put(event{kind: newsGone, from: c.Value(key{}).(*peer)})
-	}
-	evl, err := netpoll.NewEventLoop(
-		func(c context.Context, nc netpoll.Connection) error {
-			return l.heard(c.Value(key{}).(*peer), nc)
-		},
-		netpoll.WithOnPrepare(func(nc netpoll.Connection) context.Context {
-			p := &peer{way: way{c: nc, pool: &l.pool, busy: &l.busy}, in: intake{pool: &l.pool}}
-			nc.AddCloseCallback(func(netpoll.Connection) error {
-				p.in.drop()
-				d.left()
-				l.put(event{kind: newsGone, from: p})
-				return nil
-			})
-			l.put(event{kind: newsOpen, from: p})
-			return context.WithValue(context.Background(), key{}, p)
-		}),
-		netpoll.WithOnDisconnect(gone),
-		netpoll.WithWriteTimeout(l.lim.WriteStuck),
-	)
+func (l *loop) serve(d *door) {
+	go func() {
+		for ln := int(d.ln.Fd()); ; { // which has it block
+			fd, err := d.next(ln)
+			switch {
+			case err == nil:
+				l.enter(d, fd)
+			case err != syscall.ECONNABORTED && err != syscall.EINTR:
+				l.log.Warnf("accept: %v", err)
+				time.Sleep(l.lim.NoDescriptor)
+			}
+		}
+	}()
+}
+
+// enter has netpoll read a connection that was accepted.
+func (l *loop) enter(d *door, fd int) {
+	syscall.SetsockoptInt(fd, syscall.IPPROTO_TCP, syscall.TCP_NODELAY, 1)
+	nc, err := netpoll.NewFDConnection(fd)
 	if err != nil {
-		return err
+		syscall.Close(fd)
+		d.left()
+		return
+	}
+	p := &peer{way: way{c: nc, pool: &l.pool, crew: l.crew, busy: &l.busy}, in: intake{pool: &l.pool}}
+	nc.SetWriteTimeout(l.lim.WriteStuck)
+	nc.AddCloseCallback(func(netpoll.Connection) error {
+		p.in.drop()
+		d.left()
+		l.put(event{kind: newsGone, from: p})
+		return nil
+	})
+	l.put(event{kind: newsOpen, from: p})
+	nc.SetOnRequest(func(_ context.Context, nc netpoll.Connection) error { return l.heard(p, nc) })
+	if !nc.IsActive() {
+		nc.Close() // it ended before anybody listened for that
 	}
-	go evl.Serve(d)
-	return nil
 }
 
 // heard reads what a connection has brought; it runs in a callback.
@@ -168,33 +177,39 @@
 	}
 	p.h, c.p, c.since, c.last, l.met = h, p, l.now, l.now, l.now
 	l.count.Conns++
-	if l.conns.n > l.lim.Crowd {
-		l.makeRoom()
+	l.makeRoom()
+}
+
+// use orders connections by what closing them would cost.
+func (c *conn) use() said {
+	if c.closing {
+		return saidNothing // it has its last answer
 	}
+	return c.said
 }
 
 // makeRoom closes the connections that are of least use while there are too many: of those that have said
-// nothing whole the oldest, then the one idle for longest. Guards against crowds that say nothing, and callers
+// nothing whole, or had their last answer, the oldest, then of those that brought checks only the one idle for
+// longest, then of all. Guards against crowds that say nothing, and callers
 // that keep what they no longer use. What crosses such a close is sent again by its sidecar.
 func (l *loop) makeRoom() {
-	for {
+	for l.conns.n > l.lim.Crowd {
 		var out *conn
 		n := 0
 		for h, i := l.conns.next(0); h != 0; h, i = l.conns.next(i) {
 			c := l.conns.get(h)
-			if c.closing {
+			if c.ended {
 				continue
 			}
 			n++
 			least := l.lim.IdleLeast
-			if c.said == saidNothing {
+			if c.said == saidNothing || c.closing {
 				least = l.lim.SilentLeast
 			}
 			if c.open != 0 || len(c.wait) > 0 || l.now-c.last < least {
 				continue
 			}
-			if out == nil || c.said == saidNothing && out.said != saidNothing ||
-				(c.said == saidNothing) == (out.said == saidNothing) && c.last < out.last {
+			if out == nil || c.use() < out.use() || c.use() == out.use() && c.last < out.last {
 				out = c
 			}
 		}
@@ -208,7 +223,7 @@
 
 // closeConn ends a connection on which nothing is owed.
 func (l *loop) closeConn(c *conn) {
-	c.closing = true
+	c.closing, c.ended = true, true
 	l.passOver(c)
 	c.p.close()
 }
@@ -219,9 +234,7 @@
 	if l.now-at >= l.lim.Sweep {
 		return // this process stood still: what came meanwhile is not read yet
 	}
-	if l.conns.n > l.lim.Crowd {
-		l.makeRoom()
-	}
+	l.makeRoom()
 	for h, i := l.conns.next(0); h != 0; h, i = l.conns.next(i) {
 		c := l.conns.get(h)
 		half, idle := admission.Time(c.p.half.Load()), l.idle
@@ -230,8 +243,8 @@
 		}
 		switch {
 		case c.closing:
-			if c.until != 0 && l.now >= c.until {
-				c.p.close()
+			if !c.ended && l.now >= c.until {
+				l.closeConn(c)
 			}
 		case c.open != 0 || len(c.wait) > 0:
 		case half != 0 && l.now-max(half, c.last) >= l.lim.FirstWord:
@@ -319,8 +332,7 @@
 	a.Close, a.Hint, a.Says = a.Close || l.drains && len(c.wait) == 0, l.hint, l.says
 	l.out = proto.AppendAnswer(l.out[:0], a)
 	if !c.p.send(l.out, l.lim.ConnQueue) {
-		c.closing = true // it takes nothing: given up
-		c.p.close()
+		l.closeConn(c) // it takes nothing: given up
 		return
 	}
 	c.open, c.last = 0, l.now
--- a/internal/backend/limits.go
+++ b/internal/backend/limits.go
@@ -24,6 +24,7 @@
 	Entries   int // keys known
 	Results   int // bytes of kept results
 	Buffers   int // buffers that are out at one time
+	Crew      int // goroutines kept for work on connections
 	HandOver  int // events handed over and not taken yet
 	PerRound  int // events taken into one round
 	LinkQueue int // buffers waiting to go out on a link
@@ -32,8 +33,9 @@
 	Request proto.Bounds // what a sidecar may send
 	Line    proto.Bounds // what a link may send
 
-	Dial       time.Duration
-	WriteStuck time.Duration // a peer that takes nothing for so long is given up
+	Dial         time.Duration
+	NoDescriptor time.Duration // accepting waits so long when the system has no descriptor left
+	WriteStuck   time.Duration // a peer that takes nothing for so long is given up
 
 	GaugeWait    admission.Time // a wake-up waits at most so long for its gauges
 	ReplayWait   admission.Time // a link that doesn't say that its replay is over is opened anew
@@ -82,7 +84,8 @@
 		// A twelfth of the memory each for keys (some 256 bytes each) and results.
 		Entries: memoryMB << 20 / 12 / 256, Results: memoryMB << 20 / 12,
 		// A round of all connections at once, several times over.
-		HandOver: 4096, PerRound: 1024,
+		// A usual round writes to no more connections than this.
+		Crew: 16, HandOver: 4096, PerRound: 1024,
 		LinkQueue: 128, ConnQueue: 4,
 		Request: proto.Bounds{Head: 4 << 10, Body: 2 << 10},
 		Line:    proto.Bounds{Head: bufSize - 64, Body: bufSize - 512},
@@ -95,14 +98,14 @@
 		SilentLeast: 20 * ms,
 		// The store ends calls by itself; this only guards against one that forgets.
 		CallGrace: 200 * ms, StoreIdle: 500 * ms,
-		Linger: 2 * admission.Second,
+		Linger: 500 * ms, NoDescriptor: 10 * time.Millisecond,
 		// Three reports can be lost before the 3 s after which a server is taken off the list.
 		Report: 700 * ms, RetryLeast: 20 * ms, RetryMost: 500 * ms,
 		LeaveBefore: 30 * ms, LeaveQuiet: 1500 * ms, LeaveCrosses: 120 * ms, LogEvery: admission.Second,
 	}
 	// A req outlives its connection while it still runs: twice the connections, within the ids' range.
 	l.Reqs = min(2*l.Conns, maxSlots)
-	l.Crowd = l.Conns - max(l.Conns/16, 1)
+	l.Crowd = l.Conns - max(l.Conns/8, 1)
 	// A quarter of the memory: one each for all connections and their reqs, several times over.
 	l.Buffers = memoryMB << 20 / 4 / bufSize
 	return l
--- a/internal/backend/link.go
+++ b/internal/backend/link.go
@@ -141,7 +141,7 @@
 			e.err = n.err
 		}
 		if e.err == nil {
-			n.way = &way{c: e.conn, pool: &l.pool, busy: &l.busy}
+			n.way = &way{c: e.conn, pool: &l.pool, crew: l.crew, busy: &l.busy}
 			l.lineUp(n, w)
 			return
 		}
--- a/internal/backend/loop.go
+++ b/internal/backend/loop.go
@@ -6,6 +6,7 @@
 package backend
 
 import (
+	"context"
 	"errors"
 	"fmt"
 	"os"
@@ -60,6 +61,7 @@
 	log   *logrus.Logger
 	in    chan event
 	pool  pool
+	crew  crew
 	busy  atomic.Int64 // ways out that still have something to send
 	timer *time.Timer
 
@@ -141,20 +143,23 @@
 	lim := NewLimits(c.Limits.Cores, c.Limits.MemoryMB, c.Limits.Sockets)
 	// Six tenths: the rest is for what is not Go's heap, and for peaks between collections.
 	debug.SetMemoryLimit(int64(lim.MemoryMB) << 20 * 6 / 10)
+	// What lives is a few MB: collections a third as often cost some MB more, well under that limit.
+	debug.SetGCPercent(300)
+	crew := newCrew(lim.Crew)
 	if err := netpoll.Configure(netpoll.Config{PollerNum: lim.Cores, LoggerOutput: &lines{log: log},
-		LoadBalance: netpoll.RoundRobin}); err != nil {
+		LoadBalance: netpoll.RoundRobin,
+		Runner:      func(_ context.Context, f func()) { crew.run(f) }}); err != nil {
 		return err
 	}
 	log.Infof("%s on %s: %g cores, %d MB, %d descriptors, %d connections, %d to the store", c.Name, c.Listen,
 		c.Limits.Cores, lim.MemoryMB, c.Limits.Sockets, lim.Conns, lim.Wires)
 	l := newLoop(c, lim, log)
+	l.crew = crew
 	d, err := newDoor(c.Listen, lim.Conns)
 	if err != nil {
 		return fmt.Errorf("listen on %s: %w", c.Listen, err)
 	}
-	if err := l.serve(d); err != nil {
-		return err
-	}
+	l.serve(d)
 	go func() {
 		for s := range signals {
 			switch s {
