Times too far off, fields that come twice and keys too long are 400; counters show what is in hand

Seen by reading: Received-At was taken as any number (an old one gave a due time long past, so the req was put before the module and errored), a second Request-Id or Once-Key replaced the first, a key could be as long as a head and was kept for its window. Beside the sums the counters say what is held: in_hand, running, calls_out, conns_open, wires_open, keys and the age of the last report, so that reqs = done + shed + errored + gone + in_hand can be checked.

--- a/internal/backend/control.go
+++ b/internal/backend/control.go
@@ -4,15 +4,17 @@
 package backend
 
 import (
+	"umberwinch/admission"
 	"umberwinch/internal/proto"
 )
 
 type control struct {
 	link
 	name    string
-	ready   bool // what the next report says
-	sending bool // a report is out and not answered
-	owed    bool // a report is to go out as soon as the link is up
+	ready   bool           // what the next report says
+	sending bool           // a report is out and not answered
+	last    admission.Time // when the last one went out
+	owed    bool           // a report is to go out as soon as the link is up
 }
 
 // report sends the state now, or as soon as the link is up.
@@ -34,7 +36,7 @@
 		l.linkDown(&c.link, errStuck)
 		return
 	}
-	c.sending, c.owed = true, false
+	c.sending, c.owed, c.last = true, false, l.now
 	l.count.Reports++
 }
 
--- a/internal/backend/counters.go
+++ b/internal/backend/counters.go
@@ -1,5 +1,7 @@
 // Counters: what the program took in, sent and answered, printed at the end and on SIGUSR1. Only the loop
-// counts, so they need no lock. Nothing may be decided by them.
+// counts, so they need no lock. Nothing may be decided by them. Beside the sums stands what the program holds
+// at that moment, so that a gap between its view and what crossed the sockets shows: all reqs are done, shed,
+// errored, gone or in hand, and all runs have ended or are running.
 package backend
 
 import "github.com/sirupsen/logrus"
@@ -21,8 +23,21 @@
 	Rounds, Wakes, Ungauged, Slow          uint64 // Slow: rounds that began over 10 ms after their time
 }
 
-func (c *Counters) fields() logrus.Fields {
-	return logrus.Fields{"conns": c.Conns, "reqs": c.Reqs, "checks": c.Checks, "bad": c.Bad, "again": c.Again,
+func (l *loop) fields() logrus.Fields {
+	c := &l.count
+	runs, calls := 0, 0
+	for h, i := l.reqs.next(0); h != 0; h, i = l.reqs.next(i) {
+		r := l.reqs.get(h)
+		if r.run == runGoes {
+			runs++
+		}
+		if r.call != callNone {
+			calls++
+		}
+	}
+	return logrus.Fields{"in_hand": l.reqs.n, "running": runs, "calls_out": calls, "conns_open": l.conns.n,
+		"wires_open": l.store.wires.n, "keys": l.keys.tab.n, "report_age_ms": inMS(l.now - l.control.last),
+		"conns": c.Conns, "reqs": c.Reqs, "checks": c.Checks, "bad": c.Bad, "again": c.Again,
 		"done": c.Done, "shed": c.Shed, "errored": c.Errored, "shared": c.Shared, "gone": c.Gone, "late": c.Late,
 		"runs": c.Runs, "ends": c.Ends, "pauses": c.Pauses, "calls": c.Calls, "calls_ok": c.CallsOK,
 		"calls_unrun": c.CallsUnrun, "calls_other": c.CallsOther, "skips": c.Skips, "dropped": c.Dropped,
--- a/internal/backend/limits.go
+++ b/internal/backend/limits.go
@@ -42,6 +42,7 @@
 	AckLag       admission.Time // commands answered for less long ago may still be lost with their link
 	CallGrace    admission.Time // past its time a call that the store does not end is given up
 	StoreIdle    admission.Time // a store connection unused for so long is not trusted with a call
+	FutureMost   admission.Time // one that comes later than now by more has a wrong time
 	Sweep        admission.Time // connections are looked over so often
 	FirstWord    admission.Time // a message that is not whole so long after it might have begun: closed
 	CheckIdle    admission.Time // a connection that has brought nothing but health checks may be idle so long
@@ -94,7 +95,9 @@
 		GaugeWait: 8 * ms, ReplayWait: 500 * ms, AckLag: 100 * ms,
 		// Looked over several times in the least idle time; a first message takes a few ms, its sender is owed
 		// an end within 3 s.
-		Sweep: 100 * ms, FirstWord: 1500 * ms, CheckIdle: 3 * admission.Second, IdleLeast: 100 * ms,
+		// Clocks on one machine agree, but for what a standstill of one process hides.
+		FutureMost: admission.Second,
+		Sweep:      100 * ms, FirstWord: 1500 * ms, CheckIdle: 3 * admission.Second, IdleLeast: 100 * ms,
 		SilentLeast: 20 * ms,
 		// The store ends calls by itself; this only guards against one that forgets.
 		CallGrace: 200 * ms, StoreIdle: 500 * ms,
--- a/internal/backend/loop.go
+++ b/internal/backend/loop.go
@@ -243,7 +243,7 @@
 		l.fire()
 		l.decide()
 	}
-	l.log.WithFields(l.count.fields()).Info("counters")
+	l.log.WithFields(l.fields()).Info("counters")
 }
 
 // handle takes one event.
@@ -262,7 +262,7 @@
 	case newsDrain:
 		l.drain()
 	case newsCount:
-		l.log.WithFields(l.count.fields()).Info("counters")
+		l.log.WithFields(l.fields()).Info("counters")
 	case newsReload:
 		l.reload(e.node, e.err)
 	default:
--- a/internal/backend/req.go
+++ b/internal/backend/req.go
@@ -74,6 +74,9 @@
 		return l.bad("handler %q, expected one of the settings", name)
 	case q.ID == nil || q.ReceivedAt == 0 || !q.HasSender || q.KB == 0 || !hasKey:
 		return l.bad("a field of the request is missing")
+	case l.now-admission.Time(q.ReceivedAt)*10 > 2*l.keys.late,
+		admission.Time(q.ReceivedAt)*10-l.now > l.lim.FutureMost:
+		return l.bad("received at %d, which is too far from now", q.ReceivedAt)
 	case len(q.Account) > 0 && !listed && len(l.prof.Tenants) > 0:
 		return l.bad("tenant %q, expected one of the settings", q.Account)
 	case l.ctl == nil:
--- a/internal/proto/http.go
+++ b/internal/proto/http.go
@@ -42,6 +42,9 @@
 	Close  bool
 }
 
+// maxKey is twice the length of the longest key that the protocol shows; keys are kept for long.
+const maxKey = 64
+
 var (
 	errHead   = errors.New("head is not as expected")
 	errLarge  = errors.New("message is larger than allowed")
@@ -223,11 +226,14 @@
 	case is(name, "connection"):
 		q.Close = closes(q.Close, value)
 	case is(name, "request-id"):
-		if !IsID(value) {
+		if !IsID(value) || q.ID != nil {
 			return errField
 		}
 		q.ID = value
 	case is(name, "received-at"):
+		if q.ReceivedAt != 0 {
+			return errField
+		}
 		q.ReceivedAt, err = digits(value, 1<<50)
 	case is(name, "sent-by"):
 		v, err = digits(value, 1<<32-1)
@@ -249,8 +255,14 @@
 	case is(name, "work-estimate"):
 		q.Estimate, err = decimal(value, 1e9)
 	case is(name, "once-key"):
+		if q.OnceKey != nil || len(value) > maxKey {
+			return errField
+		}
 		q.OnceKey = value
 	case is(name, "resource-key"):
+		if q.ResourceKey != nil || len(value) > maxKey {
+			return errField
+		}
 		q.ResourceKey = value
 	}
 	return err
