--- a/internal/backend/buffers.go
+++ b/internal/backend/buffers.go
@@ -61,7 +61,7 @@
 }
 
 // crew are goroutines that wait for work, so that a piece of it need not start one and grow its stack: that was
-// a sixth of all CPU time. What comes while all are at work gets one of its own, so nothing waits for another.
+// a tenth of the CPU samples. What comes while all are at work gets one of its own, so nothing waits for another.
 type crew chan func()
 
 func newCrew(n int) crew {
--- a/internal/backend/front.go
+++ b/internal/backend/front.go
@@ -99,15 +99,19 @@
 // serve starts to take connections.
 func (l *loop) serve(d *door) {
 	go func() {
+		var was error
 		for ln := int(d.ln.Fd()); ; { // which has it block
 			fd, err := d.next(ln)
 			switch {
 			case err == nil:
 				l.enter(d, fd)
 			case err != syscall.ECONNABORTED && err != syscall.EINTR:
-				l.log.Warnf("accept: %v", err)
+				if was == nil {
+					l.log.Warnf("accept: %v", err) // once for as long as it lasts
+				}
 				time.Sleep(l.lim.NoDescriptor)
 			}
+			was = err
 		}
 	}()
 }
