--- a/internal/backend/helper_test.go
+++ b/internal/backend/helper_test.go
@@ -123,7 +123,7 @@
 	mu   sync.Mutex
 	c    net.Conn // the newest
 	open []net.Conn
-	on   map[string]net.Conn // the store's: which one a req's call came on
+	on   map[string]net.Conn // the store's: which one a req's call came on; with ', the one before
 	talk func(net.Conn, *bufio.Reader)
 	mute bool // what it hears gets no answer
 }
@@ -295,6 +295,7 @@
 					t.Errorf("store reads %q %q: %v", line, body, err)
 				}
 				s.mu.Lock()
+				s.on[short(w[1])+"'"] = s.on[short(w[1])]
 				s.on[short(w[1])] = c
 				s.mu.Unlock()
 				s.add("CALL " + short(w[1]) + " " + string(body[:n]))
--- a/internal/backend/tables_test.go
+++ b/internal/backend/tables_test.go
@@ -17,8 +17,10 @@
 	"time"
 
 	"github.com/cloudwego/netpoll"
+	"github.com/sirupsen/logrus"
 
 	"umberwinch/admission"
+	"umberwinch/internal/proto"
 )
 
 // slow is a connection whose other side takes nothing until it is let.
@@ -196,6 +198,41 @@
 	}
 }
 
+// A link that moves is dialled at once, whatever wait its old address had earned.
+func TestMoveDoesNotWait(t *testing.T) {
+	l := &loop{now: 1000, log: logrus.New(), in: make(chan event, 4), lim: NewLimits(1, 64, 256)}
+	k := &l.control.link
+	k.which, k.addr, k.wait, k.again = toControl, "127.0.0.1:1", 900, 2000
+	l.move(k, "127.0.0.1:2")
+	if k.line == nil || k.wait != 0 {
+		t.Errorf("not dialled, its wait is %d", k.wait)
+	}
+	first := k.line
+	if l.move(k, "127.0.0.1:3"); k.line == first || k.line == nil {
+		t.Error("a dial to the old address holds up the new one")
+	}
+	e := event{kind: newsDialled, line: first, err: errClosed}
+	if l.lined(e); k.line == nil || k.wait != 0 {
+		t.Error("the end of the old dial counts against the new one")
+	}
+}
+
+// An answer proves that commands were read only once it is older than what a break may take with it.
+func TestProofIsLate(t *testing.T) {
+	l := &loop{now: 10000, lim: NewLimits(1, 64, 256)}
+	k := &l.kernel
+	k.stand, k.sent = kernelLive, 7
+	for _, step := range []struct {
+		at    admission.Time
+		acked uint64
+	}{{10000, 0}, {10500, 0}, {11000, 7}} {
+		l.now = step.at
+		if l.info(proto.Notice{Nonce: []byte("7")}); k.acked != step.acked {
+			t.Errorf("at %d commands to %d count as read, expected %d", l.now, k.acked, step.acked)
+		}
+	}
+}
+
 // With as many connections as sidecars may open and as many results as are kept, the program stays well inside
 // the memory and descriptors it is told of.
 func TestFullTables(t *testing.T) {
