--- a/internal/backend/buffers.go
+++ b/internal/backend/buffers.go
@@ -60,8 +60,9 @@
 	p.mu.Unlock()
 }
 
-// crew are goroutines that wait for work, so that a piece of it need not start one and grow its stack: that was
-// a tenth of the CPU samples. What comes while all are at work gets one of its own, so nothing waits for another.
+// crew are goroutines that wait for work, so that a piece of it need not start one and grow its stack: that
+// was a tenth of the CPU samples. What comes while all are at work gets one of its own, so nothing waits for
+// another.
 type crew chan func()
 
 func newCrew(n int) crew {
--- a/internal/backend/counters.go
+++ b/internal/backend/counters.go
@@ -43,6 +43,7 @@
 		"calls_unrun": c.CallsUnrun, "calls_other": c.CallsOther, "skips": c.Skips, "dropped": c.Dropped,
 		"kernel_links": c.KernelLinks, "store_links": c.StoreLinks, "control_links": c.ControlLinks,
 		"wires_lost": c.WiresLost, "strays": c.Strays, "reloads": c.Reloads, "silent": c.Silent,
-		"evicted": c.Evicted, "resent": c.Resent, "refused": c.Refused, "reports": c.Reports, "reports_lost": c.ReportsLost,
-		"rounds": c.Rounds, "wakes": c.Wakes, "ungauged": c.Ungauged, "slow": c.Slow}
+		"evicted": c.Evicted, "resent": c.Resent, "refused": c.Refused, "reports": c.Reports,
+		"reports_lost": c.ReportsLost,
+		"rounds":       c.Rounds, "wakes": c.Wakes, "ungauged": c.Ungauged, "slow": c.Slow}
 }
--- a/internal/backend/front.go
+++ b/internal/backend/front.go
@@ -52,9 +52,9 @@
 	over  int          // bytes that were
 }
 
-// door is the listener. It accepts in a goroutine of its own, which alone waits while all connections are in use.
-// Guards against a full table that stops all reading: netpoll's server accepts on its poller, and whatever
-// waits there keeps every other connection and the links waiting too.
+// door is the listener. It accepts in a goroutine of its own, which alone waits while all connections are in
+// use. Guards against a full table that stops all reading: netpoll's server accepts on its poller, and
+// whatever waits there keeps every other connection and the links waiting too.
 type door struct {
 	ln   *os.File // the socket, in blocking mode
 	mu   sync.Mutex
@@ -193,9 +193,9 @@
 }
 
 // makeRoom closes the connections that are of least use while there are too many: of those that have said
-// nothing whole, or had their last answer, the oldest, then of those that brought checks only the one idle for
-// longest, then of all. Guards against crowds that say nothing, and callers
-// that keep what they no longer use. What crosses such a close is sent again by its sidecar.
+// nothing whole, or had their last answer, the oldest, then of those that brought checks only the one idle
+// for longest, then of all. Guards against crowds that say nothing, and callers that keep what they no longer
+// use. What crosses such a close is sent again by its sidecar.
 func (l *loop) makeRoom() {
 	for l.conns.n > l.lim.Crowd {
 		var out *conn
@@ -232,8 +232,8 @@
 	c.p.close()
 }
 
-// sweep looks over all connections: those whose other side should have closed them, those that don't get to the
-// end of a message, and those idle for as long as the module lets them be.
+// sweep looks over all connections: those whose other side should have closed them, those that don't get to
+// the end of a message, and those idle for as long as the module lets them be.
 func (l *loop) sweep(at admission.Time) {
 	if l.now-at >= l.lim.Sweep {
 		return // this process stood still: what came meanwhile is not read yet
--- a/internal/backend/kernel.go
+++ b/internal/backend/kernel.go
@@ -30,7 +30,7 @@
 	index   uint64 // the last notice handled
 	sent    uint64 // number of the last command
 	acked   uint64 // commands to this one are known to have been read
-	proof   uint64 // so are these, but not for long: what was on its way when a link breaks may be lost all the same
+	proof   uint64 // so are these, but a break may still take with it what was on its way
 	proofAt admission.Time
 	asked   uint64 // number of the asking for gauges that a wake-up waits for
 	askBy   admission.Time
--- a/internal/backend/req.go
+++ b/internal/backend/req.go
@@ -138,8 +138,8 @@
 }
 
 // arrange puts the reqs of a round in the order in which they reached the machine, as callbacks hand over in
-// any order what came at once, and says whom each repeats. Guards against two tries that are read in one round,
-// as after the machine stood still: neither is remembered yet, and both would run.
+// any order what came at once, and says whom each repeats. Guards against two tries that are read in one
+// round, as after the machine stood still: neither is remembered yet, and both would run.
 func (l *loop) arrange(all []admission.Req) {
 	slices.SortStableFunc(all, func(a, b admission.Req) int { return cmp.Compare(a.Came, b.Came) })
 	for i := range all {
--- a/internal/backend/scenario_test.go
+++ b/internal/backend/scenario_test.go
@@ -37,7 +37,8 @@
 //	kernel gauges N N                what wants the cores and open connections, as they read from now on
 //	kernel heard N COMMAND ...       so many commands begin like this, once all is said
 //	store gets LINE ..., store says ID WORD [TEXT], store cut | down | up
-//	store writes ID TEXT             bytes as they are, on the connection of that req's last call; ID', the one before
+//	store writes ID TEXT             bytes as they are, on the connection of that req's last call;
+//	                                 ID' names the one before
 //	store resets ID                  that connection
 //	SIDE moves                       it listens elsewhere; what is open stays so
 //	reload [KEY=VALUE ...] | reload TEXT   a new start-up file, or one that holds just the text, and SIGHUP
--- a/internal/backend/store.go
+++ b/internal/backend/store.go
@@ -1,14 +1,14 @@
-// Store: the calls that runs make below. It owns a bounded set of connections to the store, called wires, which
-// of them each call is out on, and says how each call ended: never ran, may have run, went well. It must never
-// say that a call did not run unless that is proven, never take a reply for another call than the one it was
-// made for, and never make a call by itself: each is the module's decision.
+// Store: the calls that runs make below. It owns a bounded set of connections to the store, called wires,
+// which of them each call is out on, and says how each call ended: never ran, may have run, went well. It
+// must never say that a call did not run unless that is proven, never take a reply for another call than the
+// one it was made for, and never make a call by itself: each is the module's decision.
 //
 // A wire carries one call at a time while the bound on wires allows, as whatever spoils one reply spoils all
-// that is out on its wire. No req calls twice over one wire, so that a second copy of a reply can't pass for the
-// reply to its next call. A wire is used no more, and ends with its last call, once it brought a reply that
-// nobody waits for, a call on it was given up or got no reply in its time, or the store has moved. That a wire
-// is reset at a call after it was idle proves nothing: the same is seen where the call ran and its reply was
-// lost. So idle wires are let go of early instead.
+// that is out on its wire. No req calls twice over one wire, so that a second copy of a reply can't pass for
+// the reply to its next call. A wire is used no more, and ends with its last call, once it brought a reply
+// that nobody waits for, a call on it was given up or got no reply in its time, or the store has moved. That
+// a wire is reset at a call after it was idle proves nothing: the same is seen where the call ran and its
+// reply was lost. So idle wires are let go of early instead.
 package backend
 
 import (
@@ -55,7 +55,8 @@
 	}
 }
 
-// pickWire finds the wire for a call: the idle one used last, else a new one, else the one with the fewest calls.
+// pickWire finds the wire for a call: the idle one used last, else a new one, else the one with the fewest
+// calls.
 func (l *loop) pickWire(r *req) (best handle, _ *wire) {
 	s := &l.store
 	l.sweepWires()
--- a/internal/backend/tables_test.go
+++ b/internal/backend/tables_test.go
@@ -233,8 +233,8 @@
 	}
 }
 
-// With as many connections as sidecars may open and as many results as are kept, the program stays well inside
-// the memory and descriptors it is told of.
+// With as many connections as sidecars may open and as many results as are kept, the program stays well
+// inside the memory and descriptors it is told of.
 func TestFullTables(t *testing.T) {
 	n := start(t, map[string]string{"memory_mb": "64", "sockets": "1024", "window": "60000000"})
 	go func() { // the kernel serves whatever comes with the largest result
