--- a/internal/backend/tables_test.go
+++ b/internal/backend/tables_test.go
@@ -200,7 +200,9 @@
 
 // A link that moves is dialled at once, whatever wait its old address had earned.
 func TestMoveDoesNotWait(t *testing.T) {
-	l := &loop{now: 1000, log: logrus.New(), in: make(chan event, 4), lim: NewLimits(1, 64, 256)}
+	log := logrus.New()
+	log.SetOutput(io.Discard)
+	l := &loop{now: 1000, log: log, in: make(chan event, 4), lim: NewLimits(1, 64, 256)}
 	k := &l.control.link
 	k.which, k.addr, k.wait, k.again = toControl, "127.0.0.1:1", 900, 2000
 	l.move(k, "127.0.0.1:2")
