--- /dev/null
+++ b/internal/operator/operator_test.go
@@ -0,0 +1,85 @@
+package operator
+
+import (
+	"os"
+	"path/filepath"
+	"strings"
+	"testing"
+)
+
+// faults gives what is wrong in a control file, less the file's name.
+func faults(t *testing.T, raw string) []string {
+	t.Helper()
+	_, err := readControl(Parse("f", []byte(raw)))
+	if err == nil {
+		return nil
+	}
+	return strings.Split(err.Error(), "\n")
+}
+
+const sound = "[instance]\nname = a\ndata = d\n"
+
+func TestShippedFileIsSound(t *testing.T) {
+	c, err := ReadControl(filepath.Join("..", "..", "deploy", "control.ini"))
+	if err != nil {
+		t.Fatal(err)
+	}
+	if !Loopback(c.Peer) || !Loopback(c.Listen) || c.Start != "new" {
+		t.Fatalf("shipped file: %+v, expected a group of one on loopback", c)
+	}
+}
+
+func TestAllFaultsAtOnceWithTheirLines(t *testing.T) {
+	got := faults(t, "[instance]\nname = a b\ndata =\nstart = maybe\npeer = host:1\nsize = 3\n\n[group]\n"+
+		"tick = 2\nelection_ticks = 2\nelection_ticks = 9\nnonsense\n[other]\nx = 1\n[disk]\nlimit_mb = 20\n")
+	want := []string{
+		`f:2: instance.name: found "a b", expected`,
+		`f:3: instance.data: found nothing, expected`,
+		`f:4: instance.start: found "maybe", expected one of new, join`,
+		`f:5: instance.peer: found "host:1", expected IP:PORT`,
+		`f:6: instance.size: found a key that is not known`,
+		`f:9: group.tick: found "2", expected a time from 5ms to 1s`,
+		`f:10: group.election_ticks: found "2", expected a whole number from 3 to 1000`,
+		`f:11: group.election_ticks: found it again, first on line 10`,
+		`f:12: line: found "nonsense", expected KEY = VALUE`,
+		`f:13: other: found a section that is not known`,
+		`f:16: disk.limit_mb: found 20, expected six times`,
+	}
+	if len(got) != len(want) {
+		t.Fatalf("%d faults, expected %d:\n%s", len(got), len(want), strings.Join(got, "\n"))
+	}
+	for i := range want {
+		if !strings.HasPrefix(got[i], want[i]) {
+			t.Errorf("fault %d is %q, expected %q...", i, got[i], want[i])
+		}
+	}
+}
+
+func TestSecretsAreNotShown(t *testing.T) {
+	got := strings.Join(faults(t, sound+"[clients]\ntoken = hunter2\n"), "\n")
+	if got == "" || strings.Contains(got, "hunter2") {
+		t.Fatalf("got %q, expected a fault that hides the token", got)
+	}
+}
+
+func TestOtherThanLoopbackNeedsTLS(t *testing.T) {
+	if got := faults(t, sound+"peer = 192.0.2.1:7101\n"); len(got) != 1 || !strings.Contains(got[0], "no [tls]") {
+		t.Fatalf("got %q, expected one fault for the address without [tls]", got)
+	}
+	if got := faults(t, sound+"peer = 192.0.2.1:7101\n[tls]\ncertificate = c\nkey = k\nauthority = a\n"); got != nil {
+		t.Fatalf("got %q, expected none", got)
+	}
+	if got := faults(t, sound+"[tls]\nkey = k\n"); len(got) != 1 {
+		t.Fatalf("got %q, expected one fault for half of [tls]", got)
+	}
+}
+
+func TestLargeFileIsRefused(t *testing.T) {
+	path := filepath.Join(t.TempDir(), "big.ini")
+	if err := os.WriteFile(path, make([]byte, maxText+1), 0o600); err != nil {
+		t.Fatal(err)
+	}
+	if _, err := ReadControl(path); err == nil || !strings.Contains(err.Error(), "1048576 at most") {
+		t.Fatalf("got %v, expected a refusal by size", err)
+	}
+}
--- /dev/null
+++ b/internal/wal/fs.go
@@ -0,0 +1,113 @@
+package wal
+
+import (
+	"errors"
+	"fmt"
+	"io"
+	"os"
+	"path/filepath"
+	"sort"
+	"syscall"
+)
+
+// FS is one folder, the only way by which a log reaches a disk. Nothing is durable before a Sync: of a file for what
+// is in it, of the folder for which names it has.
+type FS interface {
+	List() ([]string, error)
+	Create(name string) (File, error) // empty, also where the name was there
+	Open(name string) (File, error)
+	Rename(from, to string) error
+	Remove(name string) error
+	Sync() error
+	Lock() (release func(), err error) // fails while another process holds it
+}
+
+// File is one file of a folder.
+type File interface {
+	io.ReaderAt
+	io.WriterAt
+	Size() (int64, error)
+	Truncate(size int64) error
+	Sync() error
+	Close() error
+}
+
+// ErrLocked is what a folder in use by another process gives.
+var ErrLocked = errors.New("the folder is in use by another process")
+
+// Dir is a folder of the machine's.
+type Dir string
+
+// MakeDir gives a folder, made if it is missing.
+func MakeDir(path string) (Dir, error) {
+	if err := os.MkdirAll(path, 0o700); err != nil {
+		return "", err
+	}
+	return Dir(path), nil
+}
+
+func (d Dir) List() ([]string, error) {
+	entries, err := os.ReadDir(string(d))
+	if err != nil {
+		return nil, err
+	}
+	var out []string
+	for _, e := range entries {
+		if e.Type().IsRegular() {
+			out = append(out, e.Name())
+		}
+	}
+	sort.Strings(out)
+	return out, nil
+}
+
+func (d Dir) open(name string, flag int) (File, error) {
+	f, err := os.OpenFile(filepath.Join(string(d), name), os.O_RDWR|flag, 0o600)
+	if err != nil {
+		return nil, err
+	}
+	return diskFile{f}, nil
+}
+
+func (d Dir) Create(name string) (File, error) { return d.open(name, os.O_CREATE|os.O_TRUNC) }
+func (d Dir) Open(name string) (File, error)   { return d.open(name, 0) }
+
+func (d Dir) Rename(from, to string) error {
+	return os.Rename(filepath.Join(string(d), from), filepath.Join(string(d), to))
+}
+
+func (d Dir) Remove(name string) error { return os.Remove(filepath.Join(string(d), name)) }
+
+func (d Dir) Sync() error {
+	f, err := os.Open(string(d))
+	if err != nil {
+		return err
+	}
+	err = f.Sync()
+	return errors.Join(err, f.Close())
+}
+
+func (d Dir) Lock() (func(), error) {
+	f, err := os.OpenFile(filepath.Join(string(d), "lock"), os.O_RDWR|os.O_CREATE, 0o600)
+	if err != nil {
+		return nil, err
+	}
+	if err = syscall.Flock(int(f.Fd()), syscall.LOCK_EX|syscall.LOCK_NB); err != nil {
+		f.Close()
+		if errors.Is(err, syscall.EWOULDBLOCK) {
+			err = ErrLocked
+		}
+		return nil, fmt.Errorf("%s: %w", string(d), err)
+	}
+	return func() { f.Close() }, nil
+}
+
+type diskFile struct{ *os.File }
+
+func (f diskFile) Size() (int64, error) {
+	info, err := f.Stat()
+	if err != nil {
+		return 0, err
+	}
+	return info.Size(), nil
+}
--- /dev/null
+++ b/internal/wal/helper_test.go
@@ -0,0 +1,94 @@
+package wal
+
+import (
+	"fmt"
+	"math/rand"
+	"testing"
+)
+
+var small = Sizes{Segment: 700, Bound: 1 << 20}
+
+func open(t testing.TB, fs FS, sizes Sizes) *Log {
+	t.Helper()
+	l, _, err := Open(fs, sizes)
+	if err != nil {
+		t.Fatalf("open: %v", err)
+	}
+	return l
+}
+
+func commit(t testing.TB, l *Log, b Batch) {
+	t.Helper()
+	if _, err := l.Commit(b); err != nil {
+		t.Fatalf("commit: %v", err)
+	}
+}
+
+// model is what a log should hold.
+type model struct {
+	base    uint64
+	entries []string
+	marks   [MaxMarks]string
+}
+
+func newModel() *model { return &model{base: 1} }
+
+func (m *model) next() uint64 { return m.base + uint64(len(m.entries)) }
+
+func (m *model) clone() *model {
+	out := *m
+	out.entries = append([]string(nil), m.entries...)
+	return &out
+}
+
+func (m *model) apply(b Batch) {
+	if b.Cut > 0 {
+		if b.Cut < m.base || b.Cut > m.next() {
+			m.base, m.entries = b.Cut, nil
+		} else {
+			m.entries = m.entries[:b.Cut-m.base]
+		}
+	}
+	for _, e := range b.Entries {
+		m.entries = append(m.entries, string(e))
+	}
+	for _, k := range b.Marks {
+		m.marks[k.Kind] = string(k.Data)
+	}
+}
+
+// draw makes a batch by chance.
+func (m *model) draw(r *rand.Rand) Batch {
+	var b Batch
+	if r.Intn(5) == 0 && len(m.entries) > 0 {
+		b.Cut = m.next() - uint64(r.Intn(min(4, len(m.entries)+1)))
+	} else if r.Intn(40) == 0 {
+		b.Cut = m.next() + uint64(r.Intn(9))
+	}
+	for n := r.Intn(4); n > 0; n-- {
+		b.Entries = append(b.Entries, []byte(fmt.Sprintf("%d-%0*d", r.Int63(), r.Intn(300), 7)))
+	}
+	for n := r.Intn(3); n > 0; n-- {
+		b.Marks = append(b.Marks, Mark{r.Intn(MaxMarks), []byte(fmt.Sprint(r.Int63()))})
+	}
+	return b
+}
+
+// differs says where a log and what it should hold part; the log may still hold entries that were let go of.
+func (m *model) differs(l *Log) string {
+	if l.Next() != m.next() || l.First() > m.base {
+		return fmt.Sprintf("entries %d to %d, expected %d to %d", l.First(), l.Next()-1, m.base, m.next()-1)
+	}
+	for i, want := range m.entries {
+		got, err := l.Read(m.base + uint64(i))
+		if err != nil || string(got) != want {
+			return fmt.Sprintf("entry %d is %.40q (%v), expected %.40q", m.base+uint64(i), got, err, want)
+		}
+	}
+	for k, want := range m.marks {
+		if got := string(l.Mark(k)); got != want {
+			return fmt.Sprintf("mark %d is %q, expected %q", k, got, want)
+		}
+	}
+	return ""
+}
--- /dev/null
+++ b/internal/wal/mem.go
@@ -0,0 +1,310 @@
+package wal
+
+import (
+	"errors"
+	"io/fs"
+	"sort"
+	"sync"
+	"syscall"
+)
+
+// Mem is a folder in memory that knows what was synced, so that a test or a simulated world can take the power away
+// at any moment and see what a disk may hold then. It stands in for a disk; no program writes to it in earnest.
+type Mem struct {
+	mu      sync.Mutex
+	names   map[string]*memFile
+	durable map[string]*memFile // names as of the last Sync of the folder
+	moves   []func(map[string]*memFile)
+	locked  bool
+
+	Room int64 // bytes the folder takes, 0 for no end
+	// Hook hears of each step before it is done and can make it fail: create, open, rename, remove, write, truncate,
+	// sync, names (the folder's sync). What a failed write had put down already is for the hook to say, in bytes.
+	Hook func(step, name string) (done int, err error)
+}
+
+type memFile struct {
+	dir     *Mem
+	name    string
+	data    []byte
+	synced  []byte
+	pending []memWrite
+}
+
+type memWrite struct {
+	off  int64
+	data []byte // nil for a truncation to off
+}
+
+// sector is what a disk writes whole or not at all; the least of those in use.
+const sector = 512
+
+// NewMem gives an empty folder.
+func NewMem() *Mem {
+	return &Mem{names: map[string]*memFile{}, durable: map[string]*memFile{}}
+}
+
+func (m *Mem) step(step, name string) (int, error) {
+	if m.Hook == nil {
+		return 0, nil
+	}
+	return m.Hook(step, name)
+}
+
+// List gives the names in order.
+func (m *Mem) List() ([]string, error) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	var out []string
+	for name := range m.names {
+		out = append(out, name)
+	}
+	sort.Strings(out)
+	return out, nil
+}
+
+func (m *Mem) move(f func(map[string]*memFile)) {
+	f(m.names)
+	m.moves = append(m.moves, f)
+}
+
+func (m *Mem) Create(name string) (File, error) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if _, err := m.step("create", name); err != nil {
+		return nil, err
+	}
+	f := &memFile{dir: m, name: name}
+	m.move(func(names map[string]*memFile) { names[name] = f })
+	return f, nil
+}
+
+func (m *Mem) Open(name string) (File, error) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if _, err := m.step("open", name); err != nil {
+		return nil, err
+	}
+	f := m.names[name]
+	if f == nil {
+		return nil, &fs.PathError{Op: "open", Path: name, Err: fs.ErrNotExist}
+	}
+	return f, nil
+}
+
+func (m *Mem) Rename(from, to string) error {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if _, err := m.step("rename", from); err != nil {
+		return err
+	}
+	f := m.names[from]
+	if f == nil {
+		return &fs.PathError{Op: "rename", Path: from, Err: fs.ErrNotExist}
+	}
+	m.move(func(names map[string]*memFile) { delete(names, from); names[to] = f })
+	f.name = to
+	return nil
+}
+
+func (m *Mem) Remove(name string) error {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if _, err := m.step("remove", name); err != nil {
+		return err
+	}
+	if m.names[name] == nil {
+		return &fs.PathError{Op: "remove", Path: name, Err: fs.ErrNotExist}
+	}
+	m.move(func(names map[string]*memFile) { delete(names, name) })
+	return nil
+}
+
+func (m *Mem) Sync() error {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if _, err := m.step("names", ""); err != nil {
+		return err
+	}
+	for _, f := range m.moves {
+		f(m.durable)
+	}
+	m.moves = m.moves[:0]
+	return nil
+}
+
+func (m *Mem) Lock() (func(), error) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if m.locked {
+		return nil, ErrLocked
+	}
+	m.locked = true
+	return func() { m.mu.Lock(); m.locked = false; m.mu.Unlock() }, nil
+}
+
+func (m *Mem) used() int64 {
+	var n int64
+	for _, f := range m.names {
+		n += int64(len(f.data))
+	}
+	return n
+}
+
+func (f *memFile) ReadAt(p []byte, off int64) (int, error) {
+	f.dir.mu.Lock()
+	defer f.dir.mu.Unlock()
+	if off >= int64(len(f.data)) {
+		return 0, errors.New("read past the end")
+	}
+	n := copy(p, f.data[off:])
+	if n < len(p) {
+		return n, errors.New("read past the end")
+	}
+	return n, nil
+}
+
+func (f *memFile) WriteAt(p []byte, off int64) (int, error) {
+	f.dir.mu.Lock()
+	defer f.dir.mu.Unlock()
+	n, err := f.dir.step("write", f.name)
+	if err == nil {
+		n = len(p)
+		grown := max(0, off+int64(n)-int64(len(f.data)))
+		if room := f.dir.Room; room > 0 && f.dir.used()+grown > room {
+			n, err = int(max(0, int64(n)-(f.dir.used()+grown-room))), syscall.ENOSPC
+		}
+	}
+	n = min(n, len(p))
+	f.data = put(f.data, p[:n], off)
+	f.pending = append(f.pending, memWrite{off, append(make([]byte, 0, n), p[:n]...)})
+	return n, err
+}
+
+func put(data, p []byte, off int64) []byte {
+	if end := off + int64(len(p)); end > int64(len(data)) {
+		data = append(data, make([]byte, end-int64(len(data)))...)
+	}
+	copy(data[off:], p)
+	return data
+}
+
+func (f *memFile) Truncate(size int64) error {
+	f.dir.mu.Lock()
+	defer f.dir.mu.Unlock()
+	if _, err := f.dir.step("truncate", f.name); err != nil {
+		return err
+	}
+	f.data = f.data[:size]
+	f.pending = append(f.pending, memWrite{off: size})
+	return nil
+}
+
+func (f *memFile) Sync() error {
+	f.dir.mu.Lock()
+	defer f.dir.mu.Unlock()
+	if _, err := f.dir.step("sync", f.name); err != nil {
+		return err
+	}
+	for _, w := range f.pending {
+		f.synced = apply(f.synced, w)
+	}
+	f.pending = f.pending[:0]
+	return nil
+}
+
+func apply(data []byte, w memWrite) []byte {
+	if w.data == nil {
+		return data[:min(w.off, int64(len(data)))]
+	}
+	return put(data, w.data, w.off)
+}
+
+func (f *memFile) Size() (int64, error) {
+	f.dir.mu.Lock()
+	defer f.dir.mu.Unlock()
+	return int64(len(f.data)), nil
+}
+
+func (f *memFile) Close() error { return nil }
+
+// Flip turns bits of a byte over, as a disk that rots would.
+func (m *Mem) Flip(name string, off int64, bits byte) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	f := m.names[name]
+	f.data[off] ^= bits
+	if off < int64(len(f.synced)) {
+		f.synced[off] ^= bits
+	}
+}
+
+// Kill gives the folder as the next process finds it when this one was killed: all that was written is there, and
+// what was not synced still is not.
+func (m *Mem) Kill() *Mem {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.locked, m.Hook = false, nil
+	for _, f := range m.names {
+		f.dir = m
+	}
+	return m
+}
+
+// Crash gives the folder as it may be found after the power went: what was synced, and of the rest, by chance, all,
+// nothing, a part from its start or any sectors of it. chance gives a number from 0 to n-1.
+func (m *Mem) Crash(chance func(n int) int) *Mem {
+	m.mu.Lock()
+	names := map[string]*memFile{}
+	for name, f := range m.durable {
+		names[name] = f
+	}
+	for k := chance(len(m.moves) + 1); k > 0; k-- {
+		m.moves[0](names)
+		m.moves = m.moves[1:]
+	}
+	m.mu.Unlock()
+	return m.copy(func(f *memFile) []byte {
+		data := append([]byte(nil), f.synced...)
+		way := chance(4)
+		left := 1 << 30
+		if way == 2 {
+			left = chance(16)
+		}
+		for _, w := range f.pending {
+			if w.data == nil {
+				if way != 0 && left > 0 {
+					data = apply(data, w)
+				}
+				continue
+			}
+			for lo := 0; lo < len(w.data); {
+				hi := min(len(w.data), lo+sector-int((w.off+int64(lo))%sector))
+				if left > 0 && (way == 1 || way == 2 || way == 3 && chance(2) == 0) {
+					data = put(data, w.data[lo:hi], w.off+int64(lo))
+				}
+				left--
+				lo = hi
+			}
+		}
+		return data
+	}, names)
+}
+
+func (m *Mem) copy(content func(*memFile) []byte, names map[string]*memFile) *Mem {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	out := NewMem()
+	out.Room = m.Room
+	var order []string
+	for name := range names {
+		order = append(order, name)
+	}
+	sort.Strings(order) // chance is drawn in a fixed order
+	for _, name := range order {
+		data := content(names[name])
+		f := &memFile{dir: out, name: name, data: data, synced: append([]byte(nil), data...)}
+		out.names[name], out.durable[name] = f, f
+	}
+	return out
+}
--- /dev/null
+++ b/internal/wal/segment.go
@@ -0,0 +1,318 @@
+package wal
+
+import (
+	"encoding/binary"
+	"fmt"
+	"hash/crc32"
+	"sort"
+	"strconv"
+	"strings"
+)
+
+// A segment's file opens with a header whose last four bytes are the sum that its first record takes in:
+//
+//	"umberwal" | sum of what follows u32 | format u32 | sequence u64 | next entry u64 | sum before u32
+const (
+	headerBytes  = 36
+	magic        = "umberwal"
+	format       = 1
+	segSuffix    = ".seg"
+	tmpSuffix    = ".tmp"
+	maxSegmented = 1 << 30 // a segment read whole at a start: past this it is not ours
+)
+
+type segment struct {
+	seq  uint64
+	name string
+	size int64
+	file File
+}
+
+// Damage is what a log refuses to start on: something that was synced can't be read.
+type Damage struct {
+	File   string
+	Offset int64
+	Record string
+	Found  string
+}
+
+func (d *Damage) Error() string {
+	return fmt.Sprintf("%s at byte %d, %s: %s. What was durable is damaged: this folder can't be used. Take it "+
+		"out of the group and add an empty one, or put back a saved snapshot", d.File, d.Offset, d.Record, d.Found)
+}
+
+// Found tells what a start met.
+type Found struct {
+	Torn  string // file and byte from which a tail that was never synced was cut off, empty if none
+	Bytes int64  // cut off
+	Stale []string
+}
+
+func segmentName(seq uint64) string { return fmt.Sprintf("%016x", seq) + segSuffix }
+
+func createSegment(fs FS, seq, next uint64, sum uint32) (*segment, error) {
+	raw := make([]byte, headerBytes)
+	copy(raw, magic)
+	binary.LittleEndian.PutUint32(raw[12:], format)
+	binary.LittleEndian.PutUint64(raw[16:], seq)
+	binary.LittleEndian.PutUint64(raw[24:], next)
+	binary.LittleEndian.PutUint32(raw[32:], sum)
+	binary.LittleEndian.PutUint32(raw[8:], crc32.Checksum(raw[12:], castagnoli))
+	s := &segment{seq: seq, name: segmentName(seq), size: headerBytes}
+	var err error
+	if s.file, err = fs.Create(s.name); err != nil {
+		return nil, err
+	}
+	if _, err = s.file.WriteAt(raw, 0); err == nil {
+		err = s.file.Sync()
+	}
+	if err == nil {
+		err = fs.Sync()
+	}
+	return s, err
+}
+
+// check reads one record from the start of raw, given the sum before it.
+func check(raw []byte, before uint32) (kind byte, number uint64, data []byte, ok bool) {
+	if len(raw) < headBytes+sumBytes {
+		return 0, 0, nil, false
+	}
+	n := binary.LittleEndian.Uint32(raw)
+	kind = raw[4]
+	if k := kind & kindBits; n > MaxRecord || k < kindEntry || k > kindCut || int(n) > len(raw)-headBytes-sumBytes {
+		return 0, 0, nil, false
+	}
+	end := headBytes + int(n)
+	if crc32.Update(before, castagnoli, raw[:end]) != binary.LittleEndian.Uint32(raw[end:]) {
+		return 0, 0, nil, false
+	}
+	return kind, binary.LittleEndian.Uint64(raw[5:]), raw[headBytes:end], true
+}
+
+// begun looks for the start of a flush anywhere behind from. One flush is synced before the next is written, so
+// where one is found whatever stands before it was durable once.
+func begun(raw []byte, from int) bool {
+	for q := from + 1; q+headBytes+sumBytes <= len(raw); q++ {
+		if raw[q+4]&firstOne == 0 {
+			continue
+		}
+		if _, _, _, ok := check(raw[q:], binary.LittleEndian.Uint32(raw[q-sumBytes:])); ok {
+			return true
+		}
+	}
+	return false
+}
+
+// Open reads a folder's log, or begins one in an empty folder. A torn tail is cut off and told of; damage is an
+// error of type *Damage and leaves the folder as it is.
+func Open(fs FS, sizes Sizes) (*Log, Found, error) {
+	unlock, err := fs.Lock()
+	if err != nil {
+		return nil, Found{}, err
+	}
+	l := &Log{fs: fs, sizes: sizes, unlock: unlock, base: 1}
+	found, err := l.recover()
+	if err != nil {
+		for _, s := range l.segs {
+			s.file.Close()
+		}
+		unlock()
+		return nil, found, err
+	}
+	return l, found, nil
+}
+
+func numbered(name, suffix string) (uint64, bool) {
+	if len(name) != 16+len(suffix) || !strings.HasSuffix(name, suffix) {
+		return 0, false
+	}
+	n, err := strconv.ParseUint(name[:16], 16, 64)
+	return n, err == nil
+}
+
+func (l *Log) recover() (Found, error) {
+	var found Found
+	names, err := l.fs.List()
+	if err != nil {
+		return found, err
+	}
+	var seqs []uint64
+	for _, name := range names {
+		if n, ok := numbered(name, segSuffix); ok {
+			seqs = append(seqs, n)
+		} else if strings.HasSuffix(name, tmpSuffix) {
+			if err := l.fs.Remove(name); err != nil {
+				return found, err
+			}
+			found.Stale = append(found.Stale, name)
+		}
+	}
+	if err := l.findSnapshots(names); err != nil {
+		return found, err
+	}
+	sort.Slice(seqs, func(i, k int) bool { return seqs[i] < seqs[k] })
+	for i, seq := range seqs {
+		if err := l.load(seq, i == 0, i == len(seqs)-1, &found); err != nil {
+			return found, err
+		}
+	}
+	if len(l.segs) == 0 {
+		s, err := createSegment(l.fs, max(1, l.lastSeq(seqs)), l.base, l.sum)
+		if err != nil {
+			return found, err
+		}
+		l.segs = append(l.segs, s)
+	}
+	return found, nil
+}
+
+func (l *Log) lastSeq(seqs []uint64) uint64 {
+	if len(seqs) == 0 {
+		return 0
+	}
+	return seqs[len(seqs)-1]
+}
+
+// load reads one segment: its header has to go on from the one before, and its records from each other.
+func (l *Log) load(seq uint64, oldest, newest bool, found *Found) error {
+	name := segmentName(seq)
+	f, err := l.fs.Open(name)
+	if err != nil {
+		return err
+	}
+	s := &segment{seq: seq, name: name, file: f}
+	if s.size, err = f.Size(); err != nil {
+		return err
+	}
+	if s.size > maxSegmented {
+		return &Damage{name, 0, "the header", fmt.Sprintf("%d bytes, expected less than %d", s.size, maxSegmented)}
+	}
+	raw := make([]byte, s.size)
+	if s.size > 0 {
+		if _, err = f.ReadAt(raw, 0); err != nil {
+			return &Damage{name, 0, "the header", err.Error()}
+		}
+	}
+	if bad := l.header(raw, seq, oldest); bad != "" {
+		if newest && !begun(raw, min(headerBytes, len(raw))-1) && len(raw) <= headerBytes {
+			// It was being made: its header is synced before anything follows it.
+			f.Close()
+			found.Torn, found.Bytes = name+" at byte 0", s.size
+			if err = l.fs.Remove(name); err != nil {
+				return err
+			}
+			return l.fs.Sync()
+		}
+		f.Close()
+		return &Damage{name, 0, "the header", bad}
+	}
+	l.segs = append(l.segs, s)
+	return l.records(s, raw, newest, found)
+}
+
+func (l *Log) header(raw []byte, seq uint64, oldest bool) string {
+	switch {
+	case len(raw) < headerBytes || string(raw[:8]) != magic:
+		return "no header of a log"
+	case binary.LittleEndian.Uint32(raw[8:]) != crc32.Checksum(raw[12:headerBytes], castagnoli):
+		return "its sum does not fit"
+	case binary.LittleEndian.Uint32(raw[12:]) != format:
+		return fmt.Sprintf("format %d, expected %d", binary.LittleEndian.Uint32(raw[12:]), format)
+	case binary.LittleEndian.Uint64(raw[16:]) != seq:
+		return fmt.Sprintf("segment %d, expected %d", binary.LittleEndian.Uint64(raw[16:]), seq)
+	}
+	next, sum := binary.LittleEndian.Uint64(raw[24:]), binary.LittleEndian.Uint32(raw[32:])
+	if oldest {
+		l.base, l.sum = next, sum
+		return ""
+	}
+	if before := l.segs[len(l.segs)-1].seq; before+1 != seq {
+		return fmt.Sprintf("it follows segment %d, expected %d: one is missing", before, seq-1)
+	}
+	if sum != l.sum || next != l.base+uint64(len(l.at)) {
+		return "it does not go on from the segment before"
+	}
+	return ""
+}
+
+// records reads a segment's records flush by flush; a flush counts once it is whole.
+func (l *Log) records(s *segment, raw []byte, newest bool, found *Found) error {
+	type rec struct {
+		kind   byte
+		number uint64
+		data   []byte
+		off    int64
+	}
+	var flush []rec
+	sum, start, off := l.sum, headerBytes, headerBytes
+	next := l.base + uint64(len(l.at))
+	bad := ""
+	for off < len(raw) {
+		kind, number, data, ok := check(raw[off:], sum)
+		switch {
+		case !ok:
+			bad = "its sum does not fit"
+		case (kind&firstOne != 0) != (len(flush) == 0):
+			bad = "it is out of its flush"
+		case kind&kindBits == kindEntry && number != next:
+			bad = fmt.Sprintf("entry %d, expected %d", number, next)
+		case kind&kindBits == kindMark && number >= MaxMarks:
+			bad = fmt.Sprintf("mark %d, expected one below %d", number, MaxMarks)
+		case kind&kindBits == kindCut && number == 0:
+			bad = "a cut to entry 0"
+		}
+		if bad != "" {
+			break
+		}
+		switch kind & kindBits {
+		case kindEntry:
+			next++
+		case kindCut:
+			next = number
+		}
+		flush = append(flush, rec{kind, number, data, int64(off)})
+		off += headBytes + len(data) + sumBytes
+		sum = binary.LittleEndian.Uint32(raw[off-sumBytes:])
+		if kind&lastOne == 0 {
+			continue
+		}
+		for _, r := range flush {
+			switch r.kind & kindBits {
+			case kindEntry:
+				l.at = append(l.at, place{s.seq, r.off, int32(len(r.data))})
+			case kindMark:
+				l.marks[r.number] = append([]byte{}, r.data...)
+			case kindCut:
+				l.cut(r.number)
+			}
+		}
+		l.sum, start, flush = sum, off, flush[:0]
+	}
+	if start == len(raw) {
+		return l.settle(s, newest)
+	}
+	what := fmt.Sprintf("the record of entry %d or a mark before it", next)
+	if !newest || begun(raw, off) {
+		if bad == "" {
+			bad = "the flush it belongs to has no end"
+		}
+		return &Damage{s.name, int64(off), what, bad}
+	}
+	found.Torn, found.Bytes = fmt.Sprintf("%s at byte %d", s.name, start), int64(len(raw)-start)
+	if err := s.file.Truncate(int64(start)); err != nil {
+		return err
+	}
+	s.size = int64(start)
+	return l.settle(s, newest)
+}
+
+// settle makes what was read durable, names too: a process that was killed may have left it written but not synced.
+func (l *Log) settle(s *segment, newest bool) error {
+	if !newest {
+		return nil
+	}
+	if err := s.file.Sync(); err != nil {
+		return err
+	}
+	return l.fs.Sync()
+}
--- /dev/null
+++ b/internal/wal/snapshot.go
@@ -0,0 +1,157 @@
+package wal
+
+import (
+	"encoding/binary"
+	"fmt"
+	"sort"
+
+	"github.com/cespare/xxhash/v2"
+)
+
+// A snapshot's file: "umbersnp" | sum u64 | number u64 | bytes. The sum takes in all that follows it.
+const (
+	snapSuffix = ".snap"
+	snapMagic  = "umbersnp"
+	snapHead   = 24
+	// keptSnaps is two: with the log kept from the older one on, a newest that can't be read costs nothing.
+	keptSnaps = 2
+)
+
+type snapshot struct {
+	number uint64
+	bytes  int64
+}
+
+func snapName(number uint64) string { return fmt.Sprintf("%016x", number) + snapSuffix }
+
+func (l *Log) findSnapshots(names []string) error {
+	for _, name := range names {
+		n, ok := numbered(name, snapSuffix)
+		if !ok {
+			continue
+		}
+		f, err := l.fs.Open(name)
+		if err != nil {
+			return err
+		}
+		size, err := f.Size()
+		f.Close()
+		if err != nil {
+			return err
+		}
+		l.snaps = append(l.snaps, snapshot{n, size})
+	}
+	sort.Slice(l.snaps, func(i, k int) bool { return l.snaps[i].number < l.snaps[k].number })
+	return nil
+}
+
+// Save writes a snapshot that stands for all entries up to a number. It is there whole or not at all; the two newest
+// are kept. The log itself is let go of by Release.
+func (l *Log) Save(number uint64, parts ...[]byte) error {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.fault != nil {
+		return l.fault
+	}
+	size := int64(snapHead)
+	head := make([]byte, snapHead)
+	copy(head, snapMagic)
+	binary.LittleEndian.PutUint64(head[16:], number)
+	sum := xxhash.New()
+	sum.Write(head[16:])
+	for _, p := range parts {
+		sum.Write(p)
+		size += int64(len(p))
+	}
+	binary.LittleEndian.PutUint64(head[8:], sum.Sum64())
+	if l.usage()+size > l.sizes.Bound {
+		return fmt.Errorf("%w: a snapshot of %d bytes beside %d, expected at most %d", ErrFull, size, l.usage(),
+			l.sizes.Bound)
+	}
+	if err := l.writeSnapshot(snapName(number), head, parts); err != nil {
+		return l.breaks(err)
+	}
+	kept := l.snaps[:0]
+	for _, s := range l.snaps {
+		if s.number != number {
+			kept = append(kept, s)
+		}
+	}
+	l.snaps = append(kept, snapshot{number, size})
+	sort.Slice(l.snaps, func(i, k int) bool { return l.snaps[i].number < l.snaps[k].number })
+	for len(l.snaps) > keptSnaps {
+		if err := l.fs.Remove(snapName(l.snaps[0].number)); err != nil {
+			return l.breaks(err)
+		}
+		l.snaps = append(l.snaps[:0], l.snaps[1:]...)
+	}
+	if err := l.fs.Sync(); err != nil {
+		return l.breaks(err)
+	}
+	return nil
+}
+
+func (l *Log) writeSnapshot(name string, head []byte, parts [][]byte) error {
+	f, err := l.fs.Create(name + tmpSuffix)
+	if err != nil {
+		return err
+	}
+	off := int64(0)
+	for _, p := range append([][]byte{head}, parts...) {
+		if len(p) == 0 {
+			continue
+		}
+		if _, err = f.WriteAt(p, off); err != nil {
+			f.Close()
+			return err
+		}
+		off += int64(len(p))
+	}
+	if err = f.Sync(); err != nil {
+		f.Close()
+		return err
+	}
+	if err = f.Close(); err != nil {
+		return err
+	}
+	if err = l.fs.Rename(name+tmpSuffix, name); err != nil {
+		return err
+	}
+	return l.fs.Sync()
+}
+
+// Snapshots gives the numbers of the snapshots there, the newest first.
+func (l *Log) Snapshots() []uint64 {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	var out []uint64
+	for i := len(l.snaps) - 1; i >= 0; i-- {
+		out = append(out, l.snaps[i].number)
+	}
+	return out
+}
+
+// Load reads a snapshot, checked against its sum.
+func (l *Log) Load(number uint64) ([]byte, error) {
+	name := snapName(number)
+	f, err := l.fs.Open(name)
+	if err != nil {
+		return nil, err
+	}
+	defer f.Close()
+	size, err := f.Size()
+	if err != nil {
+		return nil, err
+	}
+	raw := make([]byte, size)
+	if size > 0 {
+		if _, err = f.ReadAt(raw, 0); err != nil {
+			return nil, &Damage{name, 0, "a snapshot", err.Error()}
+		}
+	}
+	if size < snapHead || string(raw[:8]) != snapMagic || binary.LittleEndian.Uint64(raw[16:]) != number ||
+		binary.LittleEndian.Uint64(raw[8:]) != xxhash.Sum64(raw[16:]) {
+		return nil, &Damage{name, 0, "a snapshot", "its sum does not fit"}
+	}
+	return raw[snapHead:], nil
+}
--- /dev/null
+++ b/internal/wal/wal.go
@@ -0,0 +1,429 @@
+// Package wal is a durable log: entries numbered without gaps, small marks of which the last of each kind counts,
+// and snapshots that let the front of the log go. It owns the files of one folder. What Commit returned without an
+// error is there after any crash; what it did not is there whole or not at all. It never repairs damage by guessing,
+// never writes over what was synced, and never goes on after a write or sync that failed.
+package wal
+
+import (
+	"encoding/binary"
+	"errors"
+	"fmt"
+	"hash/crc32"
+	"sync"
+)
+
+// Bounds that hold for every log.
+const (
+	MaxRecord = 8 << 20 // bytes of one entry or mark: the largest document, with room to spare
+	MaxMarks  = 16      // kinds of marks
+)
+
+// On disk a record is a head, what it carries, and a sum at its end that takes in the sum before it:
+//
+//	length u32 | kind u8 | number u64 | bytes | sum u32
+//
+// As the sum stands last, a reader can check a record from anywhere, with the four bytes before it as the sum before.
+// That tells a tail that was torn from damage with good records behind it.
+const (
+	headBytes = 13
+	sumBytes  = 4
+
+	kindEntry byte = 1
+	kindMark  byte = 2
+	kindCut   byte = 3 // the next entry has this number: later ones no longer count
+	kindBits  byte = 0x0f
+	firstOne  byte = 0x80 // of a flush, which is synced before the next is written
+	lastOne   byte = 0x40
+)
+
+var castagnoli = crc32.MakeTable(crc32.Castagnoli)
+
+// ErrFull says that the log would grow past its bound; nothing was written and the log goes on.
+var ErrFull = errors.New("the log is at its bound")
+
+// ErrBroken says that a write or sync failed: what is on disk is not known until the log is opened again, so the
+// process has to end.
+var ErrBroken = errors.New("the log can't be relied on any more")
+
+// Sizes are a log's two figures.
+type Sizes struct {
+	Segment int64 // bytes after which a new segment is begun
+	Bound   int64 // bytes of all files together
+}
+
+// Mark is a small value that counts until the next of its kind.
+type Mark struct {
+	Kind int // 0 to MaxMarks-1
+	Data []byte
+}
+
+// Batch is written whole or not at all, in the order cut, entries, marks.
+type Batch struct {
+	Cut     uint64 // 0, or the number the next entry gets: later ones are dropped
+	Entries [][]byte
+	Marks   []Mark
+}
+
+type place struct {
+	seg uint64 // sequence number of the segment
+	off int64  // of the record's head
+	len int32  // of what it carries
+}
+
+// Log is an open log.
+type Log struct {
+	fs     FS
+	sizes  Sizes
+	unlock func()
+
+	mu    sync.Mutex // guards what follows
+	segs  []*segment // oldest first; the last one is written to
+	base  uint64     // number of the first entry held
+	at    []place    // of entry base+i
+	marks [MaxMarks][]byte
+	sum   uint32
+	snaps []snapshot // oldest first, two at most
+	fault error
+	buf   []byte
+
+	queue   []*waiter
+	writing bool
+	flushes uint64
+}
+
+type waiter struct {
+	batch Batch
+	first uint64
+	err   error
+	wake  chan bool // true: done; false: flush what waits yourself
+}
+
+// Commit writes a batch and returns once it is durable, with the number of its first entry. Callers that come while
+// another's sync is under way share the next one.
+func (l *Log) Commit(b Batch) (uint64, error) {
+	for _, e := range b.Entries {
+		if len(e) > MaxRecord {
+			return 0, fmt.Errorf("an entry of %d bytes, expected at most %d", len(e), MaxRecord)
+		}
+	}
+	for _, m := range b.Marks {
+		if len(m.Data) > MaxRecord || m.Kind < 0 || m.Kind >= MaxMarks {
+			return 0, fmt.Errorf("a mark of kind %d with %d bytes, expected kinds below %d and at most %d bytes",
+				m.Kind, len(m.Data), MaxMarks, MaxRecord)
+		}
+	}
+	w := &waiter{batch: b}
+	l.mu.Lock()
+	l.queue = append(l.queue, w)
+	if l.writing {
+		w.wake = make(chan bool, 1)
+		l.mu.Unlock()
+		if <-w.wake {
+			return w.first, w.err
+		}
+		l.mu.Lock()
+	}
+	l.writing = true
+	took := l.queue
+	l.queue = nil
+	l.flush(took)
+	if len(l.queue) > 0 {
+		l.queue[0].wake <- false // it flushes for those behind it, so no caller waits for others without end
+	} else {
+		l.writing = false
+	}
+	l.mu.Unlock()
+	for _, o := range took {
+		if o != w {
+			o.wake <- true
+		}
+	}
+	return w.first, w.err
+}
+
+// flush writes the batches of some callers with one write and one sync. It is entered and left with the lock held
+// and gives it up while the disk works; writing keeps every other writer out meanwhile.
+func (l *Log) flush(took []*waiter) {
+	all := func(err error) {
+		for _, w := range took {
+			w.first, w.err = 0, err
+		}
+	}
+	if l.fault != nil {
+		all(l.fault)
+		return
+	}
+	need := int64(0)
+	for _, w := range took {
+		need += batchBytes(w.batch)
+	}
+	if l.usage()+need > l.sizes.Bound {
+		all(fmt.Errorf("%w: %d bytes and %d more, expected at most %d", ErrFull, l.usage(), need, l.sizes.Bound))
+		return
+	}
+	cur := l.segs[len(l.segs)-1]
+	fresh := cur.size > headerBytes && cur.size+need > l.sizes.Segment
+	if fresh {
+		at, sum := l.base+uint64(len(l.at)), l.sum
+		l.mu.Unlock()
+		next, err := createSegment(l.fs, cur.seq+1, at, sum)
+		l.mu.Lock()
+		if err != nil {
+			l.fault = fmt.Errorf("%w: a new segment: %w", ErrBroken, err)
+			all(l.fault)
+			return
+		}
+		l.segs = append(l.segs, next)
+		cur = next
+	}
+	w := writer{buf: l.buf[:0], sum: l.sum, seg: cur.seq, off: cur.size, next: l.base + uint64(len(l.at)),
+		last: -1}
+	if fresh { // the marks stand in each segment, so that older ones can go
+		for k, m := range l.marks {
+			if m != nil {
+				w.add(kindMark, uint64(k), m)
+			}
+		}
+	}
+	for _, o := range took {
+		o.first, o.err = w.batch(o.batch), nil
+	}
+	if w.last < 0 {
+		return // nothing to write
+	}
+	w.close()
+	l.buf = w.buf
+	l.mu.Unlock()
+	_, err := cur.file.WriteAt(w.buf, cur.size)
+	if err == nil {
+		err = cur.file.Sync()
+	}
+	l.mu.Lock()
+	if err != nil {
+		l.fault = fmt.Errorf("%w: %s: %w", ErrBroken, cur.name, err)
+		all(l.fault)
+		return
+	}
+	l.flushes++
+	cur.size += int64(len(w.buf))
+	l.sum = w.sum
+	for _, o := range took {
+		l.note(o.batch, &w)
+	}
+	if cap(l.buf) > 1<<20 {
+		l.buf = nil
+	}
+}
+
+// note takes over what a batch says once it is durable.
+func (l *Log) note(b Batch, w *writer) {
+	if b.Cut > 0 {
+		l.cut(b.Cut)
+	}
+	l.at = append(l.at, w.places[:len(b.Entries)]...)
+	w.places = w.places[len(b.Entries):]
+	for _, m := range b.Marks {
+		l.marks[m.Kind] = append([]byte{}, m.Data...)
+	}
+}
+
+func (l *Log) cut(next uint64) {
+	if next < l.base || next > l.base+uint64(len(l.at)) {
+		l.base, l.at = next, l.at[:0]
+		return
+	}
+	l.at = l.at[:next-l.base]
+}
+
+func batchBytes(b Batch) int64 {
+	n := int64(0)
+	if b.Cut > 0 {
+		n += headBytes + sumBytes
+	}
+	for _, e := range b.Entries {
+		n += int64(len(e)) + headBytes + sumBytes
+	}
+	for _, m := range b.Marks {
+		n += int64(len(m.Data)) + headBytes + sumBytes
+	}
+	return n
+}
+
+// writer puts records together for one flush.
+type writer struct {
+	buf    []byte
+	sum    uint32
+	seg    uint64
+	off    int64
+	next   uint64
+	last   int // where the last record's head stands in buf
+	prev   uint32
+	places []place
+}
+
+func (w *writer) add(kind byte, number uint64, data []byte) {
+	if w.last < 0 {
+		kind |= firstOne
+	}
+	w.last, w.prev = len(w.buf), w.sum
+	w.buf = binary.LittleEndian.AppendUint32(w.buf, uint32(len(data)))
+	w.buf = append(w.buf, kind)
+	w.buf = binary.LittleEndian.AppendUint64(w.buf, number)
+	w.buf = append(w.buf, data...)
+	w.sum = crc32.Update(w.prev, castagnoli, w.buf[w.last:])
+	w.buf = binary.LittleEndian.AppendUint32(w.buf, w.sum)
+}
+
+func (w *writer) batch(b Batch) uint64 {
+	if b.Cut > 0 {
+		w.add(kindCut, b.Cut, nil)
+		w.next = b.Cut
+	}
+	first := w.next
+	for _, e := range b.Entries {
+		w.places = append(w.places, place{w.seg, w.off + int64(len(w.buf)), int32(len(e))})
+		w.add(kindEntry, w.next, e)
+		w.next++
+	}
+	for _, m := range b.Marks {
+		w.add(kindMark, uint64(m.Kind), m.Data)
+	}
+	return first
+}
+
+// close marks the last record as such and sums it again.
+func (w *writer) close() {
+	w.buf[w.last+4] |= lastOne
+	end := len(w.buf) - sumBytes
+	w.sum = crc32.Update(w.prev, castagnoli, w.buf[w.last:end])
+	binary.LittleEndian.PutUint32(w.buf[end:], w.sum)
+}
+
+// First gives the number of the first entry held; it is Next where there is none.
+func (l *Log) First() uint64 {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.base
+}
+
+// Next gives the number the next entry gets.
+func (l *Log) Next() uint64 {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.base + uint64(len(l.at))
+}
+
+// Mark gives the last mark of a kind, nil if there is none.
+func (l *Log) Mark(kind int) []byte {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.marks[kind]
+}
+
+// Flushes counts the syncs that callers waited for.
+func (l *Log) Flushes() uint64 {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.flushes
+}
+
+// Usage gives the bytes of all files.
+func (l *Log) Usage() int64 {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.usage()
+}
+
+func (l *Log) usage() int64 {
+	n := int64(0)
+	for _, s := range l.segs {
+		n += s.size
+	}
+	for _, s := range l.snaps {
+		n += s.bytes
+	}
+	return n
+}
+
+// Read gives an entry, checked once more against its sum.
+func (l *Log) Read(number uint64) ([]byte, error) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if number < l.base || number >= l.base+uint64(len(l.at)) {
+		return nil, fmt.Errorf("entry %d, expected one from %d to %d", number, l.base, l.base+uint64(len(l.at))-1)
+	}
+	p := l.at[number-l.base]
+	s := l.segment(p.seg)
+	raw := make([]byte, sumBytes+headBytes+int(p.len)+sumBytes)
+	if _, err := s.file.ReadAt(raw, p.off-sumBytes); err != nil {
+		return nil, &Damage{s.name, p.off, fmt.Sprintf("entry %d", number), err.Error()}
+	}
+	kind, n, data, ok := check(raw[sumBytes:], binary.LittleEndian.Uint32(raw))
+	if !ok || kind&kindBits != kindEntry || n != number {
+		return nil, &Damage{s.name, p.off, fmt.Sprintf("entry %d", number), "its sum does not fit"}
+	}
+	return data, nil
+}
+
+func (l *Log) segment(seq uint64) *segment { return l.segs[seq-l.segs[0].seq] }
+
+// Release lets entries up to a number go. Whole segments leave the disk; what shares a segment with later entries
+// stays until they go too. The caller keeps a snapshot of what it lets go of.
+func (l *Log) Release(upto uint64) error {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.fault != nil {
+		return l.fault
+	}
+	if l.writing {
+		return errors.New("released while another writes, expected one owner")
+	}
+	if upto+1 > l.base {
+		n := min(upto+1-l.base, uint64(len(l.at)))
+		l.base += n
+		l.at = append(make([]place, 0, len(l.at)-int(n)+64), l.at[n:]...)
+	}
+	keep := l.segs[len(l.segs)-1].seq
+	if len(l.at) > 0 {
+		keep = l.at[0].seg
+	}
+	gone := 0
+	for l.segs[gone].seq < keep {
+		if err := l.fs.Remove(l.segs[gone].name); err != nil {
+			return l.breaks(err)
+		}
+		l.segs[gone].file.Close()
+		gone++
+	}
+	if gone == 0 {
+		return nil
+	}
+	l.segs = append([]*segment{}, l.segs[gone:]...)
+	if err := l.fs.Sync(); err != nil {
+		return l.breaks(err)
+	}
+	return nil
+}
+
+func (l *Log) breaks(err error) error {
+	l.fault = fmt.Errorf("%w: %w", ErrBroken, err)
+	return l.fault
+}
+
+// Close lets the folder go. Nothing has to be written at a close.
+func (l *Log) Close() error {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.unlock == nil {
+		return nil
+	}
+	if l.fault == nil {
+		l.fault = errors.New("the log is closed")
+	}
+	for _, s := range l.segs {
+		s.file.Close()
+	}
+	l.unlock()
+	l.unlock = nil
+	return nil
+}
--- /dev/null
+++ b/internal/wal/wal_test.go
@@ -0,0 +1,415 @@
+package wal
+
+import (
+	"errors"
+	"fmt"
+	"math/rand"
+	"strings"
+	"sync"
+	"syscall"
+	"testing"
+)
+
+var errPower = errors.New("the power went")
+
+// TestCrashAnywhere takes the power at a step drawn by chance, or kills the process there, opens what a disk may hold
+// then, and goes on: what was acknowledged is there, what was not is there whole or not at all.
+func TestCrashAnywhere(t *testing.T) {
+	torn := 0
+	for seed := int64(0); seed < 400; seed++ {
+		r := rand.New(rand.NewSource(seed))
+		disk, m := NewMem(), newModel()
+		for life := 0; life < 6; life++ {
+			left := r.Intn(120)
+			disk.Hook = func(string, string) (int, error) {
+				if left--; left < 0 {
+					return r.Intn(400), errPower
+				}
+				return 0, nil
+			}
+			var tried *model
+			l, found, err := Open(disk, small)
+			if err == nil {
+				if found.Torn != "" {
+					torn++
+				}
+				if d := m.differs(l); d != "" {
+					t.Fatalf("seed %d life %d: %s", seed, life, d)
+				}
+				for n := 0; n < 40; n++ {
+					b := m.draw(r)
+					tried = m.clone()
+					tried.apply(b)
+					if _, err = l.Commit(b); err != nil {
+						break
+					}
+					m, tried = tried, nil
+					if r.Intn(6) == 0 && len(m.entries) > 3 {
+						gone := r.Intn(3) + 1
+						m.entries, m.base = m.entries[gone:], m.base+uint64(gone)
+						if err = l.Release(m.base - 1); err != nil {
+							break
+						}
+					}
+				}
+			} else if !errors.Is(err, errPower) {
+				t.Fatalf("seed %d life %d: open: %v", seed, life, err)
+			}
+			if r.Intn(4) == 0 {
+				disk = disk.Kill()
+			} else {
+				disk = disk.Crash(r.Intn)
+			}
+			if tried != nil { // settled by what is found, once
+				l, found, err := Open(disk, small)
+				if found.Torn != "" {
+					torn++
+				}
+				if err != nil {
+					t.Fatalf("seed %d life %d: open after a crash: %v", seed, life, err)
+				}
+				if m.differs(l) != "" {
+					if d := tried.differs(l); d != "" {
+						t.Fatalf("seed %d life %d: neither before nor after the batch: %s; %s", seed, life,
+							m.differs(l), d)
+					}
+					m = tried
+				}
+				l.Close()
+			}
+		}
+	}
+	if torn < 50 {
+		t.Fatalf("%d torn tails, expected at least 50: the crashes don't reach the cases", torn)
+	}
+}
+
+// TestDamageInTheMiddle flips each byte in turn. Before the last flush that is damage, told with its place, and the
+// folder is left as it was; within the last flush it can't be told from a torn tail.
+func TestDamageInTheMiddle(t *testing.T) {
+	fill := func() (*Mem, int64) {
+		disk := NewMem()
+		l := open(t, disk, Sizes{Segment: 300, Bound: 1 << 20})
+		last := int64(0)
+		for i := 0; i < 12; i++ {
+			was := len(l.segs)
+			last = l.segs[was-1].size
+			commit(t, l, Batch{Entries: [][]byte{[]byte(fmt.Sprint("entry ", i))},
+				Marks: []Mark{{1, []byte(fmt.Sprint(i))}}})
+			if len(l.segs) > was {
+				last = headerBytes
+			}
+		}
+		l.Close()
+		return disk, last
+	}
+	disk, lastFlush := fill()
+	names, _ := disk.List()
+	if len(names) < 3 {
+		t.Fatalf("%d segments, expected some", len(names))
+	}
+	for i, name := range names {
+		f, _ := disk.Open(name)
+		size, _ := f.Size()
+		for off := int64(0); off < size; off++ {
+			disk, _ := fill()
+			disk.Flip(name, off, 0x10)
+			l, found, err := Open(disk, small)
+			var damage *Damage
+			if i == len(names)-1 && off >= lastFlush {
+				if err != nil || found.Torn == "" || l.Next() != 12 {
+					t.Fatalf("%s byte %d: %v, expected the last flush cut off", name, off, err)
+				}
+				continue
+			}
+			if !errors.As(err, &damage) || damage.File == "" || !strings.Contains(err.Error(), "at byte") {
+				t.Fatalf("%s byte %d: %v, expected damage told with its place", name, off, err)
+			}
+			if after, _ := disk.List(); len(after) != len(names) {
+				t.Fatalf("%s byte %d: %d files left of %d", name, off, len(after), len(names))
+			}
+		}
+	}
+}
+
+func TestMissingSegmentIsDamage(t *testing.T) {
+	disk := NewMem()
+	l := open(t, disk, Sizes{Segment: 100, Bound: 1 << 20})
+	for i := 0; i < 9; i++ {
+		commit(t, l, Batch{Entries: [][]byte{make([]byte, 50)}})
+	}
+	l.Close()
+	names, _ := disk.List()
+	disk.Remove(names[1])
+	if _, _, err := Open(disk, small); err == nil || !strings.Contains(err.Error(), "one is missing") {
+		t.Fatalf("got %v, expected a missing segment", err)
+	}
+}
+
+func TestFailedSyncEndsTheLog(t *testing.T) {
+	disk := NewMem()
+	l := open(t, disk, small)
+	commit(t, l, Batch{Entries: [][]byte{[]byte("a")}})
+	fail := true
+	disk.Hook = func(step, _ string) (int, error) {
+		if step == "sync" && fail {
+			fail = false // a second sync would succeed and say nothing of what was lost
+			return 0, syscall.EIO
+		}
+		return 0, nil
+	}
+	for i := 0; i < 2; i++ {
+		if _, err := l.Commit(Batch{Entries: [][]byte{[]byte("b")}}); !errors.Is(err, ErrBroken) {
+			t.Fatalf("commit %d: %v, expected %v", i, err, ErrBroken)
+		}
+	}
+	if err := l.Save(1, []byte("x")); !errors.Is(err, ErrBroken) {
+		t.Fatalf("snapshot: %v, expected %v", err, ErrBroken)
+	}
+}
+
+func TestFullDisk(t *testing.T) {
+	disk := NewMem()
+	disk.Room = 3000
+	l := open(t, disk, small)
+	m := newModel()
+	for n := 0; ; n++ {
+		b := Batch{Entries: [][]byte{[]byte(strings.Repeat("x", 200))}}
+		if _, err := l.Commit(b); err != nil {
+			if !errors.Is(err, ErrBroken) || !errors.Is(err, syscall.ENOSPC) || n < 5 {
+				t.Fatalf("commit %d: %v", n, err)
+			}
+			break
+		}
+		m.apply(b)
+	}
+	l.Close()
+	disk = disk.Kill()
+	disk.Room = 0
+	l, found, err := Open(disk, small)
+	if err != nil || found.Torn == "" {
+		t.Fatalf("open after a full disk: %v, torn %q", err, found.Torn)
+	}
+	if d := m.differs(l); d != "" {
+		t.Fatal(d)
+	}
+}
+
+func TestBoundRefusesAndHarmsNothing(t *testing.T) {
+	l := open(t, NewMem(), Sizes{Segment: 400, Bound: 2000})
+	m := newModel()
+	for {
+		b := Batch{Entries: [][]byte{make([]byte, 150)}}
+		_, err := l.Commit(b)
+		if errors.Is(err, ErrFull) {
+			break
+		} else if err != nil {
+			t.Fatal(err)
+		}
+		m.apply(b)
+	}
+	if l.Usage() > 2000 {
+		t.Fatalf("%d bytes, expected at most 2000", l.Usage())
+	}
+	if d := m.differs(l); d != "" {
+		t.Fatal(d)
+	}
+	if err := l.Release(m.next() - 2); err != nil {
+		t.Fatal(err)
+	}
+	commit(t, l, Batch{Entries: [][]byte{make([]byte, 150)}})
+}
+
+// TestGroupCommit holds the first sync until all others wait: they share the second.
+func TestGroupCommit(t *testing.T) {
+	disk := NewMem()
+	l := open(t, disk, Sizes{Segment: 1 << 20, Bound: 1 << 20})
+	entered, gate := make(chan struct{}), make(chan struct{})
+	first := true
+	disk.Hook = func(step, _ string) (int, error) {
+		if step == "sync" && first {
+			first = false
+			close(entered)
+			<-gate
+		}
+		return 0, nil
+	}
+	var wg sync.WaitGroup
+	numbers := make([]uint64, 20)
+	put := func(i int) {
+		defer wg.Done()
+		n, err := l.Commit(Batch{Entries: [][]byte{[]byte(fmt.Sprint(i))}})
+		if err != nil {
+			t.Error(err)
+		}
+		numbers[i] = n
+	}
+	wg.Add(1)
+	go put(0)
+	<-entered
+	wg.Add(19)
+	for i := 1; i < 20; i++ {
+		go put(i)
+	}
+	for waiting := 0; waiting < 19; {
+		l.mu.Lock()
+		waiting = len(l.queue)
+		l.mu.Unlock()
+	}
+	close(gate)
+	wg.Wait()
+	if l.Flushes() != 2 {
+		t.Fatalf("%d syncs for 20 commits, expected 2", l.Flushes())
+	}
+	for i, n := range numbers {
+		if got, err := l.Read(n); err != nil || string(got) != fmt.Sprint(i) {
+			t.Fatalf("entry %d is %q (%v), expected %d", n, got, err, i)
+		}
+	}
+}
+
+func TestReleaseKeepsMarksAndBoundsTheDisk(t *testing.T) {
+	disk := NewMem()
+	l := open(t, disk, small)
+	commit(t, l, Batch{Marks: []Mark{{3, []byte("kept")}}})
+	most := int64(0)
+	for i := uint64(1); i <= 500; i++ {
+		commit(t, l, Batch{Entries: [][]byte{make([]byte, 100)}})
+		if err := l.Release(i - min(i, 5)); err != nil {
+			t.Fatal(err)
+		}
+		most = max(most, l.Usage())
+	}
+	if most > 4*small.Segment {
+		t.Fatalf("%d bytes at most, expected under %d", most, 4*small.Segment)
+	}
+	l.Close()
+	if l = open(t, disk, small); string(l.Mark(3)) != "kept" || l.Next() != 501 {
+		t.Fatalf("mark %q, next %d", l.Mark(3), l.Next())
+	}
+}
+
+// TestSnapshotAtAnyStep crashes at each step of a save: the old ones are there, or the new one whole.
+func TestSnapshotAtAnyStep(t *testing.T) {
+	for at := 0; ; at++ {
+		disk := NewMem()
+		l := open(t, disk, small)
+		for i := uint64(1); i <= 3; i++ {
+			commit(t, l, Batch{Entries: [][]byte{{byte(i)}}})
+			if err := l.Save(i, []byte("state "), []byte{'0' + byte(i)}); err != nil {
+				t.Fatal(err)
+			}
+		}
+		left, failed := at, false
+		disk.Hook = func(string, string) (int, error) {
+			if left--; left < 0 {
+				failed = true
+				return 7, errPower
+			}
+			return 0, nil
+		}
+		l.Save(4, []byte("state "), []byte("4"))
+		r := rand.New(rand.NewSource(int64(at)))
+		disk.Hook = nil
+		after := disk.Crash(r.Intn)
+		l = open(t, after, small)
+		snaps := l.Snapshots()
+		if len(snaps) < 2 || snaps[0] < 3 {
+			t.Fatalf("step %d: snapshots %v, expected two, 3 or 4 the newest", at, snaps)
+		}
+		for _, n := range snaps {
+			if got, err := l.Load(n); err != nil || string(got) != fmt.Sprint("state ", n) {
+				t.Fatalf("step %d: snapshot %d is %q (%v)", at, n, got, err)
+			}
+		}
+		if !failed {
+			return
+		}
+	}
+}
+
+func TestDamagedSnapshotIsTold(t *testing.T) {
+	disk := NewMem()
+	l := open(t, disk, small)
+	if err := l.Save(1, []byte("state")); err != nil {
+		t.Fatal(err)
+	}
+	disk.Flip(snapName(1), 26, 1)
+	var damage *Damage
+	if _, err := l.Load(1); !errors.As(err, &damage) {
+		t.Fatalf("got %v, expected damage", err)
+	}
+}
+
+func TestOneProcessAtATime(t *testing.T) {
+	dir, err := MakeDir(t.TempDir())
+	if err != nil {
+		t.Fatal(err)
+	}
+	l := open(t, dir, small)
+	if _, _, err = Open(dir, small); !errors.Is(err, ErrLocked) {
+		t.Fatalf("second open: %v, expected %v", err, ErrLocked)
+	}
+	commit(t, l, Batch{Entries: [][]byte{[]byte("on disk")}, Marks: []Mark{{0, []byte("m")}}})
+	if err = l.Save(1, []byte("s")); err != nil {
+		t.Fatal(err)
+	}
+	l.Close()
+	l = open(t, dir, small)
+	if got, err := l.Read(1); err != nil || string(got) != "on disk" || string(l.Mark(0)) != "m" {
+		t.Fatalf("entry %q, mark %q, %v", got, l.Mark(0), err)
+	}
+	l.Close()
+}
+
+func BenchmarkCommit(b *testing.B) {
+	for _, callers := range []int{1, 64} {
+		b.Run(fmt.Sprint(callers), func(b *testing.B) {
+			dir, err := MakeDir(b.TempDir())
+			if err != nil {
+				b.Fatal(err)
+			}
+			l := open(b, dir, Sizes{Segment: 4 << 20, Bound: 8 << 30})
+			defer l.Close()
+			b.ResetTimer()
+			var wg sync.WaitGroup
+			for c := 0; c < callers; c++ {
+				wg.Add(1)
+				go func() {
+					defer wg.Done()
+					for i := c; i < b.N; i += callers {
+						if _, err := l.Commit(Batch{Entries: [][]byte{make([]byte, 200)}}); err != nil {
+							b.Error(err)
+						}
+					}
+				}()
+			}
+			wg.Wait()
+			b.ReportMetric(float64(l.Flushes())/float64(b.N), "syncs/op")
+		})
+	}
+}
+
+// TestKilledThenPowerLost: what a killed process had written but not synced counts once it was read, so it has to
+// outlast the next loss of power too.
+func TestKilledThenPowerLost(t *testing.T) {
+	for seed := int64(0); seed < 40; seed++ {
+		disk := NewMem()
+		l := open(t, disk, small)
+		disk.Hook = func(step, _ string) (int, error) {
+			if step == "sync" {
+				return 0, errPower
+			}
+			return 0, nil
+		}
+		l.Commit(Batch{Entries: [][]byte{[]byte("written")}})
+		disk = disk.Kill()
+		if l = open(t, disk, small); l.Next() != 2 {
+			t.Fatalf("next %d, expected what was written to be read", l.Next())
+		}
+		disk = disk.Crash(rand.New(rand.NewSource(seed)).Intn)
+		if l = open(t, disk, small); l.Next() != 2 {
+			t.Fatalf("seed %d: next %d, expected what was read before to be there", seed, l.Next())
+		}
+	}
+}
