--- a/internal/wal/snapshot.go
+++ b/internal/wal/snapshot.go
@@ -46,13 +46,8 @@
 }
 
 // Save writes a snapshot that stands for all entries up to a number. It is there whole or not at all; the two newest
-// are kept. The log itself is let go of by Release.
+// are kept. The log itself is let go of by Release. One save at a time; commits go on beside it.
 func (l *Log) Save(number uint64, parts ...[]byte) error {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	if l.fault != nil {
-		return l.fault
-	}
 	size := int64(snapHead)
 	head := make([]byte, snapHead)
 	copy(head, snapMagic)
@@ -64,26 +59,16 @@
 		size += int64(len(p))
 	}
 	binary.LittleEndian.PutUint64(head[8:], sum.Sum64())
-	if l.usage()+size > l.sizes.Bound {
-		return fmt.Errorf("%w: a snapshot of %d bytes beside %d, expected at most %d", ErrFull, size, l.usage(),
-			l.sizes.Bound)
+	if err := l.mayGrow(size); err != nil {
+		return err
 	}
 	if err := l.writeSnapshot(snapName(number), head, parts); err != nil {
 		return l.breaks(err)
 	}
-	kept := l.snaps[:0]
-	for _, s := range l.snaps {
-		if s.number != number {
-			kept = append(kept, s)
-		}
-	}
-	l.snaps = append(kept, snapshot{number, size})
-	sort.Slice(l.snaps, func(i, k int) bool { return l.snaps[i].number < l.snaps[k].number })
-	for len(l.snaps) > keptSnaps {
-		if err := l.fs.Remove(snapName(l.snaps[0].number)); err != nil {
+	for _, old := range l.add(snapshot{number, size}) {
+		if err := l.fs.Remove(snapName(old)); err != nil {
 			return l.breaks(err)
 		}
-		l.snaps = append(l.snaps[:0], l.snaps[1:]...)
 	}
 	if err := l.fs.Sync(); err != nil {
 		return l.breaks(err)
@@ -91,6 +76,38 @@
 	return nil
 }
 
+func (l *Log) mayGrow(size int64) error {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.fault != nil {
+		return l.fault
+	}
+	if l.usage()+size > l.sizes.Bound {
+		return fmt.Errorf("%w: a snapshot of %d bytes beside %d, expected at most %d", ErrFull, size, l.usage(),
+			l.sizes.Bound)
+	}
+	return nil
+}
+
+// add takes a snapshot into the list and gives the numbers of those that go for it.
+func (l *Log) add(s snapshot) (gone []uint64) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	kept := l.snaps[:0]
+	for _, o := range l.snaps {
+		if o.number != s.number {
+			kept = append(kept, o)
+		}
+	}
+	l.snaps = append(kept, s)
+	sort.Slice(l.snaps, func(i, k int) bool { return l.snaps[i].number < l.snaps[k].number })
+	for len(l.snaps) > keptSnaps {
+		gone = append(gone, l.snaps[0].number)
+		l.snaps = append(l.snaps[:0], l.snaps[1:]...)
+	}
+	return gone
+}
+
 func (l *Log) writeSnapshot(name string, head []byte, parts [][]byte) error {
 	f, err := l.fs.Create(name + tmpSuffix)
 	if err != nil {
--- a/internal/wal/wal.go
+++ b/internal/wal/wal.go
@@ -375,9 +375,6 @@
 	if l.fault != nil {
 		return l.fault
 	}
-	if l.writing {
-		return errors.New("released while another writes, expected one owner")
-	}
 	if upto+1 > l.base {
 		n := min(upto+1-l.base, uint64(len(l.at)))
 		l.base += n
@@ -390,7 +387,7 @@
 	gone := 0
 	for l.segs[gone].seq < keep {
 		if err := l.fs.Remove(l.segs[gone].name); err != nil {
-			return l.breaks(err)
+			return l.broken(err)
 		}
 		l.segs[gone].file.Close()
 		gone++
@@ -400,12 +397,18 @@
 	}
 	l.segs = append([]*segment{}, l.segs[gone:]...)
 	if err := l.fs.Sync(); err != nil {
-		return l.breaks(err)
+		return l.broken(err)
 	}
 	return nil
 }
 
 func (l *Log) breaks(err error) error {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.broken(err)
+}
+
+func (l *Log) broken(err error) error {
 	l.fault = fmt.Errorf("%w: %w", ErrBroken, err)
 	return l.fault
 }
