The replicated group's core, and a virtual world that tries it under faults

Need: instances that agree on configuration, and a way to show that no schedule of faults breaks that.

--- /dev/null
+++ b/internal/consensus/machine.go
@@ -0,0 +1,398 @@
+package consensus
+
+import (
+	"bytes"
+	"container/list"
+	"encoding/json"
+	"fmt"
+	"sort"
+
+	"umberwinch/internal/conf"
+)
+
+// Bounds of the replicated state, the same at every instance since what is let go of has to be the same.
+const (
+	maxVersions     = 100000   // numbers kept
+	maxVersionBytes = 64 << 20 // of their texts
+	maxSessions     = 4096     // clients whose last put is known
+	maxMembers      = 15
+	maxRemoved      = 256
+	maxWord         = 200 // bytes of an author or session
+	maxReason       = 2000
+)
+
+// Version is one configuration that a majority committed.
+type Version struct {
+	Number uint64 `json:"version"`
+	Parent uint64 `json:"parent"`
+	Hash   string `json:"hash"`
+	Author string `json:"author"`
+	Reason string `json:"reason"`
+	At     int64  `json:"at_ms"` // the proposer's wall clock: for people, nothing hangs on it
+	Index  uint64 `json:"index"`
+	Term   uint64 `json:"term"`
+	Text   string `json:"text,omitempty"`
+}
+
+// Put asks for a new version. Session and Seq name the asking: a client counts its puts from 1 and repeats one under
+// the same number until it has an answer.
+type Put struct {
+	Session string `json:"session"`
+	Seq     uint64 `json:"seq"`
+	Base    uint64 `json:"base"` // the version it was made from
+	Author  string `json:"author"`
+	Reason  string `json:"reason"`
+	At      int64  `json:"at_ms"`
+	Rules   int    `json:"rules"`
+	Text    string `json:"text"`
+}
+
+// Ends of a put.
+const (
+	Taken     = "taken"
+	Unchanged = "unchanged" // it says what the version in force says
+	Conflict  = "conflict"  // it was made from another version than the one in force
+	Refused   = "refused"   // the document is wrong, alone or after the one before
+	Expired   = "expired"   // its session is not known any more, or has gone on
+)
+
+// Answer is the end of a put, the same for each repeat.
+type Answer struct {
+	End     string `json:"end"`
+	Version uint64 `json:"version"` // taken: the new one; else the one in force
+	Reason  string `json:"reason,omitempty"`
+}
+
+// Member is an instance as the group knows it.
+type Member struct {
+	ID      uint64 `json:"id"`
+	Name    string `json:"name"`
+	Peer    string `json:"peer"`
+	Listen  string `json:"listen"`
+	Voter   bool   `json:"voter"`
+	Promote bool   `json:"promote"` // becomes a voter once it has caught up
+}
+
+// Change is what a change of members carries beside what raft needs of it.
+type Change struct {
+	Op     string `json:"op"` // add, promote, remove, replace
+	Member Member `json:"member"`
+	Gone   uint64 `json:"gone,omitempty"` // replace: who leaves as the member becomes a voter
+}
+
+type session struct {
+	name   string
+	seq    uint64
+	answer Answer
+}
+
+// Machine is the replicated state. It is told committed entries in order and nothing else, so it is the same at every
+// instance after the same entry. It never looks at a clock; a session's age is how many others were used since.
+type Machine struct {
+	without  Guard
+	cluster  string
+	applied  uint64
+	term     uint64   // of the entry applied last
+	lines    [][]byte // versions, each as one line of JSON; a line is never written again
+	first    uint64   // number of lines[0]
+	bytes    int
+	current  *conf.Document
+	hash     string
+	sessions map[string]*list.Element
+	used     *list.List // of *session, the longest unused first
+	members  []Member   // by id
+	removed  []uint64   // oldest first
+}
+
+func newMachine(cluster string, without Guard) *Machine {
+	return &Machine{without: without, cluster: cluster, first: 1, sessions: map[string]*list.Element{},
+		used: list.New()}
+}
+
+// last gives the number of the version in force, 0 before the first.
+func (m *Machine) last() uint64 { return m.first + uint64(len(m.lines)) - 1 }
+
+// valid says what is wrong with a put before it is proposed; what hangs on the state is judged when it is applied.
+func (p *Put) valid() error {
+	switch {
+	case p.Session == "" || len(p.Session) > maxWord:
+		return fmt.Errorf("session: found %d bytes, expected 1 to %d", len(p.Session), maxWord)
+	case p.Seq == 0:
+		return fmt.Errorf("seq: found 0, expected 1 or more")
+	case p.Author == "" || len(p.Author) > maxWord:
+		return fmt.Errorf("author: found %d bytes, expected 1 to %d", len(p.Author), maxWord)
+	case len(p.Reason) > maxReason:
+		return fmt.Errorf("reason: found %d bytes, expected at most %d", len(p.Reason), maxReason)
+	case len(p.Text) > conf.MaxBytes:
+		return fmt.Errorf("text: found %d bytes, expected at most %d", len(p.Text), conf.MaxBytes)
+	}
+	return nil
+}
+
+// put applies a put at an index of the log.
+func (m *Machine) put(p *Put, index, term uint64) Answer {
+	if e := m.sessions[p.Session]; e != nil {
+		s := e.Value.(*session)
+		m.used.MoveToBack(e)
+		switch {
+		case p.Seq == s.seq && !m.without.Has(SessionTable):
+			return s.answer
+		case p.Seq < s.seq:
+			return Answer{Expired, m.last(), fmt.Sprintf("put %d, expected %d or later", p.Seq, s.seq)}
+		}
+		s.seq, s.answer = p.Seq, m.judge(p, index, term)
+		return s.answer
+	}
+	if p.Seq != 1 {
+		return Answer{Expired, m.last(), "the session is not known any more, expected a new one from 1 on"}
+	}
+	s := &session{p.Session, p.Seq, m.judge(p, index, term)}
+	m.sessions[p.Session] = m.used.PushBack(s)
+	if m.used.Len() > maxSessions {
+		old := m.used.Remove(m.used.Front()).(*session)
+		delete(m.sessions, old.name)
+	}
+	return s.answer
+}
+
+func (m *Machine) judge(p *Put, index, term uint64) Answer {
+	if p.Base != m.last() && !m.without.Has(CompareAndSet) {
+		return Answer{Conflict, m.last(), fmt.Sprintf("made from version %d, expected %d", p.Base, m.last())}
+	}
+	next, err := conf.Parse("document", []byte(p.Text))
+	if err == nil {
+		err = next.Follows(m.current)
+	}
+	if err != nil {
+		return Answer{Refused, m.last(), err.Error()}
+	}
+	text := next.Canonical()
+	if len(text) > conf.MaxBytes {
+		return Answer{Refused, m.last(), fmt.Sprintf("document: found %d bytes in canonical form, expected at most %d",
+			len(text), conf.MaxBytes)}
+	}
+	hash := conf.Hash(text)
+	if hash == m.hash {
+		return Answer{Unchanged, m.last(), ""}
+	}
+	v := Version{m.last() + 1, m.last(), hash, p.Author, p.Reason, p.At, index, term, string(text)}
+	line, err := json.Marshal(&v)
+	if err != nil {
+		return Answer{Refused, m.last(), err.Error()}
+	}
+	m.lines = append(m.lines, line)
+	m.bytes += len(line)
+	m.current, m.hash = next, hash
+	for len(m.lines) > maxVersions || m.bytes > maxVersionBytes && len(m.lines) > 1 {
+		m.bytes -= len(m.lines[0])
+		m.lines = m.lines[1:]
+		m.first++
+	}
+	return Answer{Taken, v.Number, ""}
+}
+
+func (m *Machine) member(id uint64) *Member {
+	i := sort.Search(len(m.members), func(i int) bool { return m.members[i].ID >= id })
+	if i < len(m.members) && m.members[i].ID == id {
+		return &m.members[i]
+	}
+	return nil
+}
+
+func (m *Machine) named(name string) *Member {
+	for i := range m.members {
+		if m.members[i].Name == name {
+			return &m.members[i]
+		}
+	}
+	return nil
+}
+
+func (m *Machine) voters() int {
+	n := 0
+	for _, o := range m.members {
+		if o.Voter {
+			n++
+		}
+	}
+	return n
+}
+
+// may says why a change of members can't be made, by the state alone, so that all instances find the same.
+func (m *Machine) may(c *Change) error {
+	at := m.member(c.Member.ID)
+	switch c.Op {
+	case "add":
+		switch {
+		case c.Member.ID == 0 || c.Member.Name == "":
+			return fmt.Errorf("found id %x and name %q, expected both", c.Member.ID, c.Member.Name)
+		case at != nil:
+			return fmt.Errorf("instance %x is a member already", c.Member.ID)
+		case m.named(c.Member.Name) != nil:
+			return fmt.Errorf("%q is instance %x already; remove that one first, or replace it", c.Member.Name,
+				m.named(c.Member.Name).ID)
+		case m.wasRemoved(c.Member.ID):
+			return fmt.Errorf("instance %x was removed; start it anew on an empty folder", c.Member.ID)
+		case len(m.members) >= maxMembers:
+			return fmt.Errorf("%d members, expected at most %d", len(m.members)+1, maxMembers)
+		}
+	case "promote":
+		if at == nil || at.Voter {
+			return fmt.Errorf("instance %x is no learner", c.Member.ID)
+		}
+	case "remove":
+		if at == nil {
+			return fmt.Errorf("instance %x is no member", c.Member.ID)
+		}
+		if at.Voter && m.voters() == 1 {
+			return fmt.Errorf("%q is the only voter", at.Name)
+		}
+	case "replace":
+		gone := m.member(c.Gone)
+		if at == nil || at.Voter || gone == nil || !gone.Voter {
+			return fmt.Errorf("replacing %x by %x: expected a voter and a learner", c.Gone, c.Member.ID)
+		}
+	default:
+		return fmt.Errorf("found %q, expected add, promote, remove or replace", c.Op)
+	}
+	return nil
+}
+
+// change carries out what may said yes to.
+func (m *Machine) change(c *Change) {
+	switch c.Op {
+	case "add":
+		n := c.Member
+		n.Voter = false
+		m.members = append(append([]Member{}, m.members...), n)
+		sort.Slice(m.members, func(i, k int) bool { return m.members[i].ID < m.members[k].ID })
+	case "promote", "replace":
+		m.members = append([]Member{}, m.members...)
+		at := m.member(c.Member.ID)
+		at.Voter, at.Promote = true, false
+		if c.Op == "replace" {
+			m.drop(c.Gone)
+		}
+	case "remove":
+		m.drop(c.Member.ID)
+	}
+}
+
+func (m *Machine) drop(id uint64) {
+	var kept []Member
+	for _, o := range m.members {
+		if o.ID != id {
+			kept = append(kept, o)
+		}
+	}
+	m.members = kept
+	m.removed = append(append([]uint64{}, m.removed...), id)
+	if len(m.removed) > maxRemoved {
+		m.removed = m.removed[1:]
+	}
+}
+
+func (m *Machine) wasRemoved(id uint64) bool {
+	for _, o := range m.removed {
+		if o == id {
+			return true
+		}
+	}
+	return false
+}
+
+// picture is the head of a saved state; sessions and versions follow it, a line each.
+type picture struct {
+	Cluster  string   `json:"cluster"`
+	Applied  uint64   `json:"applied"`
+	Term     uint64   `json:"term"`
+	First    uint64   `json:"first"`
+	Versions int      `json:"versions"`
+	Sessions int      `json:"sessions"`
+	Members  []Member `json:"members"`
+	Removed  []uint64 `json:"removed"`
+}
+
+type savedSession struct {
+	Name   string `json:"name"`
+	Seq    uint64 `json:"seq"`
+	Answer Answer `json:"answer"`
+}
+
+// save gives the state in parts that don't change any more, so that they can be written beside what goes on.
+func (m *Machine) save() ([][]byte, error) {
+	var head bytes.Buffer
+	enc := json.NewEncoder(&head)
+	if err := enc.Encode(picture{m.cluster, m.applied, m.term, m.first, len(m.lines), m.used.Len(), m.members,
+		m.removed}); err != nil {
+		return nil, err
+	}
+	for e := m.used.Front(); e != nil; e = e.Next() {
+		s := e.Value.(*session)
+		if err := enc.Encode(savedSession{s.name, s.seq, s.answer}); err != nil {
+			return nil, err
+		}
+	}
+	parts := make([][]byte, 0, 2+2*len(m.lines))
+	parts = append(parts, head.Bytes())
+	for _, l := range m.lines {
+		parts = append(parts, l, newline)
+	}
+	return parts, nil
+}
+
+var newline = []byte{'\n'}
+
+// loadMachine reads what save gave.
+func loadMachine(raw []byte, without Guard) (*Machine, error) {
+	line := func() []byte {
+		l, rest, _ := bytes.Cut(raw, newline)
+		raw = rest
+		return l
+	}
+	var p picture
+	if err := json.Unmarshal(line(), &p); err != nil {
+		return nil, fmt.Errorf("head of a saved state: %w", err)
+	}
+	m := newMachine(p.Cluster, without)
+	m.applied, m.term, m.first, m.members, m.removed = p.Applied, p.Term, p.First, p.Members, p.Removed
+	if p.Versions < 0 || p.Versions > maxVersions || p.Sessions < 0 || p.Sessions > maxSessions || p.First == 0 {
+		return nil, fmt.Errorf("saved state of %d versions from %d and %d sessions, expected at most %d and %d",
+			p.Versions, p.First, p.Sessions, maxVersions, maxSessions)
+	}
+	for i := 0; i < p.Sessions; i++ {
+		var s savedSession
+		if err := json.Unmarshal(line(), &s); err != nil {
+			return nil, fmt.Errorf("session %d of a saved state: %w", i, err)
+		}
+		m.sessions[s.Name] = m.used.PushBack(&session{s.Name, s.Seq, s.Answer})
+	}
+	for i := 0; i < p.Versions; i++ {
+		l := append([]byte{}, line()...)
+		m.lines = append(m.lines, l)
+		m.bytes += len(l)
+	}
+	if p.Versions > 0 {
+		v, err := ReadVersion(m.lines[len(m.lines)-1])
+		if err != nil {
+			return nil, err
+		}
+		if v.Number != m.last() {
+			return nil, fmt.Errorf("last version of a saved state is %d, expected %d", v.Number, m.last())
+		}
+		if m.current, err = conf.Parse("document", []byte(v.Text)); err != nil {
+			return nil, fmt.Errorf("version %d of a saved state: %w", v.Number, err)
+		}
+		m.hash = v.Hash
+	}
+	return m, nil
+}
+
+// ReadVersion reads a version's line.
+func ReadVersion(line []byte) (*Version, error) {
+	var v Version
+	if err := json.Unmarshal(line, &v); err != nil {
+		return nil, fmt.Errorf("a version: %w", err)
+	}
+	return &v, nil
+}
--- /dev/null
+++ b/internal/lab/faults.go
@@ -0,0 +1,349 @@
+package lab
+
+import (
+	"fmt"
+	"math/rand"
+	"strings"
+
+	"umberwinch/internal/consensus"
+	"umberwinch/internal/wal"
+)
+
+// Fault is one thing done to a world at a moment.
+type Fault struct {
+	At   int64
+	Kind string
+	A, B int   // hosts; -1 for the leader
+	For  int64 // ms
+	N    int
+}
+
+func (f Fault) String() string {
+	return fmt.Sprintf("%6d ms %-8s a=%d b=%d for=%d n=%d", f.At, f.Kind, f.A, f.B, f.For, f.N)
+}
+
+// Schedule draws the faults of a seed, over some time.
+func Schedule(seed int64, size int, ms int64) []Fault {
+	r := rand.New(rand.NewSource(seed ^ 0x5eed))
+	kinds := []string{"crash", "crash", "crash", "kill", "leader", "leader", "split", "split", "oneway", "flap",
+		"loss", "slow", "stall", "copy", "back", "wipe", "transfer"}
+	var out []Fault
+	for at := int64(0); at < ms; at += 150 + int64(r.Intn(900)) {
+		out = append(out, Fault{at, kinds[r.Intn(len(kinds))], r.Intn(size), r.Intn(size), 200 + int64(r.Intn(2500)),
+			r.Intn(60)})
+	}
+	return out
+}
+
+// inflict does a fault. What it opens it ends by itself.
+func (w *World) inflict(f Fault) {
+	h := w.hosts[f.A]
+	if f.Kind == "leader" || f.Kind == "stall" {
+		if l := w.leader(); l != nil {
+			h = l
+		}
+	}
+	if h.rep == nil && f.Kind != "split" && f.Kind != "loss" && f.Kind != "slow" {
+		return
+	}
+	w.say("fault %v at host %d", f, h.n)
+	switch f.Kind {
+	case "crash", "leader": // somewhere within the next steps to its disk
+		h.left = f.N
+	case "kill":
+		w.down(h, f.For)
+	case "split":
+		w.part(f.For, func(a, b *host) bool { return (a.n+f.N)%len(w.hosts) <= f.B != ((b.n+f.N)%len(w.hosts) <= f.B) })
+	case "oneway":
+		w.part(f.For, func(a, b *host) bool { return a.n == f.A && (b.n == f.B || f.N%2 == 0) })
+	case "flap":
+		for t := int64(0); t < f.For; t += 200 {
+			w.after(t, func() { w.part(100, func(a, b *host) bool { return a == h || b == h }) })
+		}
+	case "loss":
+		w.loss = 20 + 4*f.N
+		w.after(f.For, func() { w.loss = 0 })
+	case "slow":
+		w.slow = 100 + f.For/10
+		w.after(f.For, func() { w.slow = 20 })
+	case "stall":
+		h.frozen = w.now + 3000
+	case "copy":
+		h.copied = h.disk.Copy()
+	case "back":
+		if h.copied != nil && w.mayLose() {
+			w.restoreCopy(h)
+		}
+	case "wipe":
+		if w.mayLose() {
+			w.wipe(h)
+		}
+	case "transfer":
+		h.rep.Transfer(0)
+		w.work(h)
+	}
+}
+
+// part cuts the ways between hosts that a test picks, one way each, for some time.
+func (w *World) part(ms int64, picks func(a, b *host) bool) {
+	for _, a := range w.hosts {
+		for _, b := range w.hosts {
+			if key := [2]int{a.n, b.n}; a != b && picks(a, b) && !w.cut[key] {
+				w.cut[key] = true
+				w.after(ms, func() { delete(w.cut, key) })
+			}
+		}
+	}
+}
+
+// mayLose tells whether a disk may be lost now without a majority being lost for good: all are up, take part, reach
+// each other and have the same state. To lose a disk beside others that are down is to lose what was agreed on.
+func (w *World) mayLose() bool {
+	if len(w.cut) > 0 || w.loss > 0 || w.voters() < w.target || !w.converged() {
+		return false
+	}
+	for _, h := range w.members() {
+		if h.left >= 0 || h.frozen > w.now {
+			return false
+		}
+	}
+	return len(w.members()) == w.target
+}
+
+// restoreCopy has a host come back on a copy of its disk that it took earlier.
+func (w *World) restoreCopy(h *host) {
+	w.say("host %d comes back on an old copy", h.n)
+	w.lose(h)
+	h.rep, h.disk, h.left = nil, h.copied, -1
+	h.copied = nil
+	w.up(h, false)
+}
+
+func (w *World) wipe(h *host) {
+	w.say("host %d comes back on an empty disk", h.n)
+	w.lose(h)
+	h.rep, h.disk, h.left = nil, wal.NewMem(), -1
+	w.up(h, false)
+}
+
+// Result is what came of a schedule.
+type Result struct {
+	Seed   int64
+	Steps  int
+	Calls  int
+	Terms  int
+	Broken string
+}
+
+
+
+// Play runs a schedule from its seed: growth, faults under load, rest, then scripted cases that every schedule ends
+// with. It is the same run each time.
+func Play(seed int64, size int, faults []Fault, without consensus.Guard, trace func(string)) Result {
+	w := NewWorld(seed, size, without)
+	w.Trace = trace
+	w.play(faults)
+	return Result{seed, w.Steps, len(w.history), len(w.leaders), w.Broken}
+}
+
+func (w *World) play(faults []Fault) {
+	if !w.until(20000, func() bool { return w.voters() == w.target }) {
+		w.fail("the group did not grow to %d voters in 20 s", w.target)
+		return
+	}
+	for i := 0; i < 5; i++ {
+		w.addClient()
+	}
+	start, end := w.now, w.now
+	for _, f := range faults {
+		w.after(f.At, func() { w.inflict(f) })
+		end = max(end, start+f.At)
+	}
+	w.Run(end + 500)
+	w.rest()
+	w.rejoin()
+	w.unsynced()
+	w.oldDisk()
+	w.linear()
+}
+
+// rest ends all faults and holds the group to its promise.
+func (w *World) rest() {
+	if w.Broken != "" {
+		return
+	}
+	w.cut, w.loss, w.slow = map[[2]int]bool{}, 0, 20
+	for _, h := range w.hosts {
+		h.left = -1
+		h.frozen = min(h.frozen, w.now)
+	}
+	if !w.until(3000, func() bool { // those that are down come up within it
+		for _, h := range w.hosts {
+			if h.rep == nil {
+				return false
+			}
+		}
+		return true
+	}) && w.Broken == "" {
+		w.fail("a host did not come up")
+	}
+	was := len(w.history)
+	if !w.until(writesWithin, func() bool {
+		for _, o := range w.history[was:] {
+			if a, ok := o.Output.(consensus.Answer); ok && a.End == consensus.Taken {
+				return true
+			}
+		}
+		return false
+	}) {
+		w.fail("no write was taken within %d ms of the last fault's end", writesWithin)
+	}
+	for _, c := range w.clients {
+		c.stopped = true
+	}
+	if !w.until(20000, func() bool {
+		for _, c := range w.clients {
+			if c.open != nil {
+				return false
+			}
+		}
+		return w.voters() == w.target && w.converged()
+	}) {
+		w.fail("clients are without an answer, or instances differ, 20 s after the last fault")
+	}
+}
+
+// follower gives a voter that does not lead.
+func (w *World) follower(not ...*host) *host {
+	l := w.leader()
+next:
+	for _, h := range w.members() {
+		for _, n := range not {
+			if h == n {
+				continue next
+			}
+		}
+		if h != l {
+			return h
+		}
+	}
+	return nil
+}
+
+// rejoin: one instance is cut off and comes back; a healthy leader stays, in its term.
+func (w *World) rejoin() {
+	if w.Broken != "" {
+		return
+	}
+	l, f := w.leader(), w.follower()
+	term := l.rep.Status().Term
+	w.part(2500, func(a, b *host) bool { return a == f || b == f })
+	w.Run(w.now + 4500)
+	if w.Broken == "" && (w.leader() != l || l.rep.Status().Term != term) {
+		w.fail("an instance that came back unseated a healthy leader")
+	}
+}
+
+// ends waits until a put by the script is applied at a host, and tells whether it was.
+func (w *World) scripted(h *host, ms int64) bool {
+	was := h.rep.Status().Version
+	w.calls++
+	h.rep.Propose(&consensus.Put{Session: fmt.Sprint("script", w.calls), Seq: 1, Base: was, Author: "script",
+		Text: fmt.Sprintf("[tenant script]\nrate = %d\n", w.calls)})
+	w.work(h)
+	return w.until(ms, func() bool { return h.rep == nil || h.rep.Status().Version > was }) && h.rep != nil
+}
+
+// settle waits for calm between two scripted cases.
+func (w *World) settle() bool {
+	if w.Broken == "" && !w.until(10000, func() bool {
+		return len(w.cut) == 0 && w.leader() != nil && w.voters() == w.target && w.converged() &&
+			len(w.members()) == w.target
+	}) {
+		w.fail("the group is not whole 10 s after a scripted fault")
+	}
+	return w.Broken == ""
+}
+
+// unsynced: with all but one follower away, the power goes at that one as it would keep an entry. What it did not
+// keep must not count.
+func (w *World) unsynced() {
+	if !w.settle() {
+		return
+	}
+	l, f := w.leader(), w.follower()
+	away := w.cutOff(1500, l, f)
+	w.say("hosts %v away, host %d loses power at its next write", away, f.n)
+	f.left = 0
+	w.scripted(l, 400)
+	w.settle()
+}
+
+// cutOff parts some hosts from the group, so that the leader and one more are just a majority.
+func (w *World) cutOff(ms int64, l, f *host) map[*host]bool {
+	away := map[*host]bool{}
+	for _, h := range w.members() {
+		if h != l && h != f && len(away) < w.target-(w.target/2+1) {
+			away[h] = true
+		}
+	}
+	w.part(ms, func(a, b *host) bool { return away[a] != away[b] })
+	return away
+}
+
+// oldDisk: what two of three agreed on while the third was away has to outlast one of the two coming back on a copy
+// of its disk from before, with the other then cut off.
+func (w *World) oldDisk() {
+	if !w.settle() {
+		return
+	}
+	l, f := w.leader(), w.follower()
+	f.copied = f.disk.Copy()
+	w.cutOff(3000, l, f)
+	for i := 0; i < 3; i++ {
+		if !w.scripted(l, 1000) && w.Broken == "" {
+			w.fail("a majority took no write")
+		}
+	}
+	if w.Broken != "" || f.rep == nil || w.leader() != l {
+		return
+	}
+	w.restoreCopy(f)
+	w.Run(w.now + 400)
+	w.cut = map[[2]int]bool{}
+	w.part(2000, func(a, b *host) bool { return a == l || b == l })
+	w.Run(w.now + 2500)
+	if w.Broken == "" {
+		w.settle()
+	}
+}
+
+// Cut makes a failing schedule shorter: it leaves out what is not needed for a failure, by halves, then one by one.
+func Cut(seed int64, size int, faults []Fault, without consensus.Guard, runs int) []Fault {
+	for part := (len(faults) + 1) / 2; part > 0 && runs > 0; {
+		shorter := false
+		for lo := 0; lo < len(faults) && runs > 0; {
+			hi := min(lo+part, len(faults))
+			less := append(append([]Fault{}, faults[:lo]...), faults[hi:]...)
+			runs--
+			if Play(seed, size, less, without, nil).Broken != "" {
+				faults, shorter = less, true
+			} else {
+				lo = hi
+			}
+		}
+		if part == 1 && !shorter {
+			break
+		}
+		part = max(1, part/2)
+	}
+	return faults
+}
+
+func lines(faults []Fault) string {
+	out := make([]string, len(faults))
+	for i, f := range faults {
+		out[i] = f.String()
+	}
+	return strings.Join(out, "\n")
+}
--- /dev/null
+++ b/internal/lab/history.go
@@ -0,0 +1,147 @@
+package lab
+
+import (
+	"fmt"
+	"math"
+	"time"
+
+	"github.com/anishathalye/porcupine"
+
+	"umberwinch/internal/consensus"
+)
+
+// client asks one thing at a time, as a program would: it repeats a put under its number at another instance until
+// it has an answer.
+type client struct {
+	name    string
+	seq     uint64
+	base    uint64 // the newest version it knows
+	open    *call
+	stopped bool
+}
+
+// call is one asking of a client's, with all its repeats.
+type call struct {
+	c      *client
+	put    *consensus.Put // nil for a read
+	called int64
+	try    int
+	at     int // place in the history
+}
+
+type asked struct {
+	put  bool
+	base uint64
+}
+
+func (w *World) addClient() {
+	c := &client{name: fmt.Sprint("c", len(w.clients))}
+	w.clients = append(w.clients, c)
+	w.after(int64(w.net.Intn(100)), func() { w.next(c) })
+}
+
+// next has a client ask its next thing.
+func (w *World) next(c *client) {
+	if c.stopped || c.open != nil {
+		return
+	}
+	k := &call{c: c, called: w.now, at: len(w.history)}
+	in := asked{}
+	if w.net.Intn(5) < 3 {
+		c.seq++
+		in = asked{true, c.base}
+		k.put = &consensus.Put{Session: c.name, Seq: c.seq, Base: c.base, Author: c.name, At: w.net.Int63n(1 << 40),
+			Text: fmt.Sprintf("[tenant %s]\nrate = %d\n", c.name, c.seq)}
+	}
+	w.history = append(w.history, porcupine.Operation{ClientId: len(w.clients), Input: in, Call: w.now*1000 + 500,
+		Return: math.MaxInt64})
+	c.open = k
+	w.ask(k)
+}
+
+// ask sends a call to some host; where no answer comes it goes to another.
+func (w *World) ask(k *call) {
+	k.try++
+	try, h := k.try, w.hosts[w.net.Intn(len(w.hosts))]
+	w.after(1+int64(w.net.Intn(10)), func() { w.arrive(k, try, h) })
+	w.after(400+int64(w.net.Intn(800)), func() {
+		if k.c.open == k && k.try == try {
+			w.ask(k)
+		}
+	})
+}
+
+func (w *World) arrive(k *call, try int, h *host) {
+	if h.rep == nil || h.frozen > w.now || k.c.open != k || k.try != try {
+		return
+	}
+	w.do(h, func() error {
+		if k.put != nil {
+			p := *k.put
+			h.puts[p.Session] = k
+			h.rep.Propose(&p) // dropped without a leader: the client asks again
+			return nil
+		}
+		w.calls++
+		h.reads[w.calls] = k
+		h.rep.Read(w.calls)
+		return nil
+	})
+	w.work(h)
+}
+
+// answer brings an end to a client, unless it is lost on the way.
+func (w *World) answer(k *call, a consensus.Answer) {
+	if w.net.Intn(100) < 15 {
+		return
+	}
+	w.after(1+int64(w.net.Intn(10)), func() {
+		if k.c.open != k {
+			return
+		}
+		k.c.open = nil
+		w.history[k.at].Return = w.now * 1000
+		w.history[k.at].Output = a
+		k.c.base = max(k.c.base, a.Version)
+		if a.End == consensus.Expired || a.End == consensus.Refused {
+			w.fail("client %s got %+v for put %d", k.c.name, a, k.put.Seq)
+		}
+		w.after(int64(w.net.Intn(150)), func() { w.next(k.c) })
+	})
+}
+
+// register is what clients see: a number that a put raises by one if it names it, and that reads give.
+var register = porcupine.Model{
+	Init: func() any { return uint64(0) },
+	Step: func(state, input, output any) (bool, any) {
+		now, in := state.(uint64), input.(asked)
+		a, answered := output.(consensus.Answer)
+		switch {
+		case !in.put:
+			return !answered || a.Version == now, now
+		case !answered:
+			if in.base == now {
+				return true, now + 1
+			}
+			return true, now
+		case a.End == consensus.Taken:
+			return in.base == now && a.Version == now+1, now + 1
+		case a.End == consensus.Conflict:
+			return in.base != now && a.Version == now, now
+		}
+		return false, now
+	},
+}
+
+// linear checks the clients' history.
+func (w *World) linear() {
+	if w.Broken != "" {
+		return
+	}
+	switch porcupine.CheckOperationsTimeout(register, w.history, 20*time.Second) {
+	case porcupine.Illegal:
+		w.fail("the clients' history of %d calls is not linearizable", len(w.history))
+	case porcupine.Unknown:
+		w.fail("the clients' history of %d calls was not checked in 20 s", len(w.history))
+	}
+}
--- /dev/null
+++ b/internal/lab/world.go
@@ -0,0 +1,659 @@
+// Package lab is the project's laboratory: worlds in which the real code meets failures, load, and reports of what
+// came of it. It owns stand-ins, faults and measurements. No program that serves imports it, and nothing in it
+// decides for one. world.go is the group of instances in virtual time: the real consensus and wal code on a network,
+// disks and a clock that one seed moves.
+package lab
+
+import (
+	"bytes"
+	"container/heap"
+	"errors"
+	"fmt"
+	"hash/crc32"
+	"math/rand"
+	"strings"
+
+	"github.com/anishathalye/porcupine"
+	"go.etcd.io/raft/v3"
+	pb "go.etcd.io/raft/v3/raftpb"
+	"google.golang.org/protobuf/proto"
+
+	"umberwinch/internal/consensus"
+	"umberwinch/internal/wal"
+)
+
+// The world's unit of time is a millisecond. An instance ticks as the shipped file has it.
+const (
+	tickMS   = 50
+	electing = 10
+	// writesWithin is the promise: with a majority there, a leader takes writes again within it.
+	writesWithin = 5000
+	worldSegment = 16 << 10
+	worldBound   = 8 << 20
+	worldSnap    = 12 << 10 // small, so that snapshots and lagging followers come often
+)
+
+var errPower = errors.New("the power went")
+
+type event struct {
+	at  int64
+	seq uint64
+	do  func()
+}
+
+type events []*event
+
+func (e events) Len() int { return len(e) }
+func (e events) Less(i, k int) bool {
+	return e[i].at < e[k].at || e[i].at == e[k].at && e[i].seq < e[k].seq
+}
+func (e events) Swap(i, k int) { e[i], e[k] = e[k], e[i] }
+func (e *events) Push(x any)   { *e = append(*e, x.(*event)) }
+func (e *events) Pop() any {
+	old := *e
+	last := old[len(old)-1]
+	*e = old[:len(old)-1]
+	return last
+}
+
+// spot is an entry as some log has it.
+type spot struct{ index, term uint64 }
+
+// host is a machine with a disk and, while it is up, an instance.
+type host struct {
+	n      int
+	disk   *wal.Mem
+	rep    *consensus.Replica
+	id     uint64
+	life   int   // numbered over all hosts
+	frozen int64 // its disk stalls until then
+	left   int   // file-system steps until it crashes, -1 for none
+	copied *wal.Mem
+	held   map[uint64]uint64 // index to term of what its log held on disk when last seen
+	base   uint64            // all up to it are held, in a snapshot
+	seen   uint64            // applied when last checked
+	first  uint64            // number of the version checked last
+	puts   map[string]*call
+	reads  map[uint64]*call
+	gone   bool // barred, or its disk was lost: the operator replaces it
+}
+
+// World is one run.
+type World struct {
+	seed    int64
+	net     *rand.Rand // network, disks and clients
+	without consensus.Guard
+	now     int64
+	seq     uint64
+	queue   events
+	Steps   int
+	hosts   []*host
+	lives   int
+	met     map[[2]int]bool // by lives: whether they speak with each other
+	cut     map[[2]int]bool // by hosts, one way
+	loss    int             // of 1,000 messages
+	slow    int64           // most time a message takes
+	calls   uint64
+	clients []*client
+	history []porcupine.Operation
+	target  int // voters wanted
+	Broken  string
+
+	leaders   map[uint64]uint64
+	committed map[uint64]uint64
+	texts     map[spot]uint32
+	pictures  map[uint64]string
+	confs     [][]uint64
+	newest    uint64 // version applied anywhere
+	lost      map[uint64]map[spot]bool
+	Trace     func(string)
+}
+
+// NewWorld founds a group of one and lets it grow to size, without faults.
+func NewWorld(seed int64, size int, without consensus.Guard) *World {
+	w := &World{seed: seed, net: rand.New(rand.NewSource(seed)), without: without, slow: 20, target: size,
+		met: map[[2]int]bool{}, cut: map[[2]int]bool{}, leaders: map[uint64]uint64{},
+		committed: map[uint64]uint64{}, texts: map[spot]uint32{}, pictures: map[uint64]string{},
+		lost: map[uint64]map[spot]bool{}}
+	for n := 0; n < size; n++ {
+		w.addHost(n == 0)
+	}
+	w.operate()
+	return w
+}
+
+func (w *World) addHost(found bool) {
+	h := &host{n: len(w.hosts), disk: wal.NewMem(), left: -1}
+	w.hosts = append(w.hosts, h)
+	w.up(h, found)
+	w.after(int64(h.n)*7%tickMS, func() { w.tick(h) })
+}
+
+func (w *World) after(ms int64, do func()) {
+	w.seq++
+	heap.Push(&w.queue, &event{w.now + ms, w.seq, do})
+}
+
+func (w *World) fail(format string, args ...any) {
+	if w.Broken == "" {
+		w.Broken = fmt.Sprintf("at %d ms: ", w.now) + fmt.Sprintf(format, args...)
+	}
+}
+
+func (w *World) say(format string, args ...any) {
+	if w.Trace != nil {
+		w.Trace(fmt.Sprintf("%7d ", w.now) + fmt.Sprintf(format, args...))
+	}
+}
+
+// Run lets the world go on until a moment, or until something is broken.
+func (w *World) Run(until int64) {
+	for w.Broken == "" && len(w.queue) > 0 && w.queue[0].at <= until {
+		e := heap.Pop(&w.queue).(*event)
+		w.now = max(w.now, e.at)
+		w.Steps++
+		e.do()
+	}
+	if w.Broken == "" {
+		w.now = until
+	}
+}
+
+// until runs on while a condition does not hold, at most some time.
+func (w *World) until(ms int64, holds func() bool) bool {
+	for end := w.now + ms; w.now < end && w.Broken == ""; {
+		if holds() {
+			return true
+		}
+		w.Run(min(end, w.now+20))
+	}
+	return holds()
+}
+
+func (w *World) plan(h *host, found bool) consensus.Plan {
+	return consensus.Plan{Name: fmt.Sprint("i", w.lives), Peer: fmt.Sprint("h", h.n), Listen: fmt.Sprint("h", h.n),
+		Found: found, Elect: electing, Snapshot: worldSnap, Without: w.without, Draw: w.net.Uint64,
+		Sizes: wal.Sizes{Segment: worldSegment, Bound: worldBound}, Logger: quiet{},
+		Point: func(name string) {
+			if name == consensus.AtSend {
+				w.hold(h)
+			}
+		}}
+}
+
+// up starts an instance on a host's disk.
+func (w *World) up(h *host, found bool) {
+	w.lives++
+	h.life = w.lives
+	h.puts, h.reads = map[string]*call{}, map[uint64]*call{}
+	w.do(h, func() error {
+		rep, err := consensus.Open(h.disk, w.plan(h, found))
+		if err != nil {
+			return err
+		}
+		if h.rep = rep; rep.ID() != h.id {
+			h.id, h.gone = rep.ID(), false
+		}
+		h.held, h.base, h.seen, h.first = map[uint64]uint64{}, 0, 0, 0
+		w.hold(h)
+		return nil
+	})
+	w.say("host %d up as %x, life %d", h.n, h.id, h.life)
+	if h.rep != nil {
+		w.work(h)
+		w.greet(h, h.life)
+	}
+}
+
+// greet has an instance that came up make itself known to whoever it reaches, again until all know it or it ends.
+func (w *World) greet(h *host, life int) {
+	if h.rep == nil || h.life != life {
+		return
+	}
+	all := true
+	for _, o := range w.hosts {
+		if o != h && o.rep != nil && !w.speak(h, o) {
+			all = false
+		}
+		if h.rep == nil {
+			return
+		}
+	}
+	if !all {
+		w.after(100, func() { w.greet(h, life) })
+	}
+}
+
+// speak tells whether two instances speak with each other; they greet where both ways are open and neither stalls.
+func (w *World) speak(a, b *host) bool {
+	key := [2]int{min(a.life, b.life), max(a.life, b.life)}
+	if ok, known := w.met[key]; known {
+		return ok
+	}
+	if w.cut[[2]int{a.n, b.n}] || w.cut[[2]int{b.n, a.n}] || a.frozen > w.now || b.frozen > w.now {
+		return false
+	}
+	ok := true
+	for _, p := range [][2]*host{{a, b}, {b, a}} {
+		var reason string
+		w.do(p[0], func() (err error) {
+			to := uint64(0) // an id is known by being a member's
+			for _, m := range p[1].rep.Members() {
+				if m.ID == p[0].id {
+					to = m.ID
+				}
+			}
+			reason, err = p[0].rep.Meet(p[1].rep.Hello(to))
+			return err
+		})
+		if p[0].rep == nil {
+			return false
+		}
+		if reason != "" {
+			ok = false
+			if consensus.Ends(reason) {
+				w.say("host %d told by %d: %s", p[1].n, p[0].n, reason)
+				w.do(p[1], func() error { return p[1].rep.Bar(reason) })
+				if p[1].rep == nil {
+					return false
+				}
+				p[1].gone = p[1].gone || p[1].rep.Barred() != ""
+			}
+		}
+	}
+	// An instance that waits is spoken with once it was taken in; the question is put again until then.
+	if ok || a.rep.Status().Cluster != "" && b.rep.Status().Cluster != "" {
+		w.met[key] = ok
+	}
+	return ok
+}
+
+// do runs something at a host. A failure put there on purpose takes it down, any other breaks the run.
+func (w *World) do(h *host, f func() error) {
+	defer func() {
+		if p := recover(); p != nil {
+			w.fail("host %d gave up: %v", h.n, p)
+			h.rep = nil
+		}
+	}()
+	h.disk.Hook = func(step, name string) (int, error) {
+		if h.left < 0 {
+			return 0, nil
+		}
+		if h.left--; h.left < 0 {
+			return w.net.Intn(600), errPower
+		}
+		return 0, nil
+	}
+	if err := f(); err != nil {
+		if !errors.Is(err, errPower) {
+			w.fail("host %d: %v", h.n, err)
+			return
+		}
+		w.down(h, 300+int64(w.net.Intn(1500)))
+	}
+}
+
+// down ends a host's instance, by the power or by a kill, and has it come up again later.
+func (w *World) down(h *host, ms int64) {
+	w.say("host %d down", h.n)
+	h.rep, h.left = nil, -1
+	if w.net.Intn(3) == 0 {
+		h.disk = h.disk.Kill()
+	} else {
+		h.disk = h.disk.Crash(w.net.Intn)
+	}
+	life := h.life
+	w.after(ms, func() {
+		if h.rep == nil && h.life == life {
+			w.up(h, false)
+		}
+	})
+}
+
+func (w *World) tick(h *host) {
+	w.after(tickMS, func() { w.tick(h) })
+	if h.rep != nil && h.frozen <= w.now {
+		h.rep.Tick()
+		w.work(h)
+	}
+}
+
+// work lets an instance do what it has ready, then looks at what came of it.
+func (w *World) work(h *host) {
+	if h.rep == nil || w.Broken != "" {
+		return
+	}
+	var out consensus.Outcome
+	life := h.life
+	w.do(h, func() (err error) {
+		out, err = h.rep.Work(func(ms []*pb.Message) { w.send(h, life, ms) })
+		return err
+	})
+	if h.rep == nil {
+		return
+	}
+	w.check(h)
+	for _, r := range out.Results {
+		if c := h.puts[r.Session]; c != nil && c.put.Seq == r.Seq {
+			delete(h.puts, r.Session)
+			w.answer(c, r.Answer)
+		}
+	}
+	for _, id := range out.Reads {
+		if c := h.reads[id]; c != nil {
+			delete(h.reads, id)
+			lines, first := h.rep.Lines()
+			w.answer(c, consensus.Answer{Version: first + uint64(len(lines)) - 1})
+		}
+	}
+	w.do(h, func() error {
+		s, err := h.rep.Due()
+		if s == nil || err != nil {
+			return err
+		}
+		return h.rep.Saved(s, s.Write())
+	})
+}
+
+func (w *World) send(h *host, life int, ms []*pb.Message) {
+	for _, m := range ms {
+		raw, err := proto.Marshal(m)
+		if err != nil {
+			w.fail("a message: %v", err)
+			return
+		}
+		copies := 1
+		if w.net.Intn(1000) < w.loss {
+			copies = w.net.Intn(2) * 2 // lost, or doubled
+		}
+		to, snap := m.GetTo(), m.GetType() == pb.MessageType_MsgSnap
+		for ; copies > 0; copies-- {
+			took := 1 + w.net.Int63n(w.slow)
+			w.after(took, func() { w.deliver(h, life, to, raw) })
+		}
+		if snap {
+			w.after(2*w.slow, func() {
+				if h.rep != nil && h.life == life {
+					h.rep.Snapped(to, true)
+					w.work(h)
+				}
+			})
+		}
+	}
+}
+
+func (w *World) deliver(from *host, life int, to uint64, raw []byte) {
+	var h *host
+	for _, o := range w.hosts {
+		if o.id == to && o.rep != nil {
+			h = o
+		}
+	}
+	if h == nil || w.cut[[2]int{from.n, h.n}] {
+		return
+	}
+	if h.frozen > w.now { // it waits in a socket
+		w.after(h.frozen-w.now, func() { w.deliver(from, life, to, raw) })
+		return
+	}
+	if from.life == life && from.rep != nil && !w.speak(from, h) || h.rep == nil {
+		return
+	}
+	m := &pb.Message{}
+	if err := proto.Unmarshal(raw, m); err != nil {
+		w.fail("a message: %v", err)
+		return
+	}
+	w.do(h, func() error { h.rep.Step(m); return nil })
+	w.work(h)
+}
+
+// leader gives the host whose instance leads in the latest term, nil if none does.
+func (w *World) leader() *host {
+	var best *host
+	term := uint64(0)
+	for _, h := range w.hosts {
+		if h.rep != nil {
+			if s := h.rep.Status(); s.Role == "leader" && s.Term > term {
+				best, term = h, s.Term
+			}
+		}
+	}
+	return best
+}
+
+// operate is the operator: it takes in instances that wait, promotes them, and removes those that take no part.
+func (w *World) operate() {
+	w.after(200, w.operate)
+	for _, h := range w.hosts {
+		if h.rep != nil && h.rep.Barred() != "" {
+			w.wipe(h)
+		}
+	}
+	l := w.leader()
+	if l == nil || l.frozen > w.now {
+		return
+	}
+	members := l.rep.Members()
+	for _, m := range members {
+		for _, h := range w.hosts {
+			if h.id == m.ID && !h.gone {
+				goto next
+			}
+		}
+		l.rep.Change(consensus.Change{Op: "remove", Member: m})
+		w.work(l)
+		return
+	next:
+	}
+	if len(members) >= w.target {
+		return
+	}
+	for _, h := range w.hosts {
+		if h.rep == nil || h.rep.Status().Role != "waiting" {
+			continue
+		}
+		l.rep.Change(consensus.Change{Op: "add", Member: consensus.Member{ID: h.id, Name: fmt.Sprintf("m%x", h.id),
+			Peer: fmt.Sprint("h", h.n), Listen: fmt.Sprint("h", h.n), Promote: true}})
+		w.work(l)
+		return
+	}
+}
+
+// voters counts the voters that are up and take part, as the leader has them.
+func (w *World) voters() int {
+	l := w.leader()
+	if l == nil {
+		return 0
+	}
+	n := 0
+	for _, m := range l.rep.Members() {
+		if m.Voter {
+			n++
+		}
+	}
+	return n
+}
+
+// hold notes what a host's log holds on disk.
+func (w *World) hold(h *host) {
+	if h.rep == nil {
+		return
+	}
+	first, last := h.rep.Span()
+	h.base = first - 1
+	from := first
+	if h.seen > from {
+		from = h.seen
+	}
+	for i := from; i <= last; i++ {
+		term, data := h.rep.TermOf(i)
+		h.held[i] = term
+		sum := crc32.ChecksumIEEE(data)
+		if was, ok := w.texts[spot{i, term}]; ok && was != sum {
+			w.fail("log matching: entry %d of term %d has two contents", i, term)
+		}
+		w.texts[spot{i, term}] = sum
+	}
+	for i := last + 1; h.held[i] > 0; i++ {
+		delete(h.held, i)
+	}
+}
+
+func (h *host) holds(s spot) bool { return s.index <= h.base || h.held[s.index] == s.term }
+
+// check holds a host's state against all that was seen before.
+func (w *World) check(h *host) {
+	s := h.rep.Status()
+	w.hold(h)
+	if s.Role == "leader" {
+		if who, ok := w.leaders[s.Term]; ok && who != h.id {
+			w.fail("two leaders in term %d: %x and %x", s.Term, who, h.id)
+		} else if !ok {
+			w.leaders[s.Term] = h.id
+			w.say("host %d leads term %d", h.n, s.Term)
+			for i := s.First; i <= s.Last || w.committed[i] > 0; i++ {
+				if term := w.committed[i]; term > 0 && term < s.Term && !h.holds(spot{i, term}) {
+					w.fail("leader completeness: host %d leads term %d without entry %d of term %d", h.n, s.Term, i,
+						term)
+				}
+			}
+		}
+	}
+	if s.Applied == h.seen {
+		return
+	}
+	for i := max(h.seen+1, s.First); i <= min(s.Applied, s.Last); i++ {
+		term, _ := h.rep.TermOf(i)
+		if was, ok := w.committed[i]; ok && was != term {
+			w.fail("state machine safety: entry %d was applied with term %d and with %d", i, was, term)
+		}
+		w.committed[i] = term
+	}
+	h.seen = s.Applied
+	w.checkState(h, s)
+}
+
+func (w *World) checkState(h *host, s consensus.Status) {
+	lines, first := h.rep.Lines()
+	now, outgoing := h.rep.Voters()
+	last := ""
+	if len(lines) > 0 {
+		last = string(lines[len(lines)-1])
+	}
+	picture := fmt.Sprint(s.Version, last, h.rep.Members(), now, outgoing)
+	if was, ok := w.pictures[s.Applied]; ok && was != picture {
+		w.fail("two states after entry %d:\n%s\n%s", s.Applied, was, picture)
+	}
+	w.pictures[s.Applied] = picture
+	for _, c := range [][]uint64{now, outgoing} {
+		if len(c) > 0 && (len(w.confs) == 0 || fmt.Sprint(w.confs[len(w.confs)-1]) != fmt.Sprint(c)) {
+			w.confs = append(w.confs, append([]uint64{}, c...))
+		}
+	}
+	for n := max(h.first+1, first); n <= s.Version; n++ {
+		v, err := consensus.ReadVersion(lines[n-first])
+		if err != nil || v.Number != n {
+			w.fail("version %d reads as %v (%v)", n, v, err)
+			return
+		}
+		if n > w.newest && !w.majority(spot{v.Index, v.Term}) {
+			w.fail("host %d applied version %d of entry %d, term %d, which no majority held", h.n, n, v.Index, v.Term)
+		}
+	}
+	w.newest = max(w.newest, s.Version)
+	if s.Version < h.first {
+		w.fail("host %d went back from version %d to %d", h.n, h.first, s.Version)
+	}
+	h.first = s.Version
+}
+
+// majority tells whether one of the latest sets of voters held an entry by more than half.
+func (w *World) majority(s spot) bool {
+	for k := len(w.confs) - 1; k >= max(0, len(w.confs)-4); k-- {
+		n := 0
+		for _, id := range w.confs[k] {
+			if w.holds(id, s) {
+				n++
+			}
+		}
+		if n > len(w.confs[k])/2 {
+			return true
+		}
+	}
+	return false
+}
+
+// holds tells whether an instance holds an entry, or held it on a disk that was lost since.
+func (w *World) holds(id uint64, s spot) bool {
+	for _, h := range w.hosts {
+		if h.id == id && h.holds(s) {
+			return true
+		}
+	}
+	return w.lost[id][s]
+}
+
+// lose notes what a disk held that is no more.
+func (w *World) lose(h *host) {
+	for i, term := range h.held {
+		if w.lost[h.id] == nil {
+			w.lost[h.id] = map[spot]bool{}
+		}
+		w.lost[h.id][spot{i, term}] = true
+	}
+}
+
+// converged tells whether all that take part have the same versions.
+func (w *World) converged() bool {
+	var want []byte
+	for i, h := range w.members() {
+		if h.rep == nil {
+			return false
+		}
+		lines, first := h.rep.Lines()
+		got := append([]byte(fmt.Sprint(first)), bytes.Join(lines, nil)...)
+		if i > 0 && !bytes.Equal(got, want) {
+			return false
+		}
+		want = got
+	}
+	return true
+}
+
+func (w *World) members() []*host {
+	var out []*host
+	l := w.leader()
+	if l == nil {
+		return nil
+	}
+	for _, m := range l.rep.Members() {
+		for _, h := range w.hosts {
+			if h.id == m.ID && !h.gone {
+				out = append(out, h)
+			}
+		}
+	}
+	return out
+}
+
+// quiet is raft's logger in a world.
+type quiet struct{}
+
+func (quiet) Debug(...any)            {}
+func (quiet) Debugf(string, ...any)   {}
+func (quiet) Error(...any)            {}
+func (quiet) Errorf(string, ...any)   {}
+func (quiet) Info(...any)             {}
+func (quiet) Infof(string, ...any)    {}
+func (quiet) Warning(...any)          {}
+func (quiet) Warningf(string, ...any) {}
+func (quiet) Fatal(v ...any)          { panic(strings.TrimSpace(fmt.Sprintln(v...))) }
+func (quiet) Fatalf(f string, v ...any) {
+	panic(fmt.Sprintf(f, v...))
+}
+func (quiet) Panic(v ...any)            { panic(strings.TrimSpace(fmt.Sprintln(v...))) }
+func (quiet) Panicf(f string, v ...any) { panic(fmt.Sprintf(f, v...)) }
+
+var _ raft.Logger = quiet{}
--- a/internal/wal/mem.go
+++ b/internal/wal/mem.go
@@ -251,6 +251,9 @@
 	return m
 }
 
+// Copy gives what someone who copied the folder would have, and later may put back.
+func (m *Mem) Copy() *Mem { return m.copy(func(f *memFile) []byte { return f.data }, m.names) }
+
 // Crash gives the folder as it may be found after the power went: what was synced, and of the rest, by chance, all,
 // nothing, a part from its start or any sectors of it. chance gives a number from 0 to n-1.
 func (m *Mem) Crash(chance func(n int) int) *Mem {
@@ -302,7 +305,7 @@
 	}
 	sort.Strings(order) // chance is drawn in a fixed order
 	for _, name := range order {
-		data := content(names[name])
+		data := append([]byte(nil), content(names[name])...)
 		f := &memFile{dir: out, name: name, data: data, synced: append([]byte(nil), data...)}
 		out.names[name], out.durable[name] = f, f
 	}
