umberctl: instances of the control service on real sockets, and the operators' commands

Need: the replicated group has to run as processes that operators start, ask and change.

A learner that knew no members could not answer its leader: a greeting now says where its sender is reached.

--- /dev/null
+++ b/internal/cli/config.go
@@ -0,0 +1,363 @@
+package cli
+
+import (
+	"bufio"
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"net/http"
+	"os"
+	"os/user"
+	"strconv"
+	"time"
+
+	"github.com/spf13/cobra"
+
+	"umberwinch/internal/conf"
+	"umberwinch/internal/consensus"
+)
+
+func newConfig() *cobra.Command {
+	c := &cobra.Command{Use: "config", Short: "The configuration the group agrees on: read, change, compare, follow"}
+	var a access
+	a.flags(c)
+	c.AddCommand(newGet(&a), newPut(&a), newDiff(&a), newCheck(&a), newHistory(&a), newWatch(&a))
+	return c
+}
+
+// asked runs a command with a client.
+func asked(a *access, f func(context.Context, *client, []string, io.Writer) error) func(*cobra.Command, []string) error {
+	return func(cmd *cobra.Command, args []string) error {
+		c, err := a.client()
+		if err != nil {
+			return err
+		}
+		return f(cmd.Context(), c, args, cmd.OutOrStdout())
+	}
+}
+
+func (c *client) version(ctx context.Context, number uint64, stale bool) (*consensus.Version, error) {
+	path := "/v1/config?"
+	if number > 0 {
+		path += "version=" + strconv.FormatUint(number, 10) + "&"
+	}
+	if stale {
+		path += "read=stale"
+	}
+	var v consensus.Version
+	return &v, c.get(ctx, path, &v)
+}
+
+// current gives the version in force, nil before the first.
+func (c *client) current(ctx context.Context) (*consensus.Version, error) {
+	v, err := c.version(ctx, 0, false)
+	var r *refusal
+	if errors.As(err, &r) && r.code == http.StatusNotFound {
+		return nil, nil
+	}
+	return v, err
+}
+
+func newGet(a *access) *cobra.Command {
+	var number uint64
+	var stale bool
+	c := &cobra.Command{Use: "get", Short: "Print a version's text, the newest by default", Args: exact(0),
+		RunE: asked(a, func(ctx context.Context, c *client, _ []string, w io.Writer) error {
+			v, err := c.version(ctx, number, stale)
+			if err != nil {
+				return err
+			}
+			if c.json {
+				return printJSON(w, v)
+			}
+			fmt.Fprintf(w, "; version %d of %s by %s: %s\n; hash %s\n%s", v.Number, when(v.At), v.Author, v.Reason,
+				v.Hash, v.Text)
+			return nil
+		})}
+	c.Flags().Uint64Var(&number, "version", 0, "its number; 0 for the newest")
+	c.Flags().BoolVar(&stale, "stale", false, "what the instance holds, even if it is out of touch")
+	return c
+}
+
+func when(ms int64) string { return time.UnixMilli(ms).UTC().Format("2006-01-02 15:04:05Z") }
+
+func readText(path string) ([]byte, error) {
+	if path == "-" {
+		return io.ReadAll(io.LimitReader(os.Stdin, conf.MaxBytes+1))
+	}
+	raw, err := os.ReadFile(path)
+	if err != nil {
+		return nil, usage(err)
+	}
+	return raw, nil
+}
+
+func newPut(a *access) *cobra.Command {
+	var base int64
+	var reason, author string
+	c := &cobra.Command{Use: "put FILE", Short: "Ask for a new version; FILE may be - for standard input",
+		Args: exact(1), Long: `Checks the document, then asks the group to take it as the next version. It names the
+version it was made from (--base, the one in force if not given): had another come since, it is a conflict and nothing
+is changed. Repeated askings count once, whatever happens to answers on the way.`,
+		RunE: asked(a, func(ctx context.Context, c *client, args []string, w io.Writer) error {
+			raw, err := readText(args[0])
+			if err != nil {
+				return err
+			}
+			next, err := conf.Parse(args[0], raw)
+			if err != nil {
+				return usage(err)
+			}
+			p := consensus.Put{Author: author, Reason: reason, Text: string(next.Canonical()), Base: uint64(max(0, base))}
+			if base < 0 {
+				v, err := c.current(ctx)
+				if err != nil {
+					return err
+				}
+				if v != nil {
+					p.Base = v.Number
+				}
+			}
+			end, err := c.put(ctx, p)
+			if err != nil {
+				return err
+			}
+			if c.json {
+				if err := printJSON(w, end); err != nil {
+					return err
+				}
+			} else {
+				fmt.Fprintf(w, "%s: version %d\n", end.End, end.Version)
+			}
+			if end.End != consensus.Taken && end.End != consensus.Unchanged {
+				return coded{errors.New(end.Reason), exitRefused}
+			}
+			return nil
+		})}
+	c.Flags().Int64Var(&base, "base", -1, "the version it was made from; -1 for the one in force")
+	c.Flags().StringVar(&reason, "reason", "", "why, for the history")
+	c.Flags().StringVar(&author, "author", whoami(), "who asks, for the history")
+	return c
+}
+
+func whoami() string {
+	if u, err := user.Current(); err == nil && u.Username != "" {
+		return u.Username
+	}
+	return "unknown"
+}
+
+func newDiff(a *access) *cobra.Command {
+	var from, to uint64
+	c := &cobra.Command{Use: "diff [FILE]", Short: "What a file, or a version, would change",
+		Args: cobra.MaximumNArgs(1), Long: `With FILE: what it would change in the version in force (or --from). Without:
+what changed from version --from to --to (the one before the newest, and the newest, if not given).`,
+		RunE: asked(a, func(ctx context.Context, c *client, args []string, w io.Writer) error {
+			newest, err := c.current(ctx)
+			if err != nil {
+				return err
+			}
+			if newest == nil {
+				newest = &consensus.Version{}
+			}
+			if to == 0 {
+				to = newest.Number
+			}
+			var next *conf.Document
+			if len(args) == 1 {
+				raw, err := readText(args[0])
+				if err != nil {
+					return err
+				}
+				if next, err = conf.Parse(args[0], raw); err != nil {
+					return usage(err)
+				}
+				if from == 0 {
+					from = newest.Number
+				}
+			} else if next, err = c.document(ctx, to); err != nil {
+				return err
+			}
+			if from == 0 && to > 0 {
+				from = to - 1
+			}
+			was, err := c.document(ctx, from)
+			if err != nil {
+				return err
+			}
+			changes := conf.Diff(was, next)
+			if c.json {
+				return printJSON(w, changes)
+			}
+			for _, ch := range changes {
+				fmt.Fprintln(w, ch)
+			}
+			return nil
+		})}
+	c.Flags().Uint64Var(&from, "from", 0, "version to compare with")
+	c.Flags().Uint64Var(&to, "to", 0, "version compared, without FILE")
+	return c
+}
+
+// document gives a version's document, nil for version 0.
+func (c *client) document(ctx context.Context, number uint64) (*conf.Document, error) {
+	if number == 0 {
+		return nil, nil
+	}
+	v, err := c.version(ctx, number, false)
+	if err != nil {
+		return nil, err
+	}
+	return conf.Parse(fmt.Sprint("version ", number), []byte(v.Text))
+}
+
+func newCheck(a *access) *cobra.Command {
+	var alone bool
+	c := &cobra.Command{Use: "check FILE", Short: "Check a document, alone and after the version in force",
+		Args: exact(1),
+		RunE: asked(a, func(ctx context.Context, c *client, args []string, w io.Writer) error {
+			raw, err := readText(args[0])
+			if err != nil {
+				return err
+			}
+			next, err := conf.Parse(args[0], raw)
+			if err != nil {
+				return usage(err)
+			}
+			after := "alone"
+			if !alone {
+				v, err := c.current(ctx)
+				if err != nil {
+					return err
+				}
+				if v != nil {
+					was, err := conf.Parse(fmt.Sprint("version ", v.Number), []byte(v.Text))
+					if err != nil {
+						return err
+					}
+					if err = next.Follows(was); err != nil {
+						return usage(err)
+					}
+					after = fmt.Sprint("after version ", v.Number)
+				}
+			}
+			hash := conf.Hash(next.Canonical())
+			if c.json {
+				return printJSON(w, map[string]string{"checked": after, "hash": hash})
+			}
+			fmt.Fprintf(w, "sound %s, hash %s\n", after, hash)
+			return nil
+		})}
+	c.Flags().BoolVar(&alone, "alone", false, "ask no group")
+	return c
+}
+
+func newHistory(a *access) *cobra.Command {
+	var from uint64
+	var limit int
+	c := &cobra.Command{Use: "history", Short: "List versions, the newest last", Args: exact(0),
+		RunE: asked(a, func(ctx context.Context, c *client, _ []string, w io.Writer) error {
+			path := fmt.Sprintf("/v1/history?limit=%d", limit)
+			if from > 0 {
+				path += fmt.Sprintf("&from=%d", from)
+			}
+			var vs []consensus.Version
+			if err := c.get(ctx, path, &vs); err != nil {
+				return err
+			}
+			if c.json {
+				return printJSON(w, vs)
+			}
+			rows := [][]string{{"VERSION", "AT", "BY", "HASH", "REASON"}}
+			for _, v := range vs {
+				rows = append(rows, []string{strconv.FormatUint(v.Number, 10), when(v.At), v.Author, v.Hash[:12],
+					v.Reason})
+			}
+			return table(w, rows)
+		})}
+	c.Flags().Uint64Var(&from, "from", 0, "first version; 0 for the last ones")
+	c.Flags().IntVar(&limit, "limit", 20, "how many, 1 to 1000")
+	return c
+}
+
+func newWatch(a *access) *cobra.Command {
+	var from uint64
+	c := &cobra.Command{Use: "watch", Short: "Follow versions as they come, without a gap or a double", Args: exact(0),
+		RunE: asked(a, func(ctx context.Context, c *client, _ []string, w io.Writer) error {
+			return c.watch(ctx, from, func(v *consensus.Version) error {
+				if c.json {
+					return json.NewEncoder(w).Encode(v)
+				}
+				_, err := fmt.Fprintf(w, "version %d of %s by %s: %s\n", v.Number, when(v.At), v.Author, v.Reason)
+				return err
+			})
+		})}
+	c.Flags().Uint64Var(&from, "from", 0, "first version; 0 for what comes next")
+	return c
+}
+
+// watch hands over versions in order from a number on. Where a connection ends it goes on at the next instance with
+// the number that is due.
+func (c *client) watch(ctx context.Context, from uint64, take func(*consensus.Version) error) error {
+	for round := 0; ctx.Err() == nil; round++ {
+		path := "/v1/watch"
+		if from > 0 {
+			path += "?from=" + strconv.FormatUint(from, 10)
+		}
+		res, err := c.one(ctx, c.at[round%len(c.at)], http.MethodGet, path, nil)
+		var r *refusal
+		if errors.As(err, &r) && r.code != http.StatusServiceUnavailable {
+			return err
+		}
+		if err == nil {
+			if from == 0 {
+				n, err := strconv.ParseUint(res.Header.Get(consensus.HeadVersion), 10, 64)
+				if err == nil {
+					from = n + 1
+				}
+			}
+			err = follow(res.Body, &from, take)
+			res.Body.Close()
+			if err != nil {
+				return err
+			}
+			continue
+		}
+		select {
+		case <-time.After(100 * time.Millisecond):
+		case <-ctx.Done():
+		}
+	}
+	return nil
+}
+
+// follow reads one connection's lines until it ends; an error is the taker's, or a version out of order.
+func follow(body io.Reader, from *uint64, take func(*consensus.Version) error) error {
+	lines := bufio.NewReaderSize(body, 64<<10)
+	for {
+		line, err := lines.ReadBytes('\n')
+		if err != nil {
+			return nil // a line cut off is not a version
+		}
+		var b consensus.Beat
+		if json.Unmarshal(line, &b) == nil && b.Beat {
+			continue
+		}
+		v, err := consensus.ReadVersion(line)
+		if err != nil {
+			return err
+		}
+		if v.Number < *from {
+			continue
+		}
+		if v.Number > *from {
+			return fmt.Errorf("version %d, expected %d", v.Number, *from)
+		}
+		if err = take(v); err != nil {
+			return err
+		}
+		*from++
+	}
+}
--- /dev/null
+++ b/internal/cli/root.go
@@ -0,0 +1,111 @@
+// Package cli is umberctl's commands: what operators type, print and get as an exit status. It owns flags, tables and
+// exit statuses alike in all of them; it decides nothing about a group or a req.
+package cli
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"os"
+	"os/signal"
+	"syscall"
+	"text/tabwriter"
+
+	"github.com/spf13/cobra"
+
+	"umberwinch/internal/operator"
+)
+
+// Exit statuses.
+const (
+	exitDone    = 0
+	exitFailed  = 1 // it ran and failed, or a promise of a laboratory's was broken
+	exitWrong   = 2 // a wrong file, flag or document: nothing was done
+	exitRefused = 3 // the group said no: a conflict, a refused document or change
+	exitUnknown = 4 // no answer: it may or may not have been done
+)
+
+// coded is an error with an exit status of its own.
+type coded struct {
+	error
+	code int
+}
+
+func (c coded) Unwrap() error { return c.error }
+
+func usage(err error) error { return coded{err, exitWrong} }
+
+// Run runs a command line and gives the exit status.
+func Run(args []string, out, errs io.Writer) int {
+	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
+	defer stop()
+	root := newRoot()
+	root.SetArgs(args)
+	root.SetOut(out)
+	root.SetErr(errs)
+	err := root.ExecuteContext(ctx)
+	if err == nil {
+		return exitDone
+	}
+	fmt.Fprintln(errs, err)
+	var c coded
+	var r *refusal
+	var f operator.Faults
+	switch {
+	case errors.As(err, &c):
+		return c.code
+	case errors.As(err, &f):
+		return exitWrong
+	case errors.Is(err, errUnknown):
+		return exitUnknown
+	case errors.As(err, &r):
+		return exitRefused
+	}
+	return exitFailed
+}
+
+func newRoot() *cobra.Command {
+	root := &cobra.Command{Use: "umberctl", Short: "Run, ask and change umberwinch's control service; its laboratory",
+		Long: `umberctl runs an instance of umberwinch's control service, asks and changes a group of them, and holds the
+project's laboratory.
+
+Exit statuses: 0 done; 1 failed, or a promise was broken; 2 a wrong file, flag or document, nothing was done;
+3 the group said no; 4 no answer, it may or may not have been done.`,
+		SilenceUsage: true, SilenceErrors: true, Args: cobra.NoArgs}
+	root.SetFlagErrorFunc(func(_ *cobra.Command, err error) error { return usage(err) })
+	root.AddCommand(newControl(), newConfig(), newLab())
+	return root
+}
+
+// exact asks for so many arguments, else it is a wrong line.
+func exact(n int) cobra.PositionalArgs {
+	return func(c *cobra.Command, args []string) error {
+		if err := cobra.ExactArgs(n)(c, args); err != nil {
+			return usage(fmt.Errorf("%s: %w", c.CommandPath(), err))
+		}
+		return nil
+	}
+}
+
+func printJSON(w io.Writer, v any) error {
+	e := json.NewEncoder(w)
+	e.SetIndent("", "  ")
+	return e.Encode(v)
+}
+
+// table prints rows under a head.
+func table(w io.Writer, rows [][]string) error {
+	t := tabwriter.NewWriter(w, 0, 4, 2, ' ', 0)
+	for _, row := range rows {
+		for i, cell := range row {
+			if i > 0 {
+				fmt.Fprint(t, "\t")
+			}
+			fmt.Fprint(t, cell)
+		}
+		fmt.Fprintln(t)
+	}
+	return t.Flush()
+}
--- /dev/null
+++ b/internal/consensus/api.go
@@ -0,0 +1,466 @@
+package consensus
+
+import (
+	"context"
+	"crypto/subtle"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"log"
+	"net/http"
+	"strconv"
+	"strings"
+	"sync/atomic"
+	"time"
+
+	"github.com/prometheus/client_golang/prometheus/promhttp"
+	"github.com/sirupsen/logrus"
+	"go.etcd.io/raft/v3"
+	"golang.org/x/net/netutil"
+
+	"umberwinch/internal/conf"
+	"umberwinch/internal/logs"
+)
+
+// Bounds of the clients' side.
+const (
+	maxClients     = 512
+	maxWatchers    = 256
+	maxHead        = 8 << 10
+	maxBody        = 7 << 20 // a document of the largest size, as JSON escapes it at worst, and what goes with it
+	headWithin     = 2 * time.Second
+	bodyWithin     = 10 * time.Second
+	answerWithin   = 5 * time.Second // of a put or a read; a new leader is there before
+	changeWithin   = 15 * time.Second
+	watchBeat      = 2 * time.Second // a watcher hears at least this often
+	watchWrite     = 5 * time.Second // for one line to leave; past it the watcher is let go of
+	maxHistory     = 1000            // versions in one answer
+	stopWatchAfter = time.Second
+)
+
+// Headers of every answer.
+const (
+	HeadVersion = "Umberwinch-Version"
+	HeadTerm    = "Umberwinch-Term"
+	HeadAway    = "Umberwinch-Away-Ms"
+	HeadOut     = "Umberwinch-Out-Of-Touch" // only past the bound: what this instance holds may be old
+)
+
+// Failure is the body of an answer that is not 200.
+type Failure struct {
+	Error  string `json:"error"`
+	Leader string `json:"leader,omitempty"` // where the leader listens, if known
+}
+
+// Self is what an instance says of itself, so that it can be taken in.
+type Self struct {
+	ID      uint64 `json:"id"`
+	Name    string `json:"name"`
+	Peer    string `json:"peer"`
+	Listen  string `json:"listen"`
+	Cluster string `json:"cluster"`
+}
+
+// Report is an instance's status for operators.
+type Report struct {
+	Status
+	AwayMS  int64    `json:"away_ms"`
+	Out     bool     `json:"out_of_touch"`
+	Members []Member `json:"members"`
+}
+
+// Beat is a line of a watch that brings no version.
+type Beat struct {
+	Beat   bool  `json:"beat"`
+	AwayMS int64 `json:"away_ms"`
+	Out    bool  `json:"out_of_touch"`
+}
+
+// API serves clients of a group over HTTP/1.1 with JSON. It owns bounds and the form of answers; what they say comes
+// from the group.
+type API struct {
+	group    *Group
+	server   *http.Server
+	watchers atomic.Int64
+	ending   context.Context
+	end      context.CancelFunc
+}
+
+// Serve opens the clients' address. It returns once the address is open.
+func (g *Group) Serve() (*API, error) {
+	l, err := g.trust.listen(g.control.Listen)
+	if err != nil {
+		return nil, err
+	}
+	a := &API{group: g}
+	a.ending, a.end = context.WithCancel(context.Background())
+	mux := http.NewServeMux()
+	mux.HandleFunc("GET /v1/self", a.self)
+	mux.HandleFunc("GET /v1/status", a.status)
+	mux.HandleFunc("GET /v1/config", a.config)
+	mux.HandleFunc("PUT /v1/config", a.mayChange(a.put))
+	mux.HandleFunc("GET /v1/history", a.history)
+	mux.HandleFunc("GET /v1/watch", a.watch)
+	mux.HandleFunc("POST /v1/members", a.mayChange(a.members))
+	mux.HandleFunc("GET /v1/snapshot", a.mayChange(a.snapshot))
+	mux.Handle("GET /metrics", promhttp.HandlerFor(g.meters.registry, promhttp.HandlerOpts{}))
+	a.server = &http.Server{Handler: a.headed(mux), ReadHeaderTimeout: headWithin, ReadTimeout: bodyWithin,
+		MaxHeaderBytes: maxHead, IdleTimeout: time.Minute,
+		ErrorLog: log.New(g.log.WriterLevel(logrus.DebugLevel), "", 0)}
+	go a.server.Serve(netutil.LimitListener(l, maxClients))
+	return a, nil
+}
+
+// Stop lets clients finish for a moment, then closes.
+func (a *API) Stop() {
+	a.end()
+	ctx, cancel := context.WithTimeout(context.Background(), stopWatchAfter)
+	defer cancel()
+	if a.server.Shutdown(ctx) != nil {
+		a.server.Close()
+	}
+}
+
+// headed puts on each answer how new it can be.
+func (a *API) headed(next http.Handler) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		r.Body = http.MaxBytesReader(w, r.Body, maxBody)
+		next.ServeHTTP(&heading{ResponseWriter: w, group: a.group}, r)
+	})
+}
+
+// heading writes the view's headers at the moment the answer begins.
+type heading struct {
+	http.ResponseWriter
+	group *Group
+	begun bool
+}
+
+func (h *heading) Unwrap() http.ResponseWriter { return h.ResponseWriter }
+
+func (h *heading) WriteHeader(code int) {
+	if !h.begun {
+		h.begun = true
+		v := h.group.View()
+		h.Header().Set(HeadVersion, strconv.FormatUint(v.Version, 10))
+		h.Header().Set(HeadTerm, strconv.FormatUint(v.Term, 10))
+		h.Header().Set(HeadAway, strconv.FormatInt(v.Away().Milliseconds(), 10))
+		if v.Out() {
+			h.Header().Set(HeadOut, "no majority heard for "+v.Away().Round(time.Millisecond).String())
+		}
+	}
+	h.ResponseWriter.WriteHeader(code)
+}
+
+func (h *heading) Write(p []byte) (int, error) {
+	if !h.begun {
+		h.WriteHeader(http.StatusOK)
+	}
+	return h.ResponseWriter.Write(p)
+}
+
+// mayChange asks for the operator's token where one is set.
+func (a *API) mayChange(next http.HandlerFunc) http.HandlerFunc {
+	want := a.group.control.Token
+	return func(w http.ResponseWriter, r *http.Request) {
+		got := strings.TrimPrefix(r.Header.Get("Authorization"), "Bearer ")
+		if want != "" && subtle.ConstantTimeCompare([]byte(got), []byte(want)) != 1 {
+			a.fail(w, http.StatusUnauthorized, errors.New("no token, or another one, expected the one of [clients]"))
+			return
+		}
+		next(w, r)
+	}
+}
+
+func (a *API) answer(w http.ResponseWriter, v any) {
+	w.Header().Set("Content-Type", "application/json")
+	json.NewEncoder(w).Encode(v)
+}
+
+func (a *API) fail(w http.ResponseWriter, code int, err error) {
+	f := Failure{Error: err.Error()}
+	v := a.group.View()
+	for _, m := range v.Members {
+		if m.ID == v.Leader {
+			f.Leader = m.Listen
+		}
+	}
+	w.Header().Set("Content-Type", "application/json")
+	if code == http.StatusServiceUnavailable {
+		w.Header().Set("Retry-After", "1")
+	}
+	w.WriteHeader(code)
+	json.NewEncoder(w).Encode(f)
+}
+
+// failed gives an error of the group's its status.
+func (a *API) failed(w http.ResponseWriter, err error) {
+	switch {
+	case errors.Is(err, ErrBusy), errors.Is(err, ErrLate), errors.Is(err, ErrGone), errors.Is(err, ErrBarred),
+		errors.Is(err, raft.ErrProposalDropped):
+		a.fail(w, http.StatusServiceUnavailable, err)
+	case errors.Is(err, ErrRoom):
+		a.fail(w, http.StatusInsufficientStorage, err)
+	default:
+		a.fail(w, http.StatusBadRequest, err)
+	}
+}
+
+func (a *API) self(w http.ResponseWriter, _ *http.Request) {
+	v, c := a.group.View(), a.group.control
+	a.answer(w, Self{v.ID, v.Name, c.Peer, c.Listen, v.Cluster})
+}
+
+func (a *API) status(w http.ResponseWriter, _ *http.Request) {
+	v := a.group.View()
+	a.answer(w, Report{v.Status, v.Away().Milliseconds(), v.Out(), v.Members})
+}
+
+// view gives the state a read is answered from: as new as any answer before it, or as it is here where that was asked.
+func (a *API) view(r *http.Request) (*View, error) {
+	switch read := r.URL.Query().Get("read"); read {
+	case "stale":
+		return a.group.View(), nil
+	case "":
+		ctx, cancel := context.WithTimeout(r.Context(), answerWithin)
+		defer cancel()
+		return a.group.Newest(ctx)
+	default:
+		return nil, fmt.Errorf("read: found %q, expected stale or none", read)
+	}
+}
+
+func number(r *http.Request, key string, def uint64) (uint64, error) {
+	s := r.URL.Query().Get(key)
+	if s == "" {
+		return def, nil
+	}
+	n, err := strconv.ParseUint(s, 10, 63)
+	if err != nil {
+		return 0, fmt.Errorf("%s: found %q, expected a whole number", key, s)
+	}
+	return n, nil
+}
+
+func (a *API) config(w http.ResponseWriter, r *http.Request) {
+	v, err := a.view(r)
+	if err != nil {
+		a.failed(w, err)
+		return
+	}
+	n, err := number(r, "version", v.Version)
+	if err != nil {
+		a.failed(w, err)
+		return
+	}
+	line := v.Line(n)
+	if line == nil {
+		what := fmt.Errorf("version %d, expected one from %d to %d", n, v.First, v.Version)
+		if v.Version == 0 {
+			what = errors.New("there is no version yet")
+		}
+		a.fail(w, http.StatusNotFound, what)
+		return
+	}
+	w.Header().Set("Content-Type", "application/json")
+	w.Write(append(line[:len(line):len(line)], '\n'))
+}
+
+func (a *API) put(w http.ResponseWriter, r *http.Request) {
+	var p Put
+	d := json.NewDecoder(r.Body)
+	d.DisallowUnknownFields()
+	if err := d.Decode(&p); err != nil {
+		var large *http.MaxBytesError
+		if errors.As(err, &large) {
+			a.fail(w, http.StatusRequestEntityTooLarge, fmt.Errorf("more than %d bytes", maxBody))
+			return
+		}
+		a.failed(w, fmt.Errorf("body: %w, expected a put as JSON", err))
+		return
+	}
+	p.At = time.Now().UnixMilli()
+	p.Rules = conf.Rules
+	ctx, cancel := context.WithTimeout(r.Context(), answerWithin)
+	defer cancel()
+	end, err := a.group.Put(ctx, p)
+	if err != nil {
+		a.failed(w, err)
+		return
+	}
+	code := http.StatusOK
+	switch end.End {
+	case Conflict:
+		code = http.StatusConflict
+	case Refused:
+		code = http.StatusUnprocessableEntity
+	case Expired:
+		code = http.StatusGone
+	}
+	w.Header().Set("Content-Type", "application/json")
+	w.WriteHeader(code)
+	json.NewEncoder(w).Encode(end)
+}
+
+// history gives versions without their texts, the oldest first.
+func (a *API) history(w http.ResponseWriter, r *http.Request) {
+	v, err := a.view(r)
+	if err != nil {
+		a.failed(w, err)
+		return
+	}
+	limit, err := number(r, "limit", 20)
+	if err == nil && (limit == 0 || limit > maxHistory) {
+		err = fmt.Errorf("limit: found %d, expected 1 to %d", limit, maxHistory)
+	}
+	from, err2 := number(r, "from", v.First+uint64(len(v.Lines))-min(limit, uint64(len(v.Lines))))
+	if err = errors.Join(err, err2); err != nil {
+		a.failed(w, err)
+		return
+	}
+	out := []*Version{}
+	for n := max(from, v.First); n <= v.Version && uint64(len(out)) < limit; n++ {
+		one, err := ReadVersion(v.Line(n))
+		if err != nil {
+			a.fail(w, http.StatusInternalServerError, err)
+			return
+		}
+		one.Text = ""
+		out = append(out, one)
+	}
+	a.answer(w, out)
+}
+
+// watch streams versions in order, a line each, from a number on. A watcher that went away names the next number
+// wherever it comes back, so it misses none and gets none twice.
+func (a *API) watch(w http.ResponseWriter, r *http.Request) {
+	v := a.group.View()
+	from, err := number(r, "from", v.Version+1)
+	if err != nil {
+		a.failed(w, err)
+		return
+	}
+	if from == 0 || from < v.First {
+		a.fail(w, http.StatusGone, fmt.Errorf("from version %d, expected %d or later: older ones are not kept", from,
+			v.First))
+		return
+	}
+	if a.watchers.Add(1) > maxWatchers {
+		a.watchers.Add(-1)
+		a.fail(w, http.StatusServiceUnavailable, fmt.Errorf("%d watchers, expected at most %d", maxWatchers+1,
+			maxWatchers))
+		return
+	}
+	defer a.watchers.Add(-1)
+	rc := http.NewResponseController(w)
+	rc.SetReadDeadline(time.Time{})
+	w.Header().Set("Content-Type", "application/jsonl")
+	beat := time.NewTimer(0)
+	defer beat.Stop()
+	for {
+		rc.SetWriteDeadline(time.Now().Add(watchWrite))
+		v = a.group.View()
+		if from < v.First { // it fell behind what is kept: it has to begin anew
+			return
+		}
+		sent := false
+		for ; from <= v.Version; from++ {
+			if _, err := w.Write(append(v.Line(from)[:len(v.Line(from)):len(v.Line(from))], '\n')); err != nil {
+				return
+			}
+			rc.SetWriteDeadline(time.Now().Add(watchWrite))
+			sent = true
+		}
+		if sent {
+			if rc.Flush() != nil {
+				return
+			}
+			beat.Reset(watchBeat)
+		}
+		select {
+		case <-v.Next:
+		case <-beat.C:
+			line, err := json.Marshal(Beat{true, v.Away().Milliseconds(), v.Out()})
+			if err != nil {
+				return
+			}
+			if _, err = w.Write(append(line, '\n')); err != nil || rc.Flush() != nil {
+				return
+			}
+			beat.Reset(watchBeat)
+		case <-r.Context().Done():
+			return
+		case <-a.ending.Done():
+			return
+		case <-a.group.Done():
+			return
+		}
+	}
+}
+
+// members changes who is in the group; "transfer" hands the lead over.
+func (a *API) members(w http.ResponseWriter, r *http.Request) {
+	var c Change
+	d := json.NewDecoder(r.Body)
+	d.DisallowUnknownFields()
+	if err := d.Decode(&c); err != nil {
+		a.failed(w, fmt.Errorf("body: %w, expected a change of members as JSON", err))
+		return
+	}
+	ctx, cancel := context.WithTimeout(r.Context(), changeWithin)
+	defer cancel()
+	find := func(ms []Member, id uint64) *Member {
+		for i := range ms {
+			if ms[i].ID == id {
+				return &ms[i]
+			}
+		}
+		return nil
+	}
+	var err error
+	switch c.Op {
+	case "transfer":
+		err = a.group.Transfer(c.Member.ID)
+	case "add":
+		err = a.group.Change(ctx, c, func(ms []Member) bool { return find(ms, c.Member.ID) != nil })
+	case "promote":
+		err = a.group.Change(ctx, c, func(ms []Member) bool {
+			m := find(ms, c.Member.ID)
+			return m != nil && m.Voter
+		})
+	case "remove":
+		err = a.group.Change(ctx, c, func(ms []Member) bool { return find(ms, c.Member.ID) == nil })
+	case "replace":
+		err = a.group.Change(ctx, c, func(ms []Member) bool {
+			m := find(ms, c.Member.ID)
+			return m != nil && m.Voter && find(ms, c.Gone) == nil
+		})
+	default:
+		err = fmt.Errorf("op: found %q, expected add, promote, remove, replace or transfer", c.Op)
+	}
+	if err != nil {
+		a.failed(w, err)
+		return
+	}
+	a.group.log.WithFields(logrus.Fields{"op": c.Op, logs.Peer: fmt.Sprintf("%x", c.Member.ID)}).Info(
+		"members changed")
+	a.answer(w, a.group.View().Members)
+}
+
+func (a *API) snapshot(w http.ResponseWriter, r *http.Request) {
+	_, err := a.view(r)
+	var parts [][]byte
+	if err == nil {
+		parts, err = a.group.SaveState()
+	}
+	if err != nil {
+		a.failed(w, err)
+		return
+	}
+	w.Header().Set("Content-Type", "application/octet-stream")
+	for _, p := range parts {
+		if _, err := w.Write(p); err != nil {
+			return
+		}
+	}
+}
--- /dev/null
+++ b/internal/consensus/frames.go
@@ -0,0 +1,70 @@
+package consensus
+
+import (
+	"encoding/binary"
+	"encoding/json"
+	"fmt"
+	"hash/crc32"
+	"io"
+)
+
+// A frame on a connection between instances: length u32 of what follows the sum | sum u32 | kind u8 | bytes. The sum,
+// Castagnoli's, takes in kind and bytes.
+const (
+	frameHello   byte = 1 // first, by whoever dialled
+	frameWelcome byte = 2 // the answer, a hello in its turn
+	frameRefused byte = 3 // the answer, with the reason; the connection closes
+	frameMessage byte = 4 // raft's
+	frameSnap    byte = 5 // on a bulk connection: raft's message without the state, and what the state is
+	frameChunk   byte = 6 // a part of the state
+	frameDone    byte = 7 // the answer to a whole snapshot
+
+	frameHead = 8
+	// maxFrame has room for one message of raft's: a batch up to its bound and an entry with the largest document,
+	// as JSON escapes it at worst.
+	maxFrame = 16 << 20
+)
+
+var frameSums = crc32.MakeTable(crc32.Castagnoli)
+
+func writeFrame(w io.Writer, kind byte, data []byte) error {
+	head := make([]byte, frameHead+1)
+	binary.LittleEndian.PutUint32(head, uint32(len(data)+1))
+	head[frameHead] = kind
+	sum := crc32.Update(crc32.Checksum(head[frameHead:], frameSums), frameSums, data)
+	binary.LittleEndian.PutUint32(head[4:], sum)
+	if _, err := w.Write(head); err != nil {
+		return err
+	}
+	_, err := w.Write(data)
+	return err
+}
+
+// readFrame reads one frame of at most some bytes. What it gives is a new slice.
+func readFrame(r io.Reader, most int) (kind byte, data []byte, err error) {
+	var head [frameHead]byte
+	if _, err = io.ReadFull(r, head[:]); err != nil {
+		return 0, nil, err
+	}
+	n := binary.LittleEndian.Uint32(head[:])
+	if n == 0 || int64(n) > int64(most) {
+		return 0, nil, fmt.Errorf("a frame of %d bytes, expected 1 to %d", n, most)
+	}
+	raw := make([]byte, n)
+	if _, err = io.ReadFull(r, raw); err != nil {
+		return 0, nil, err
+	}
+	if sum := crc32.Checksum(raw, frameSums); sum != binary.LittleEndian.Uint32(head[4:]) {
+		return 0, nil, fmt.Errorf("a frame whose sum is %08x, expected %08x", sum,
+			binary.LittleEndian.Uint32(head[4:]))
+	}
+	return raw[0], raw[1:], nil
+}
+
+func writeJSON(w io.Writer, kind byte, v any) error {
+	raw, err := json.Marshal(v)
+	if err != nil {
+		return err
+	}
+	return writeFrame(w, kind, raw)
+}
--- a/internal/consensus/identity.go
+++ b/internal/consensus/identity.go
@@ -19,9 +19,10 @@
 // Hello opens a connection in either direction.
 type Hello struct {
 	Identity
+	Peer string `json:"peer"` // where it is reached, for one that does not know the members yet
 	Term uint64 `json:"term"` // as its log has it
 	Last uint64 `json:"last"` // entry of its log
-	To   uint64 `json:"to"` // who it is meant for, 0 where the opener does not know
+	To   uint64 `json:"to"`   // who it is meant for, 0 where the opener does not know
 	Bulk bool   `json:"bulk,omitempty"`
 }
 
--- a/internal/consensus/replica.go
+++ b/internal/consensus/replica.go
@@ -76,12 +76,14 @@
 	reads   []pendingRead
 	saving  bool
 
-	met     map[uint64]bool // in this life; members only
-	age     int             // ticks of this life
-	asked   int             // at this age for a promotion
-	silent  int             // ticks since a leader was heard
-	timeout int
-	draws   uint32
+	met      map[uint64]bool // in this life; members only
+	age      int             // ticks of this life
+	contacts []Member        // who greeted it before it knew the members
+	asked    int             // at this age for a promotion
+	silent   int             // ticks since a leader was heard
+	alone    int             // the same, but not begun anew by standing for election
+	timeout  int
+	draws    uint32
 
 	Found     wal.Found // what the start met
 	Campaigns uint64
@@ -202,6 +204,43 @@
 	return nil
 }
 
+// Restore makes an empty folder the first instance of a new group that has the state of a saved snapshot. The group is
+// another one: instances of the old one are refused, and what was agreed on after the snapshot is lost.
+func Restore(fs wal.FS, plan Plan, raw []byte) (*Version, error) {
+	_, state, err := readSnapshot(raw)
+	if err != nil {
+		return nil, err
+	}
+	m, err := loadMachine(state, 0)
+	if err != nil {
+		return nil, err
+	}
+	log, _, err := wal.Open(fs, plan.Sizes)
+	if err != nil {
+		return nil, err
+	}
+	defer log.Close()
+	if log.Mark(markOwn) != nil {
+		return nil, errors.New("the folder belongs to an instance already, expected an empty one")
+	}
+	r := &Replica{plan: plan, log: log}
+	own := Identity{ID: plan.Draw() | 1, Name: plan.Name,
+		Cluster: fmt.Sprintf("%016x%016x", plan.Draw(), plan.Draw())}
+	m.cluster, m.removed = own.Cluster, nil
+	m.members = []Member{{ID: own.ID, Name: own.Name, Peer: plan.Peer, Listen: plan.Listen, Voter: true}}
+	b := wal.Batch{}
+	if err = r.seed(m, own.ID, &b); err != nil {
+		return nil, err
+	}
+	if err = r.own(own, b); err != nil {
+		return nil, err
+	}
+	if len(m.lines) == 0 {
+		return &Version{}, nil
+	}
+	return ReadVersion(m.lines[len(m.lines)-1])
+}
+
 func (r *Replica) own(own Identity, b wal.Batch) error {
 	raw, err := json.Marshal(own)
 	if err != nil {
@@ -230,7 +269,7 @@
 // Hello gives what this instance says of itself to another.
 func (r *Replica) Hello(to uint64) Hello {
 	_, last := r.Span()
-	return Hello{Identity: r.who.own, Term: r.store.hard.GetTerm(), Last: last, To: to}
+	return Hello{Identity: r.who.own, Peer: r.plan.Peer, Term: r.store.hard.GetTerm(), Last: last, To: to}
 }
 
 // Meet judges another's hello; a refusal comes as its reason. What was learnt is durable on return.
@@ -238,6 +277,9 @@
 	reason, learnt := r.who.Meet(h)
 	if reason == "" {
 		r.met[h.ID] = true
+		if len(r.machine.members) == 0 && len(r.contacts) < maxMembers {
+			r.contacts = append(r.contacts, Member{ID: h.ID, Name: h.Name, Peer: h.Peer})
+		}
 	}
 	if !learnt {
 		return reason, nil
@@ -277,13 +319,14 @@
 		return
 	}
 	if r.node.BasicStatus().RaftState == raft.StateLeader {
-		r.silent = 0
+		r.silent, r.alone = 0, 0
 		r.node.Tick()
 		r.age++
 		r.promote()
 		return
 	}
 	r.age++
+	r.alone++
 	r.node.TickQuiesced()
 	if !r.settled() {
 		return
@@ -349,7 +392,7 @@
 	switch m.GetType() {
 	case pb.MessageType_MsgApp, pb.MessageType_MsgHeartbeat, pb.MessageType_MsgSnap:
 		if now.Lead == m.GetFrom() {
-			r.silent = 0
+			r.silent, r.alone = 0, 0
 		}
 	case pb.MessageType_MsgVote:
 		if now.HardState.GetVote() == m.GetFrom() &&
@@ -695,7 +738,8 @@
 	Disk     int64  `json:"disk_bytes"`
 	Syncs    uint64 `json:"syncs"`
 	Version  uint64 `json:"version"`
-	Silent   int    `json:"silent_ticks"`
+	Alone    int    `json:"alone_ticks"` // since a leader was heard
+	Stood    uint64 `json:"elections"`   // it stood for
 	Barred   string `json:"barred,omitempty"`
 	Peers    []Peer `json:"peers,omitempty"`
 }
@@ -707,7 +751,7 @@
 	s := Status{ID: r.ID(), Cluster: r.who.own.Cluster, Name: r.who.own.Name, Leader: b.Lead,
 		Term: b.HardState.GetTerm(), Vote: b.HardState.GetVote(), First: r.store.offset + 1, Last: last,
 		Commit: b.HardState.GetCommit(), Applied: r.machine.applied, Snapshot: r.store.snap.GetIndex(),
-		Disk: r.log.Usage(), Syncs: r.log.Flushes(), Version: r.machine.last(), Silent: r.silent,
+		Disk: r.log.Usage(), Syncs: r.log.Flushes(), Version: r.machine.last(), Alone: r.alone, Stood: r.Campaigns,
 		Barred: r.who.own.Barred}
 	switch b.RaftState {
 	case raft.StateLeader:
@@ -746,7 +790,17 @@
 }
 
 // Voters gives the ids that elections and commits count, in both halves of a joint change.
-func (r *Replica) Voters() (now, outgoing []uint64) { return r.conf.GetVoters(), r.conf.GetVotersOutgoing() }
+func (r *Replica) Voters() (now, outgoing []uint64) {
+	return r.conf.GetVoters(), r.conf.GetVotersOutgoing()
+}
+
+// Known gives whom to speak with: the members, or until it has those, who greeted it.
+func (r *Replica) Known() []Member {
+	if len(r.machine.members) == 0 {
+		return r.contacts
+	}
+	return r.machine.members
+}
 
 // Lines gives the versions kept, each as a line of JSON, and the number of the first. Neither changes any more.
 func (r *Replica) Lines() ([][]byte, uint64) { return r.machine.lines, r.machine.first }
--- a/internal/lab/faults.go
+++ b/internal/lab/faults.go
@@ -135,8 +135,6 @@
 	Broken string
 }
 
-
-
 // Play runs a schedule from its seed: growth, faults under load, rest, then scripted cases that every schedule ends
 // with. It is the same run each time.
 func Play(seed int64, size int, faults []Fault, without consensus.Guard, trace func(string)) Result {
