--- a/internal/cli/control.go
+++ b/internal/cli/control.go
@@ -32,9 +32,6 @@
 	return c
 }
 
-// crashEnv has an instance kill itself at a step, for the laboratory: STEP:N at its Nth passing as leader.
-const crashEnv = "UMBERWINCH_CRASH"
-
 func newRun() *cobra.Command {
 	var file string
 	c := &cobra.Command{Use: "run", Short: "Run one instance until SIGTERM", Args: exact(0),
@@ -53,7 +50,7 @@
 
 func runInstance(ctx context.Context, o *operator.Control, out io.Writer) error {
 	log := logs.New(out, o.LogForm, o.LogFrom)
-	g, err := consensus.Start(o, log, crashPoint(os.Getenv(crashEnv)))
+	g, err := consensus.Start(o, log, crashPoint())
 	if err != nil {
 		return err
 	}
@@ -88,24 +85,6 @@
 	}
 }
 
-// crashPoint gives the laboratory's crash: the process kills itself, as kill -9 would, at a named step's Nth passing.
-func crashPoint(order string) func(string) {
-	step, count, ok := strings.Cut(order, ":")
-	n, err := strconv.Atoi(count)
-	if !ok || err != nil {
-		return nil
-	}
-	return func(name string) {
-		if name != step {
-			return
-		}
-		if n--; n <= 0 {
-			syscall.Kill(os.Getpid(), syscall.SIGKILL)
-			select {}
-		}
-	}
-}
-
 func newStatus(a *access) *cobra.Command {
 	return &cobra.Command{Use: "status", Short: "Show each instance of a group", Args: exact(0),
 		RunE: func(cmd *cobra.Command, _ []string) error {
--- a/internal/cli/lab.go
+++ b/internal/cli/lab.go
@@ -1,10 +1,104 @@
 package cli
 
 import (
+	"errors"
+	"fmt"
+	"os"
+	"os/signal"
+	"strings"
+	"sync/atomic"
+	"syscall"
+
 	"github.com/spf13/cobra"
+
+	"umberwinch/internal/consensus"
+	"umberwinch/internal/lab"
 )
 
 func newLab() *cobra.Command {
 	c := &cobra.Command{Use: "lab", Short: "The laboratory: the real code under faults and load"}
+	c.AddCommand(newLabRaft())
+	return c
+}
+
+func newLabRaft() *cobra.Command {
+	r := &lab.Raft{}
+	var without string
+	var replay int64
+	c := &cobra.Command{Use: "raft", Short: "The replicated group: schedules of faults in virtual time, kills of processes",
+		Args: exact(0), Long: `Virtual: the real consensus and log code on a simulated network, disks and clock, many
+schedules from one seed, with the promises of docs/design/raft.md checked after each step and clients' histories checked
+for linearizability. Real: processes on loopback whose leader is killed between any two of persist, send, apply and
+answer. The last line says "raft: kept" or "raft: broken: WHAT"; a broken promise is exit status 1.`,
+		RunE: func(cmd *cobra.Command, _ []string) error {
+			if without != "" {
+				for _, name := range strings.Split(without, ",") {
+					g, err := consensus.GuardNamed(name)
+					if err != nil {
+						return usage(err)
+					}
+					r.Without |= g
+				}
+			}
+			if r.Mode != "both" && r.Mode != "virtual" && r.Mode != "real" {
+				return usage(fmt.Errorf("--mode: found %q, expected virtual, real or both", r.Mode))
+			}
+			if r.Size != 0 && (r.Size < 2 || r.Size > 7) {
+				return usage(fmt.Errorf("--size: found %d, expected 2 to 7, or 0 for groups of 3 and 5", r.Size))
+			}
+			if replay != 0 {
+				size := r.Size
+				if size == 0 {
+					size = 3 + int(replay%2)*2
+				}
+				if res := lab.Replay(cmd.OutOrStdout(), replay, size, r.Without); res.Broken != "" {
+					return errors.New(res.Broken)
+				}
+				return nil
+			}
+			var err error
+			if r.Program, err = os.Executable(); err != nil {
+				return err
+			}
+			rep, err := r.Run(cmd.Context(), cmd.OutOrStdout())
+			if err == nil && rep.Broken != "" {
+				err = errors.New("a promise was broken")
+			}
+			return err
+		}}
+	f := c.Flags()
+	f.Int64Var(&r.Seed, "seed", 1, "all chance comes from it")
+	f.BoolVar(&r.Quick, "quick", false, "under 50 s on four cores")
+	f.IntVar(&r.Size, "size", 0, "instances in a group; 0 for groups of 3 and of 5")
+	f.StringVar(&r.Out, "out", "", "folder for report.html and result.json")
+	f.StringVar(&r.Mode, "mode", "both", "virtual, real or both")
+	f.IntVar(&r.Schedules, "schedules", 0, "virtual schedules; 0 for 400 with --quick, 6000 without")
+	f.IntVar(&r.Kills, "kills", 0, "kills a group; 0 for 10 with --quick, 200 without")
+	f.StringVar(&without, "without", "", "guards taken out, parted by commas: "+strings.Join(consensus.GuardNames(), ", "))
+	f.Int64Var(&replay, "replay", 0, "play one schedule's seed and tell each step")
 	return c
 }
+
+// crashEnv names a step at which an instance kills itself, as kill -9 would, once SIGUSR2 has told it to. It is for
+// the laboratory: without it SIGUSR2 does what it does to any process.
+const crashEnv = "UMBERWINCH_CRASH"
+
+func crashPoint() func(string) {
+	step := os.Getenv(crashEnv)
+	if step == "" {
+		return nil
+	}
+	var armed atomic.Bool
+	told := make(chan os.Signal, 1)
+	signal.Notify(told, syscall.SIGUSR2)
+	go func() {
+		<-told
+		armed.Store(true)
+	}()
+	return func(name string) {
+		if name == step && armed.Load() {
+			syscall.Kill(os.Getpid(), syscall.SIGKILL)
+			select {}
+		}
+	}
+}
--- /dev/null
+++ b/internal/lab/raft.go
@@ -0,0 +1,145 @@
+package lab
+
+import (
+	"context"
+	"fmt"
+	"image/color"
+	"io"
+	"runtime"
+	"strconv"
+	"sync"
+	"time"
+
+	"gonum.org/v1/plot/plotutil"
+
+	"umberwinch/internal/consensus"
+)
+
+func colour(i int) color.Color { return plotutil.Color(i) }
+
+// Raft is a run of `umberctl lab raft`.
+type Raft struct {
+	Seed      int64
+	Quick     bool
+	Size      int // instances; 0 for groups of three and of five
+	Out       string
+	Without   consensus.Guard
+	Mode      string // virtual, real or both
+	Schedules int    // virtual; 0 for the mode's own number
+	Kills     int    // real; 0 for the mode's own number
+	Program   string // umberctl, for real processes
+}
+
+// Numbers of the two modes. Quick ends within 50 s on four cores.
+const (
+	quickSchedules = 400
+	longSchedules  = 6000
+	quickKills     = 10
+	longKills      = 200
+	cutRuns        = 80
+)
+
+// Run plays virtual schedules, then real processes, and reports.
+func (r *Raft) Run(ctx context.Context, w io.Writer) (*Report, error) {
+	rep := &Report{Name: "raft", Title: "The replicated group under faults",
+		Head: []string{"PART", "GROUPS", "RUNS", "STEPS OR PUTS", "BROKEN", "MEDIAN", "99TH", "WORST"}}
+	rep.Add("seed", "%d", r.Seed)
+	if r.Mode != "real" {
+		r.virtual(ctx, w, rep)
+	}
+	if r.Mode != "virtual" && rep.Broken == "" && r.Without == 0 {
+		if err := r.real(ctx, w, rep); err != nil {
+			return nil, err
+		}
+	}
+	if r.Out != "" {
+		if err := rep.Save(r.Out); err != nil {
+			return nil, err
+		}
+	}
+	return rep, rep.Print(w)
+}
+
+// size gives the instances of a schedule's group.
+func (r *Raft) size(seed int64) int {
+	if r.Size > 0 {
+		return r.Size
+	}
+	return 3 + int(seed%2)*2
+}
+
+// virtual plays schedules on all cores, each from a seed of its own.
+func (r *Raft) virtual(ctx context.Context, w io.Writer, rep *Report) {
+	n := r.Schedules
+	if n == 0 {
+		n = longSchedules
+		if r.Quick {
+			n = quickSchedules
+		}
+	}
+	started := time.Now()
+	var mu sync.Mutex
+	var wg sync.WaitGroup
+	var first *Result
+	steps, calls, terms, ran, bad := 0, 0, 0, 0, 0
+	seeds := make(chan int64)
+	for i := 0; i < runtime.GOMAXPROCS(0); i++ {
+		wg.Add(1)
+		go func() {
+			defer wg.Done()
+			for s := range seeds {
+				size := r.size(s)
+				res := Play(s, size, Schedule(s, size, scheduleMS), r.Without, nil)
+				mu.Lock()
+				ran, steps, calls, terms = ran+1, steps+res.Steps, calls+res.Calls, terms+res.Terms
+				if res.Broken != "" {
+					if bad++; first == nil || res.Seed < first.Seed {
+						first = &res
+					}
+				}
+				mu.Unlock()
+			}
+		}()
+	}
+	for i := 0; i < n && ctx.Err() == nil; i++ {
+		mu.Lock()
+		enough := bad > 0 && r.Without != 0 // one failure is what a guard's absence has to show
+		mu.Unlock()
+		if enough {
+			break
+		}
+		seeds <- r.Seed*1000003 + int64(i)
+	}
+	close(seeds)
+	wg.Wait()
+	took := time.Since(started)
+	rep.Rows = append(rep.Rows, []string{"virtual", groups(r.Size), strconv.Itoa(ran), strconv.Itoa(steps),
+		strconv.Itoa(bad), "-", "-", "-"})
+	rep.Add("schedules", "%d", ran)
+	rep.Add("broken", "%d", bad)
+	rep.Add("steps", "%d", steps)
+	rep.Add("calls", "%d", calls)
+	rep.Add("terms", "%d", terms)
+	rep.Add("schedules_per_min", "%.0f", float64(ran)/took.Minutes())
+	if first == nil {
+		return
+	}
+	size := r.size(first.Seed)
+	short := Cut(first.Seed, size, Schedule(first.Seed, size, scheduleMS), r.Without, cutRuns)
+	rep.Notes = append(rep.Notes, fmt.Sprintf("seed %d of %d instances: %s\nwith these faults alone:\n%s", first.Seed,
+		size, first.Broken, lines(short)))
+	rep.Break("seed %d: %s", first.Seed, first.Broken)
+}
+
+func groups(size int) string {
+	if size == 0 {
+		return "3 and 5"
+	}
+	return strconv.Itoa(size)
+}
+
+// Replay plays one schedule and tells each thing that happens.
+func Replay(w io.Writer, seed int64, size int, without consensus.Guard) Result {
+	faults := Schedule(seed, size, scheduleMS)
+	return Play(seed, size, faults, without, func(s string) { fmt.Fprintln(w, s) })
+}
--- a/internal/lab/raft_test.go
+++ b/internal/lab/raft_test.go
@@ -6,7 +6,7 @@
 	"umberwinch/internal/consensus"
 )
 
-const playMS = 12000
+const playMS = scheduleMS
 
 // TestSchedules plays drawn faults on groups of three and five: no promise breaks.
 func TestSchedules(t *testing.T) {
--- /dev/null
+++ b/internal/lab/report.go
@@ -0,0 +1,172 @@
+package lab
+
+import (
+	"bytes"
+	"encoding/json"
+	"fmt"
+	"html/template"
+	"io"
+	"os"
+	"path/filepath"
+	"strings"
+	"text/tabwriter"
+
+	"gonum.org/v1/plot"
+	"gonum.org/v1/plot/plotter"
+	"gonum.org/v1/plot/vg"
+)
+
+// Report is what a laboratory's run found: a table, figures, plots, and whether a promise was broken.
+type Report struct {
+	Name    string
+	Title   string
+	Head    []string
+	Rows    [][]string
+	Figures []Figure
+	Plots   []Plot
+	Notes   []string
+	Broken  string
+}
+
+// Figure is one number with its name.
+type Figure struct {
+	Key   string `json:"key"`
+	Value string `json:"value"`
+}
+
+// Plot is lines over a common axis.
+type Plot struct {
+	Title, X, Y string
+	Lines       []Line
+}
+
+// Line is one of a plot's.
+type Line struct {
+	Name   string
+	Points [][2]float64
+}
+
+// Add notes a figure.
+func (r *Report) Add(key, format string, args ...any) {
+	r.Figures = append(r.Figures, Figure{key, fmt.Sprintf(format, args...)})
+}
+
+// Break notes the first promise that was broken.
+func (r *Report) Break(format string, args ...any) {
+	if r.Broken == "" {
+		r.Broken = fmt.Sprintf(format, args...)
+	}
+}
+
+// Verdict is the run's last line.
+func (r *Report) Verdict() string {
+	words := []string{r.Name + ": kept"}
+	if r.Broken != "" {
+		first, _, _ := strings.Cut(r.Broken, "\n")
+		words[0] = r.Name + ": broken: " + first
+	}
+	for _, f := range r.Figures {
+		words = append(words, f.Key+"="+f.Value)
+	}
+	return strings.Join(words, " ")
+}
+
+// Print writes the table, the notes and the verdict.
+func (r *Report) Print(w io.Writer) error {
+	if len(r.Rows) > 0 {
+		t := tabwriter.NewWriter(w, 0, 4, 2, ' ', 0)
+		for _, row := range append([][]string{r.Head}, r.Rows...) {
+			fmt.Fprintln(t, strings.Join(row, "\t"))
+		}
+		if err := t.Flush(); err != nil {
+			return err
+		}
+	}
+	for _, n := range r.Notes {
+		fmt.Fprintln(w, n)
+	}
+	_, err := fmt.Fprintln(w, r.Verdict())
+	return err
+}
+
+var page = template.Must(template.New("report").Parse(`<!DOCTYPE html>
+<html lang="en"><head><meta charset="utf-8"><title>{{.Title}}</title>
+<style>body{font:15px sans-serif;max-width:60em;margin:2em auto;padding:0 1em}table{border-collapse:collapse}
+td,th{border:1px solid #ccc;padding:.3em .7em;text-align:left}pre{background:#f4f4f4;padding:1em;overflow:auto}
+.broken{color:#b00}.kept{color:#070}</style></head><body>
+<h1>{{.Title}}</h1>
+{{if .Broken}}<p class="broken">Broken:</p><pre>{{.Broken}}</pre>{{else}}<p class="kept">Every promise was kept.</p>{{end}}
+{{if .Rows}}<table><tr>{{range .Head}}<th>{{.}}</th>{{end}}</tr>
+{{range .Rows}}<tr>{{range .}}<td>{{.}}</td>{{end}}</tr>{{end}}</table>{{end}}
+<table>{{range .Figures}}<tr><td>{{.Key}}</td><td>{{.Value}}</td></tr>{{end}}</table>
+{{range .Notes}}<pre>{{.}}</pre>{{end}}
+{{range .Drawn}}<div>{{.}}</div>{{end}}
+</body></html>
+`))
+
+// Save writes report.html and result.json to a folder.
+func (r *Report) Save(dir string) error {
+	if err := os.MkdirAll(dir, 0o755); err != nil {
+		return err
+	}
+	var drawn []template.HTML
+	for _, p := range r.Plots {
+		svg, err := p.draw()
+		if err != nil {
+			return fmt.Errorf("plot %q: %w", p.Title, err)
+		}
+		drawn = append(drawn, template.HTML(svg))
+	}
+	var b bytes.Buffer
+	if err := page.Execute(&b, struct {
+		*Report
+		Drawn []template.HTML
+	}{r, drawn}); err != nil {
+		return err
+	}
+	if err := os.WriteFile(filepath.Join(dir, "report.html"), b.Bytes(), 0o644); err != nil {
+		return err
+	}
+	raw, err := json.MarshalIndent(map[string]any{"name": r.Name, "broken": r.Broken, "figures": r.Figures,
+		"head": r.Head, "rows": r.Rows, "plots": r.Plots}, "", " ")
+	if err != nil {
+		return err
+	}
+	return os.WriteFile(filepath.Join(dir, "result.json"), append(raw, '\n'), 0o644)
+}
+
+// draw gives a plot as SVG, less the head that stands alone files have.
+func (p *Plot) draw() (string, error) {
+	g := plot.New()
+	g.Title.Text, g.X.Label.Text, g.Y.Label.Text = p.Title, p.X, p.Y
+	g.Legend.Top = true
+	g.Add(plotter.NewGrid())
+	for i, l := range p.Lines {
+		xys := make(plotter.XYs, len(l.Points))
+		for k, xy := range l.Points {
+			xys[k].X, xys[k].Y = xy[0], xy[1]
+		}
+		line, points, err := plotter.NewLinePoints(xys)
+		if err != nil {
+			return "", err
+		}
+		line.Color, points.Color = colour(i), colour(i)
+		g.Add(line, points)
+		if l.Name != "" {
+			g.Legend.Add(l.Name, line, points)
+		}
+	}
+	w, err := g.WriterTo(16*vg.Centimeter, 9*vg.Centimeter, "svg")
+	if err != nil {
+		return "", err
+	}
+	var b bytes.Buffer
+	if _, err = w.WriteTo(&b); err != nil {
+		return "", err
+	}
+	svg := b.String()
+	if i := strings.Index(svg, "<svg"); i > 0 {
+		svg = svg[i:]
+	}
+	return svg, nil
+}
--- a/internal/lab/world.go
+++ b/internal/lab/world.go
@@ -28,6 +28,7 @@
 	electing = 10
 	// writesWithin is the promise: with a majority there, a leader takes writes again within it.
 	writesWithin = 5000
+	scheduleMS   = 12000 // of faults under load; growth, rest and scripted cases come to it
 	worldSegment = 16 << 10
 	worldBound   = 8 << 20
 	worldSnap    = 12 << 10 // small, so that snapshots and lagging followers come often
