--- /dev/null
+++ b/internal/consensus/helper_test.go
@@ -0,0 +1,167 @@
+package consensus
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net/http"
+	"os"
+	"path/filepath"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"umberwinch/internal/logs"
+	"umberwinch/internal/operator"
+)
+
+// address gives loopback addresses that no other test uses: the host's part is drawn from the process's id.
+var hosts atomic.Uint32
+
+func address() string {
+	n := hosts.Add(1)
+	return fmt.Sprintf("127.%d.%d.%d", 1+os.Getpid()>>8&0x7f, os.Getpid()&0xff, 1+n%250)
+}
+
+// instance is one of a group in this process, on real sockets and a real folder.
+type instance struct {
+	t       *testing.T
+	control *operator.Control
+	group   *Group
+	api     *API
+	http    *http.Client
+	web     string
+}
+
+// boot starts an instance on a folder of its own.
+func boot(t *testing.T, name, start string, change func(*operator.Control)) *instance {
+	t.Helper()
+	at := address()
+	c := &operator.Control{Name: name, Data: filepath.Join(t.TempDir(), name), Start: start, Peer: at + ":7101",
+		Listen: at + ":7201", Tick: 10 * time.Millisecond, Elect: 10, DiskMB: 64, SnapMB: 1, RateMB: 64,
+		Touch: 500 * time.Millisecond}
+	if change != nil {
+		change(c)
+	}
+	i := &instance{t: t, control: c, http: http.DefaultClient, web: "http"}
+	i.start()
+	t.Cleanup(i.stop)
+	return i
+}
+
+func (i *instance) start() {
+	i.t.Helper()
+	var err error
+	if i.group, err = Start(i.control, logs.New(io.Discard, "text", "error"), nil); err != nil {
+		i.t.Fatal(err)
+	}
+	if i.api, err = i.group.Serve(); err != nil {
+		i.t.Fatal(err)
+	}
+}
+
+func (i *instance) stop() {
+	if i.group == nil {
+		return
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), time.Second)
+	defer cancel()
+	i.group.Stop(ctx)
+	i.api.Stop()
+	i.group = nil
+}
+
+// await waits for views until one is as wanted.
+func (i *instance) await(what string, holds func(*View) bool) *View {
+	i.t.Helper()
+	late := time.After(20 * time.Second)
+	for {
+		v := i.group.View()
+		if holds(v) {
+			return v
+		}
+		select {
+		case <-v.Next:
+		case <-late:
+			i.t.Fatalf("%s: not within 20 s, %+v", what, v.Status)
+		}
+	}
+}
+
+func (i *instance) ask(method, path string, in, out any) (int, http.Header) {
+	i.t.Helper()
+	body, err := json.Marshal(in)
+	if err != nil {
+		i.t.Fatal(err)
+	}
+	req, err := http.NewRequest(method, i.web+"://"+i.control.Listen+path, bytes.NewReader(body))
+	if err != nil {
+		i.t.Fatal(err)
+	}
+	if i.control.Token != "" {
+		req.Header.Set("Authorization", "Bearer "+i.control.Token)
+	}
+	res, err := i.http.Do(req)
+	if err != nil {
+		i.t.Fatal(err)
+	}
+	defer res.Body.Close()
+	raw, err := io.ReadAll(res.Body)
+	if err != nil {
+		i.t.Fatal(err)
+	}
+	if out != nil {
+		if err := json.Unmarshal(raw, out); err != nil {
+			i.t.Fatalf("%s %s: %s: %v", method, path, raw, err)
+		}
+	}
+	return res.StatusCode, res.Header
+}
+
+// put asks for a version until it has an answer.
+func (i *instance) put(session string, seq, base uint64) Answer {
+	i.t.Helper()
+	for end := time.Now().Add(20 * time.Second); time.Now().Before(end); {
+		var a Answer
+		if code, _ := i.ask(http.MethodPut, "/v1/config", Put{Session: session, Seq: seq, Base: base, Author: "test",
+			Text: fmt.Sprintf("[tenant %s]\nrate = %d\n", session, seq)}, &a); code != http.StatusServiceUnavailable {
+			return a
+		}
+	}
+	i.t.Fatal("no answer to a put within 20 s")
+	return Answer{}
+}
+
+// join takes an instance into this one's group and waits until it is a voter everywhere.
+func (i *instance) join(o *instance) {
+	i.t.Helper()
+	i.await("a leader", func(v *View) bool { return v.Leader != 0 })
+	var s Self
+	o.ask(http.MethodGet, "/v1/self", nil, &s)
+	var out json.RawMessage
+	if code, _ := i.ask(http.MethodPost, "/v1/members", Change{Op: "add", Member: Member{ID: s.ID, Name: s.Name,
+		Peer: s.Peer, Listen: s.Listen, Promote: true}}, &out); code != http.StatusOK {
+		i.t.Fatalf("adding %s: %d %s", s.Name, code, out)
+	}
+	for _, one := range []*instance{i, o} {
+		one.await(s.Name+" a voter", func(v *View) bool {
+			for _, m := range v.Members {
+				if m.ID == s.ID {
+					return m.Voter
+				}
+			}
+			return false
+		})
+	}
+}
+
+// three gives a group of three voters.
+func three(t *testing.T, change func(*operator.Control)) []*instance {
+	t.Helper()
+	all := []*instance{boot(t, "a", "new", change), boot(t, "b", "join", change), boot(t, "c", "join", change)}
+	all[0].join(all[1])
+	all[0].join(all[2])
+	return all
+}
--- /dev/null
+++ b/internal/consensus/machine_test.go
@@ -0,0 +1,187 @@
+package consensus
+
+import (
+	"bytes"
+	"fmt"
+	"strings"
+	"testing"
+)
+
+func text(n int) string { return fmt.Sprintf("[tenant t]\nrate = %d\n", n) }
+
+func ask(m *Machine, session string, seq, base uint64, doc string) Answer {
+	m.applied++
+	return m.put(&Put{Session: session, Seq: seq, Base: base, Author: "x", Text: doc}, m.applied, 1)
+}
+
+func TestEndsOfAPut(t *testing.T) {
+	m := newMachine("c", 0)
+	for _, s := range []struct {
+		name      string
+		session   string
+		seq, base uint64
+		doc       string
+		end       string
+		version   uint64
+		reason    string
+	}{
+		{"first", "a", 1, 0, text(1), Taken, 1, ""},
+		{"repeated", "a", 1, 0, text(1), Taken, 1, ""},
+		{"from an old version", "b", 1, 0, text(2), Conflict, 1, "made from version 0, expected 1"},
+		{"repeated after the state moved on", "b", 1, 0, text(2), Conflict, 1, ""},
+		{"the same text told otherwise", "b", 2, 1, "; remark\n" + text(1), Unchanged, 1, ""},
+		{"a wrong text", "b", 3, 1, "[tenant t]\nrat = 1\n", Refused, 1, "document:2: tenant t.rat: found a key"},
+		{"next", "a", 2, 1, text(3), Taken, 2, ""},
+		{"an asking that was passed", "a", 1, 2, text(4), Expired, 2, "put 1, expected 2 or later"},
+		{"a session that is not known", "c", 2, 2, text(4), Expired, 2, "not known any more"},
+	} {
+		a := ask(m, s.session, s.seq, s.base, s.doc)
+		if a.End != s.end || a.Version != s.version || !strings.Contains(a.Reason, s.reason) {
+			t.Errorf("%s: %+v, expected %s of %d with %q", s.name, a, s.end, s.version, s.reason)
+		}
+	}
+}
+
+func TestWhatMayNotFollowIsRefused(t *testing.T) {
+	m := newMachine("c", 0)
+	ask(m, "a", 1, 0, "[class s]\nkind = uniqued\nwindow = 20s\n")
+	if a := ask(m, "a", 2, 1, "[class s]\nkind = uniqued\nwindow = 10s\n"); a.End != Refused || m.last() != 1 {
+		t.Fatalf("a smaller window: %+v", a)
+	}
+}
+
+// TestStateIsTheSameAfterASnapshot saves in the middle: what follows has to have the same answers at both.
+func TestStateIsTheSameAfterASnapshot(t *testing.T) {
+	m := newMachine("c", 0)
+	m.members = []Member{{ID: 7, Name: "a", Voter: true}}
+	m.removed = []uint64{3}
+	for i := 0; i < 50; i++ {
+		ask(m, fmt.Sprint("s", i%9), uint64(1+i/9), m.last(), text(i))
+	}
+	parts, err := m.save()
+	if err != nil {
+		t.Fatal(err)
+	}
+	raw := bytes.Join(parts, nil)
+	o, err := loadMachine(raw, 0)
+	if err != nil {
+		t.Fatal(err)
+	}
+	for i := 0; i < 40; i++ {
+		s, seq, base := fmt.Sprint("s", i%12), uint64(1+i/9), m.last()-uint64(i%2)
+		if a, b := ask(m, s, seq, base, text(100+i)), ask(o, s, seq, base, text(100+i)); a != b {
+			t.Fatalf("put %d: %+v and %+v", i, a, b)
+		}
+	}
+	a, _ := m.save()
+	b, _ := o.save()
+	if !bytes.Equal(bytes.Join(a, nil), bytes.Join(b, nil)) {
+		t.Fatal("two states after the same puts")
+	}
+	for cut := 0; cut < len(raw)-1; cut += 37 { // a state cut short is told, never taken
+		if got, err := loadMachine(raw[:cut], 0); err == nil && got.last() == 50 {
+			t.Fatalf("a state cut at byte %d of %d was taken", cut, len(raw))
+		}
+	}
+}
+
+func TestTablesAreBounded(t *testing.T) {
+	m := newMachine("c", 0)
+	for i := 0; i < maxSessions+10; i++ {
+		ask(m, fmt.Sprint("s", i), 1, m.last(), text(i))
+	}
+	if len(m.sessions) != maxSessions || m.used.Len() != maxSessions {
+		t.Fatalf("%d sessions, expected %d", len(m.sessions), maxSessions)
+	}
+	if a := ask(m, "s0", 1, 0, text(0)); a.End != Conflict {
+		t.Fatalf("a repeat whose session went: %+v, expected no second effect", a)
+	}
+	m.bytes = maxVersionBytes + 1 // as if their texts were large
+	first := m.first
+	ask(m, "large", 1, m.last(), text(-1+1<<20))
+	if m.first <= first || m.first > m.last() || len(m.lines) == 0 {
+		t.Fatalf("versions %d to %d are kept", m.first, m.last())
+	}
+}
+
+func TestChangesOfMembers(t *testing.T) {
+	m := newMachine("c", 0)
+	m.members = []Member{{ID: 5, Name: "a", Voter: true}}
+	do := func(c Change, want string) {
+		t.Helper()
+		err := m.may(&c)
+		if want == "" && err != nil || want != "" && (err == nil || !strings.Contains(err.Error(), want)) {
+			t.Fatalf("%+v: %v, expected %q", c, err, want)
+		}
+		if err == nil {
+			m.change(&c)
+		}
+	}
+	do(Change{Op: "remove", Member: Member{ID: 5}}, "the only voter")
+	do(Change{Op: "add", Member: Member{ID: 9, Name: "a"}}, `"a" is instance 5 already`)
+	do(Change{Op: "add", Member: Member{ID: 9, Name: "b", Voter: true}}, "")
+	if m.member(9).Voter {
+		t.Fatal("a new instance is a voter before it has caught up")
+	}
+	do(Change{Op: "add", Member: Member{ID: 9, Name: "c"}}, "a member already")
+	do(Change{Op: "replace", Member: Member{ID: 5}, Gone: 9}, "expected a voter and a learner")
+	do(Change{Op: "replace", Member: Member{ID: 9}, Gone: 5}, "")
+	if len(m.members) != 1 || !m.members[0].Voter || m.members[0].ID != 9 {
+		t.Fatalf("members %+v, expected 9 alone as a voter", m.members)
+	}
+	do(Change{Op: "add", Member: Member{ID: 5, Name: "a"}}, "was removed")
+	do(Change{Op: "promote", Member: Member{ID: 9}}, "no learner")
+	do(Change{Op: "fly", Member: Member{ID: 9}}, `found "fly"`)
+	for i := uint64(0); i < maxMembers-1; i++ {
+		do(Change{Op: "add", Member: Member{ID: 100 + i, Name: fmt.Sprint(i)}}, "")
+	}
+	do(Change{Op: "add", Member: Member{ID: 99, Name: "x"}}, "expected at most")
+}
+
+func TestWhoIsSpokenWith(t *testing.T) {
+	fresh := func() *Acquaintance {
+		return &Acquaintance{own: Identity{Cluster: "c", ID: 1}, seen: map[uint64]start{2: {5, 50}},
+			said: map[uint64]saying{2: {term: 4, last: 30}}, removed: func(id uint64) bool { return id == 3 }}
+	}
+	hello := func(cluster string, id, starts, nonce, term, last, to uint64) Hello {
+		return Hello{Identity: Identity{Cluster: cluster, ID: id, Starts: starts, Nonce: nonce}, Term: term, Last: last,
+			To: to}
+	}
+	for _, c := range []struct {
+		name    string
+		h       Hello
+		reason  string
+		learnt  bool
+		waiting bool
+	}{
+		{"the same life", hello("c", 2, 5, 50, 4, 30, 1), "", false, false},
+		{"a later life", hello("c", 2, 6, 60, 4, 30, 1), "", true, false},
+		{"a copy of an earlier life", hello("c", 2, 4, 60, 4, 30, 1), oldCopy, false, false},
+		{"the folder in use twice", hello("c", 2, 5, 51, 4, 30, 1), oldCopy, false, false},
+		{"a copy of the same life: an older term", hello("c", 2, 6, 60, 3, 30, 1), oldCopy, false, false},
+		{"a copy of the same life: a shorter log", hello("c", 2, 6, 60, 4, 29, 1), oldCopy, false, false},
+		{"a later term, with what was never agreed on gone", hello("c", 2, 6, 60, 5, 20, 1), "", true, false},
+		{"removed", hello("c", 3, 1, 1, 9, 9, 1), removedOnce, false, false},
+		{"another cluster", hello("d", 2, 9, 9, 9, 9, 1), otherCluster, false, false},
+		{"meant for another", hello("c", 2, 9, 9, 9, 9, 7), forAnother, false, false},
+		{"itself", hello("c", 1, 9, 9, 9, 9, 1), forAnother, false, false},
+		{"one that waits to be taken in", hello("", 8, 1, 1, 0, 0, 0), "", false, false},
+		{"taken in", hello("c", 2, 9, 9, 9, 9, 1), "", true, true},
+		{"greeted by who does not know it", hello("c", 2, 9, 9, 9, 9, 0), otherCluster, false, true},
+	} {
+		a := fresh()
+		if c.waiting {
+			a.own.Cluster = ""
+		}
+		reason, learnt := a.Meet(c.h)
+		if reason != c.reason || learnt != c.learnt {
+			t.Errorf("%s: %q and %v, expected %q and %v", c.name, reason, learnt, c.reason, c.learnt)
+		}
+	}
+	a := fresh()
+	a.Heard(2, 4, 35)
+	a.Heard(2, 3, 99) // late news of an earlier term
+	if a.said[2] != (saying{4, 35}) {
+		t.Fatalf("heard %+v", a.said[2])
+	}
+}
