--- a/cmd/umberwinch/main.go
+++ b/cmd/umberwinch/main.go
@@ -3,6 +3,7 @@
 package main
 
 import (
+	"fmt"
 	"os"
 	"os/signal"
 	"syscall"
@@ -10,12 +11,20 @@
 	"github.com/sirupsen/logrus"
 
 	"umberwinch/internal/backend"
+	"umberwinch/internal/logs"
+	"umberwinch/internal/operator"
 )
 
 func main() {
-	log := logrus.New()
-	log.SetFormatter(&logrus.TextFormatter{DisableColors: true, FullTimestamp: true,
-		TimestampFormat: "15:04:05.000"})
+	file := &operator.Node{LogForm: "text", LogFrom: "info"}
+	if path := os.Getenv("UMBERWINCH_FILE"); path != "" {
+		var err error
+		if file, err = operator.ReadNode(path); err != nil {
+			fmt.Fprintln(os.Stderr, err)
+			os.Exit(2)
+		}
+	}
+	log := logs.New(os.Stderr, file.LogForm, file.LogFrom)
 	if level, err := logrus.ParseLevel(os.Getenv("UMBERWINCH_LOG")); err == nil {
 		log.SetLevel(level)
 	}
--- /dev/null
+++ b/internal/cli/cli_test.go
@@ -0,0 +1,211 @@
+package cli
+
+import (
+	"bufio"
+	"bytes"
+	"encoding/json"
+	"fmt"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"strings"
+	"syscall"
+	"testing"
+	"time"
+
+	"umberwinch/internal/consensus"
+)
+
+var program string
+
+func TestMain(m *testing.M) {
+	dir, err := os.MkdirTemp("", "umberctl-")
+	if err != nil {
+		panic(err)
+	}
+	program = filepath.Join(dir, "umberctl")
+	if out, err := exec.Command("go", "build", "-o", program, "umberwinch/cmd/umberctl").CombinedOutput(); err != nil {
+		fmt.Fprintf(os.Stderr, "%s\n", out)
+		os.Exit(1)
+	}
+	code := m.Run()
+	os.RemoveAll(dir)
+	os.Exit(code)
+}
+
+// run gives what a command printed and its exit status.
+func run(t *testing.T, args ...string) (out, errs string, code int) {
+	t.Helper()
+	cmd := exec.Command(program, args...)
+	var o, e bytes.Buffer
+	cmd.Stdout, cmd.Stderr = &o, &e
+	err := cmd.Run()
+	if _, exit := err.(*exec.ExitError); err != nil && !exit {
+		t.Fatal(err)
+	}
+	return o.String(), e.String(), cmd.ProcessState.ExitCode()
+}
+
+// want runs a command that has to end with a status and print something.
+func want(t *testing.T, code int, text string, args ...string) string {
+	t.Helper()
+	out, errs, got := run(t, args...)
+	if got != code || !strings.Contains(out+errs, text) {
+		t.Fatalf("umberctl %s: status %d\n%s%s\nexpected %d and %q", strings.Join(args, " "), got, out, errs, code, text)
+	}
+	return out
+}
+
+func file(t *testing.T, dir, name, text string) string {
+	t.Helper()
+	path := filepath.Join(dir, name)
+	if err := os.WriteFile(path, []byte(text), 0o600); err != nil {
+		t.Fatal(err)
+	}
+	return path
+}
+
+// start runs an instance as a process of its own until the test ends, and gives its clients' address.
+func start(t *testing.T, dir, name, how string, host int) (listen string, cmd *exec.Cmd) {
+	t.Helper()
+	at := fmt.Sprintf("127.%d.%d.%d", 1+os.Getpid()>>8&0x7f, os.Getpid()&0xff, host)
+	listen = at + ":7201"
+	path := file(t, dir, name+".ini", fmt.Sprintf("[instance]\nname = %s\ndata = %s\nstart = %s\npeer = %s:7101\n"+
+		"listen = %s\n[group]\ntick = 20ms\n[log]\nform = json\n", name, filepath.Join(dir, name), how, at, listen))
+	cmd = exec.Command(program, "control", "run", "--file", path)
+	logs, err := cmd.StderrPipe()
+	if err != nil {
+		t.Fatal(err)
+	}
+	if err = cmd.Start(); err != nil {
+		t.Fatal(err)
+	}
+	up := make(chan string, 1)
+	go func() {
+		lines := bufio.NewScanner(logs)
+		for lines.Scan() {
+			var l struct{ Msg, Node, Role string }
+			if err := json.Unmarshal(lines.Bytes(), &l); err != nil {
+				t.Errorf("log line %q: %v", lines.Text(), err)
+			}
+			if l.Msg == "instance is up" {
+				up <- l.Role
+			}
+		}
+	}()
+	select {
+	case <-up:
+	case <-time.After(20 * time.Second):
+		t.Fatal("the instance is not up after 20 s")
+	}
+	t.Cleanup(func() { cmd.Process.Kill(); cmd.Wait() })
+	return listen, cmd
+}
+
+func TestWrongFileStartsNothing(t *testing.T) {
+	dir := t.TempDir()
+	path := file(t, dir, "c.ini", "[instance]\nname = a\ndata = "+filepath.Join(dir, "data")+
+		"\nstart = never\n[group]\ntick = 9h\n")
+	_, errs, code := run(t, "control", "run", "--file", path)
+	lines := strings.Split(strings.TrimSpace(errs), "\n")
+	if code != 2 || len(lines) != 2 || !strings.HasPrefix(lines[0], path+":4: instance.start: found ") ||
+		!strings.HasPrefix(lines[1], path+":6: group.tick: found ") {
+		t.Fatalf("status %d:\n%s\nexpected 2 and two faults with their lines", code, errs)
+	}
+	if _, err := os.Stat(filepath.Join(dir, "data")); !os.IsNotExist(err) {
+		t.Fatal("a folder was made by a wrong file")
+	}
+	want(t, 2, "no such file", "control", "run", "--file", filepath.Join(dir, "none"))
+	want(t, 2, "unknown flag", "control", "run", "--fil", path)
+	want(t, 2, "accepts 1 arg", "config", "put")
+	want(t, 2, `guard "x", expected one of`, "lab", "raft", "--without", "x")
+}
+
+// TestOperatorsDay goes through the commands with a group of two processes.
+func TestOperatorsDay(t *testing.T) {
+	dir := t.TempDir()
+	a, first := start(t, dir, "a", "new", 1)
+	b, _ := start(t, dir, "b", "join", 2)
+	at := "--at=" + a + "," + b
+	want(t, 0, "b  ", "control", "members", "add", b, at)
+	one := file(t, dir, "one.ini", "[class view]\nkind = replayable\n[class file]\nkind = uniqued\nwindow = 20s\n")
+	want(t, 0, "sound alone", "config", "check", one, at)
+	want(t, 0, "taken: version 1", "config", "put", one, at, "--reason", "the first", "--author", "op")
+	want(t, 0, "unchanged: version 1", "config", "put", one, at)
+	want(t, 0, "window = 20s", "config", "get", "--at="+b)
+	two := file(t, dir, "two.ini", "[class view]\nkind = replayable\n[class file]\nkind = uniqued\nwindow = 30s\n")
+	want(t, 0, "~ [class file] window = 30s (was 20s)", "config", "diff", two, at)
+	want(t, 3, "made from version 0, expected 1", "config", "put", two, at, "--base", "0")
+	want(t, 0, "taken: version 2", "config", "put", two, at)
+	want(t, 2, "class file.window: found 20s, expected 30s at least", "config", "check", one, at)
+	want(t, 3, "refused: version 2", "config", "put", one, at)
+	want(t, 2, "kind: found none of them", "config", "put", file(t, dir, "bad.ini", "[class x]\n"), at)
+	want(t, 0, "the first", "config", "history", at)
+	want(t, 3, "version 9, expected one from 1 to 2", "config", "get", "--version", "9", at)
+
+	var vs []consensus.Version
+	if err := json.Unmarshal([]byte(want(t, 0, "", "config", "history", "--json", at)), &vs); err != nil ||
+		len(vs) != 2 || vs[0].Author != "op" || vs[1].Parent != 1 {
+		t.Fatalf("history %+v (%v)", vs, err)
+	}
+	watch := exec.Command(program, "config", "watch", "--from", "1", at)
+	lines, err := watch.StdoutPipe()
+	if err != nil {
+		t.Fatal(err)
+	}
+	if err = watch.Start(); err != nil {
+		t.Fatal(err)
+	}
+	defer watch.Process.Kill()
+	seen := bufio.NewScanner(lines)
+	for n := 1; n <= 2; n++ {
+		if !seen.Scan() || !strings.HasPrefix(seen.Text(), fmt.Sprintf("version %d of", n)) {
+			t.Fatalf("watch: %q, expected version %d", seen.Text(), n)
+		}
+	}
+
+	saved := filepath.Join(dir, "saved")
+	want(t, 0, "saved version 2", "control", "snapshot", "save", saved, at)
+	if err := first.Process.Signal(syscall.SIGTERM); err != nil {
+		t.Fatal(err)
+	}
+	first.Wait()
+	if first.ProcessState.ExitCode() != 0 {
+		t.Fatalf("status %d after SIGTERM, expected 0", first.ProcessState.ExitCode())
+	}
+	want(t, 0, "no answer", "control", "status", "--at="+b)
+	want(t, 4, "may or may not have been done", "config", "get", at, "--within", "300ms")
+
+	alone := file(t, dir, "r.ini", fmt.Sprintf("[instance]\nname = r\ndata = %s\n", filepath.Join(dir, "r")))
+	want(t, 0, "a new group of one with version 2", "control", "snapshot", "restore", saved, "--file", alone)
+	want(t, 1, "belongs to an instance already", "control", "snapshot", "restore", saved, "--file", alone)
+	r, _ := start(t, dir, "r", "join", 3) // the folder wins over the file
+	want(t, 0, "window = 30s", "config", "get", "--at="+r)
+}
+
+// TestDamagedFolder: an instance whose log is damaged in the middle does not start, and says where.
+func TestDamagedFolder(t *testing.T) {
+	dir := t.TempDir()
+	a, cmd := start(t, dir, "a", "new", 4)
+	for n := 1; n <= 5; n++ {
+		want(t, 0, "taken", "config", "put", file(t, dir, "c.ini", fmt.Sprintf("[tenant t]\nrate = %d\n", n)), "--at="+a)
+	}
+	cmd.Process.Kill()
+	cmd.Wait()
+	segments, err := filepath.Glob(filepath.Join(dir, "a", "*.seg"))
+	if err != nil || len(segments) == 0 {
+		t.Fatalf("segments %v, %v", segments, err)
+	}
+	raw, err := os.ReadFile(segments[0])
+	if err != nil {
+		t.Fatal(err)
+	}
+	raw[len(raw)/2] ^= 0x20
+	if err := os.WriteFile(segments[0], raw, 0o600); err != nil {
+		t.Fatal(err)
+	}
+	want(t, 1, filepath.Base(segments[0])+" at byte ", "control", "run", "--file", filepath.Join(dir, "a.ini"))
+	if after, err := os.ReadFile(segments[0]); err != nil || !bytes.Equal(raw, after) {
+		t.Fatalf("the damaged file was changed (%v)", err)
+	}
+}
--- a/internal/cli/lab.go
+++ b/internal/cli/lab.go
@@ -74,6 +74,7 @@
 	f.StringVar(&r.Mode, "mode", "both", "virtual, real or both")
 	f.IntVar(&r.Schedules, "schedules", 0, "virtual schedules; 0 for 400 with --quick, 6000 without")
 	f.IntVar(&r.Kills, "kills", 0, "kills a group; 0 for 10 with --quick, 200 without")
+	f.IntVar(&r.Clients, "clients", 8, "real: clients that put while leaders are killed")
 	f.StringVar(&without, "without", "", "guards taken out, parted by commas: "+strings.Join(consensus.GuardNames(), ", "))
 	f.Int64Var(&replay, "replay", 0, "play one schedule's seed and tell each step")
 	return c
--- a/internal/consensus/helper_test.go
+++ b/internal/consensus/helper_test.go
@@ -13,6 +13,8 @@
 	"testing"
 	"time"
 
+	"github.com/sirupsen/logrus"
+
 	"umberwinch/internal/logs"
 	"umberwinch/internal/operator"
 )
@@ -165,3 +167,5 @@
 	all[0].join(all[2])
 	return all
 }
+
+func quietLogger() *logrus.Logger { return logs.New(io.Discard, "text", "error") }
--- /dev/null
+++ b/internal/lab/cases_test.go
@@ -0,0 +1,186 @@
+package lab
+
+import (
+	"testing"
+
+	"umberwinch/internal/consensus"
+)
+
+// grown gives a calm group, and fails the test where the world finds anything broken by its end.
+func grown(t *testing.T, size int) *World {
+	t.Helper()
+	w := NewWorld(int64(size)*77, size, 0)
+	if !w.until(20000, func() bool { return w.voters() == size }) {
+		t.Fatalf("the group did not grow: %s", w.Broken)
+	}
+	t.Cleanup(func() {
+		if w.Broken != "" {
+			t.Errorf("broken: %s", w.Broken)
+		}
+	})
+	return w
+}
+
+// put has a version taken at a host within some time.
+func put(t *testing.T, w *World, h *host, ms int64) {
+	t.Helper()
+	if !w.scripted(h, ms) {
+		t.Fatalf("at %d ms: no write was taken within %d ms; %s", w.now, ms, w.Broken)
+	}
+}
+
+func whole(t *testing.T, w *World) {
+	t.Helper()
+	if !w.settle() {
+		t.Fatal(w.Broken)
+	}
+}
+
+// TestSlowFollower: one that stands still for 3 s slows no write and is caught up after.
+func TestSlowFollower(t *testing.T) {
+	w := grown(t, 3)
+	slow := w.follower()
+	slow.frozen = w.now + 3000
+	for end := w.now + 2500; w.now < end; {
+		put(t, w, w.leader(), 2*w.slow+tickMS)
+	}
+	whole(t, w)
+	if slow.rep.Status().Version != w.leader().rep.Status().Version {
+		t.Fatal("the slow one was not caught up")
+	}
+}
+
+// TestStalledDisk: a leader whose disk stalls for 3 s is followed by another; what it held open has one end.
+func TestStalledDisk(t *testing.T) {
+	w := grown(t, 3)
+	old := w.leader()
+	old.frozen = w.now + 3000
+	if !w.until(2500, func() bool { l := w.leader(); return l != nil && l != old }) {
+		t.Fatal("no other took over while the disk stalled")
+	}
+	put(t, w, w.leader(), 500)
+	whole(t, w)
+	if s := old.rep.Status(); s.Role == "leader" {
+		t.Fatal("the old leader still leads")
+	}
+}
+
+// TestThreeOfFive: with two down writes go on; with a third they stop, and nothing new is applied; with it back they
+// go on within the promise.
+func TestThreeOfFive(t *testing.T) {
+	w := grown(t, 5)
+	var down []*host
+	stop := func() {
+		h := w.follower(down...)
+		w.down(h, 1<<40)
+		down = append(down, h)
+	}
+	stop()
+	stop()
+	put(t, w, w.leader(), 500)
+	l := w.leader()
+	stop()
+	if w.scripted(l, 3000) {
+		t.Fatal("two of five took a write")
+	}
+	w.up(down[2], false)
+	if !w.until(writesWithin, func() bool { return w.leader() != nil && w.scripted(w.leader(), 300) }) {
+		t.Fatalf("no write within %d ms of the third's return", writesWithin)
+	}
+	w.up(down[0], false)
+	w.up(down[1], false)
+	whole(t, w)
+}
+
+// TestGrowWithOneDown takes a fourth in while one of three is down.
+func TestGrowWithOneDown(t *testing.T) {
+	w := grown(t, 3)
+	away := w.follower()
+	w.down(away, 1<<40)
+	w.target = 4
+	w.addHost(false)
+	if !w.until(10000, func() bool { return w.voters() == 4 }) {
+		t.Fatal("the fourth did not become a voter while one was down")
+	}
+	put(t, w, w.leader(), 500)
+	w.up(away, false)
+	whole(t, w)
+}
+
+// TestOldEntriesVanish: a leader cut off takes entries that no majority gets. Back again it has the others' instead,
+// it applied none of its own, and its term unseats nobody.
+func TestOldEntriesVanish(t *testing.T) {
+	w := grown(t, 3)
+	old := w.leader()
+	w.part(3000, func(a, b *host) bool { return a == old || b == old })
+	for i := 0; i < 3; i++ {
+		if w.scripted(old, 100) {
+			t.Fatal("a leader alone applied a write")
+		}
+	}
+	_, held := old.rep.Span()
+	if !w.until(2500, func() bool { l := w.leader(); return l != nil && l != old }) {
+		t.Fatal("the others have no leader")
+	}
+	put(t, w, w.leader(), 500)
+	term := w.leader().rep.Status().Term
+	w.Run(w.now + 2500)
+	whole(t, w)
+	if now := w.leader().rep.Status(); now.Term != term || now.Version != 1 {
+		t.Fatalf("term %d and version %d, expected term %d and version 1, with %d entries held alone", now.Term,
+			now.Version, term, held)
+	}
+}
+
+// TestOneWay: a follower that hears nothing but is heard, and one that is heard by none, unseat no leader.
+func TestOneWay(t *testing.T) {
+	for _, deaf := range []bool{true, false} {
+		w := grown(t, 3)
+		l, f := w.leader(), w.follower()
+		term := l.rep.Status().Term
+		w.part(4000, func(a, b *host) bool { return deaf && b == f || !deaf && a == f })
+		for i := 0; i < 4; i++ {
+			put(t, w, l, 500)
+			w.Run(w.now + 800)
+		}
+		whole(t, w)
+		if w.leader() != l || l.rep.Status().Term != term {
+			t.Fatalf("deaf %v: the leader changed", deaf)
+		}
+	}
+}
+
+// TestRemovedKeepsTalking: an instance that was removed while it was cut off comes back and harms nothing.
+func TestRemovedKeepsTalking(t *testing.T) {
+	w := grown(t, 3)
+	f := w.follower()
+	id := f.id
+	w.part(2000, func(a, b *host) bool { return a == f || b == f })
+	w.target = 2
+	l := w.leader()
+	l.rep.Change(consensus.Change{Op: "remove", Member: consensus.Member{ID: id}})
+	w.work(l)
+	w.Run(w.now + 4000)
+	term := w.leader().rep.Status().Term
+	for i := 0; i < 5; i++ {
+		put(t, w, w.leader(), 500)
+		w.Run(w.now + 500)
+	}
+	if w.leader().rep.Status().Term != term {
+		t.Fatal("a removed instance raised the term")
+	}
+}
+
+// TestTransfer: a lead is handed over without waiting for an election.
+func TestTransfer(t *testing.T) {
+	w := grown(t, 3)
+	l, to := w.leader(), w.follower()
+	if err := l.rep.Transfer(to.id); err != nil {
+		t.Fatal(err)
+	}
+	w.work(l)
+	if !w.until(8*w.slow, func() bool { return w.leader() == to }) {
+		t.Fatal("the lead was not handed over in a few round trips")
+	}
+	put(t, w, to, 500)
+}
--- a/internal/lab/procs.go
+++ b/internal/lab/procs.go
@@ -13,6 +13,7 @@
 	"os"
 	"os/exec"
 	"path/filepath"
+	"runtime"
 	"strconv"
 	"strings"
 	"sync"
@@ -357,24 +358,97 @@
 	}
 	plot := Plot{Title: "Writes after a leader's death", X: "ms without an answer", Y: "share of kills"}
 	for _, size := range sizes {
-		if err := r.killLeaders(ctx, w, rep, &plot, size, kills); err != nil {
+		if err := r.killLeaders(ctx, w, rep, &plot, size, kills, "[disk]\nsnapshot_mb = 1\n"); err != nil {
 			return err
 		}
 	}
 	rep.Plots = append(rep.Plots, plot)
-	if !r.Quick && rep.Broken == "" {
-		return r.speed(ctx, rep)
+	if r.Quick || rep.Broken != "" {
+		return nil
+	}
+	if err := r.speed(ctx, rep); err != nil {
+		return err
+	}
+	return r.timeouts(ctx, w, rep)
+}
+
+// timeouts shows what the election timeout costs and saves: time without writes after a kill on a calm machine, and
+// elections that nothing called for while four times as many threads as cores want to run.
+func (r *Raft) timeouts(ctx context.Context, w io.Writer, rep *Report) error {
+	plot := Plot{Title: "Election timeout: failover against false elections on a busy machine", X: "timeout, ms",
+		Y: "ms without writes; false elections x 100"}
+	calm, busy := Line{Name: "failover, median"}, Line{Name: "false elections in 10 s, x 100"}
+	for _, tick := range []int{5, 10, 25, 50, 100} {
+		sub := &Report{}
+		if err := r.killLeaders(ctx, w, sub, &Plot{}, 3, 8, fmt.Sprintf("[group]\ntick = %dms\n", tick)); err != nil {
+			return err
+		}
+		median, _ := strconv.Atoi(sub.find("kills3_median_ms"))
+		wrong, err := r.falseElections(ctx, tick)
+		if err != nil {
+			return err
+		}
+		calm.Points = append(calm.Points, [2]float64{float64(tick * 10), float64(median)})
+		busy.Points = append(busy.Points, [2]float64{float64(tick * 10), float64(100 * wrong)})
+		rep.Rows = append(rep.Rows, []string{fmt.Sprintf("timeout %d ms", tick*10), "3", "8 kills, 10 s busy",
+			"-", fmt.Sprintf("%d elections", wrong), ms(int64(median)), "-", sub.find("kills3_worst_ms") + " ms"})
 	}
+	plot.Lines = []Line{calm, busy}
+	rep.Plots = append(rep.Plots, plot)
 	return nil
 }
 
-func (r *Raft) killLeaders(ctx context.Context, w io.Writer, rep *Report, plot *Plot, size, kills int) error {
+// falseElections counts terms begun within 10 s with all cores wanted four times over.
+func (r *Raft) falseElections(ctx context.Context, tick int) (uint64, error) {
+	dir, err := os.MkdirTemp("", "lab-raft-")
+	if err != nil {
+		return 0, err
+	}
+	defer os.RemoveAll(dir)
+	c, err := newCluster(ctx, r.Program, dir, 3, fmt.Sprintf("[group]\ntick = %dms\n", tick))
+	if c != nil {
+		defer c.close()
+	}
+	if err != nil {
+		return 0, err
+	}
+	before, err := c.report(c.procs[0])
+	if err != nil {
+		return 0, err
+	}
+	was := runtime.GOMAXPROCS(0)
+	n := 4 * runtime.NumCPU()
+	runtime.GOMAXPROCS(n + 2)
+	var stop atomic.Bool
+	for i := 0; i < n; i++ {
+		go func() {
+			for x := 1; !stop.Load(); x = x*31 + 7 {
+			}
+		}()
+	}
+	l := c.load(ctx, 2)
+	time.Sleep(10 * time.Second)
+	stop.Store(true)
+	runtime.GOMAXPROCS(was)
+	if err := l.end(); err != nil {
+		return 0, err
+	}
+	var after *consensus.Report
+	err = c.await(ctx, func() error { after, err = c.report(c.procs[0]); return err })
+	if err != nil {
+		return 0, err
+	}
+	return after.Term - before.Term, nil
+}
+
+func (r *Raft) killLeaders(ctx context.Context, w io.Writer, rep *Report, plot *Plot, size, kills int,
+	extra string) error {
 	dir, err := os.MkdirTemp("", "lab-raft-")
 	if err != nil {
 		return err
 	}
 	defer os.RemoveAll(dir)
-	c, err := newCluster(ctx, r.Program, dir, size, "[disk]\nsnapshot_mb = 1\n")
+	c, err := newCluster(ctx, r.Program, dir, size, extra)
 	if c != nil {
 		defer c.close()
 	}
@@ -384,7 +458,7 @@
 	steps := append([]string{""}, consensus.Points...)
 	chance := rand.New(rand.NewSource(r.Seed))
 	gaps := hdrhistogram.New(1, 60_000, 3)
-	l := c.load(ctx, 8)
+	l := c.load(ctx, max(1, r.Clients))
 	for _, p := range c.procs { // armed by being started anew, so that each step's crash can be told by a signal
 		c.kill(p)
 		if err := c.start(p, steps[chance.Intn(len(steps))]); err != nil {
--- /dev/null
+++ b/internal/lab/procs_test.go
@@ -0,0 +1,49 @@
+package lab
+
+import (
+	"bytes"
+	"context"
+	"os/exec"
+	"path/filepath"
+	"strings"
+	"testing"
+
+	"umberwinch/internal/consensus"
+)
+
+// TestKilledLeaders kills leaders of real processes; all that clients were told is there, once.
+func TestKilledLeaders(t *testing.T) {
+	program := filepath.Join(t.TempDir(), "umberctl")
+	if out, err := exec.Command("go", "build", "-o", program, "umberwinch/cmd/umberctl").CombinedOutput(); err != nil {
+		t.Fatalf("%s", out)
+	}
+	var out bytes.Buffer
+	dir := t.TempDir()
+	rep, err := (&Raft{Seed: 4, Quick: true, Size: 3, Mode: "real", Kills: 4, Program: program, Out: dir}).Run(
+		context.Background(), &out)
+	if err != nil || rep.Broken != "" {
+		t.Fatalf("%v\n%s", err, out.String())
+	}
+	if !strings.Contains(out.String(), "raft: kept seed=4 kills3=4 ") {
+		t.Fatalf("last line of\n%s", out.String())
+	}
+	for _, name := range []string{"report.html", "result.json"} {
+		if m, err := filepath.Glob(filepath.Join(dir, name)); err != nil || len(m) != 1 {
+			t.Errorf("%s is missing", name)
+		}
+	}
+}
+
+// TestBrokenIsSaid: the command's verdict follows what was found.
+func TestBrokenIsSaid(t *testing.T) {
+	var out bytes.Buffer
+	rep, err := (&Raft{Seed: 2, Quick: true, Mode: "virtual", Schedules: 20, Without: consensus.CompareAndSet}).Run(
+		context.Background(), &out)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if rep.Broken == "" || !strings.Contains(out.String(), "raft: broken: seed ") ||
+		!strings.Contains(out.String(), "with these faults alone") {
+		t.Fatalf("got\n%s", out.String())
+	}
+}
--- a/internal/lab/raft.go
+++ b/internal/lab/raft.go
@@ -27,6 +27,7 @@
 	Mode      string // virtual, real or both
 	Schedules int    // virtual; 0 for the mode's own number
 	Kills     int    // real; 0 for the mode's own number
+	Clients   int    // real; that put while leaders are killed
 	Program   string // umberctl, for real processes
 }
 
--- a/internal/lab/report.go
+++ b/internal/lab/report.go
@@ -51,6 +51,15 @@
 	r.Figures = append(r.Figures, Figure{key, fmt.Sprintf(format, args...)})
 }
 
+func (r *Report) find(key string) string {
+	for _, f := range r.Figures {
+		if f.Key == key {
+			return f.Value
+		}
+	}
+	return ""
+}
+
 // Break notes the first promise that was broken.
 func (r *Report) Break(format string, args ...any) {
 	if r.Broken == "" {
--- a/internal/operator/operator_test.go
+++ b/internal/operator/operator_test.go
@@ -24,6 +24,9 @@
 	if err != nil {
 		t.Fatal(err)
 	}
+	if n, err := ReadNode(filepath.Join("..", "..", "deploy", "node.ini")); err != nil || n.LogFrom != "info" {
+		t.Fatalf("shipped node file: %+v, %v", n, err)
+	}
 	if !Loopback(c.Peer) || !Loopback(c.Listen) || c.Start != "new" {
 		t.Fatalf("shipped file: %+v, expected a group of one on loopback", c)
 	}
