--- a/internal/consensus/group_test.go
+++ b/internal/consensus/group_test.go
@@ -205,6 +205,40 @@
 	if err != nil {
 		t.Fatal(err)
 	}
+	a.group.ended.Do(func() { close(a.group.quit) }) // its folder is looked into
+	<-a.group.Done()
+	again, err := Open(wal.Dir(a.control.Data), loudPlan(a.control))
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer again.Close()
+	if _, err = again.Work(func([]*pb.Message) {}); err != nil {
+		t.Fatal(err)
+	}
+	for n := 0; n < 40 && again.Status().Version == 0; n++ {
+		again.Tick()
+		if _, err = again.Work(func([]*pb.Message) {}); err != nil {
+			t.Fatal(err)
+		}
+	}
+	head, err := again.SaveNow()
+	if err != nil {
+		t.Fatal(err)
+	}
+	if err = head.Write(); err != nil {
+		t.Fatal(err)
+	}
+	inFolder, err := filepath.Glob(filepath.Join(a.control.Data, "*.snap"))
+	if err != nil || len(inFolder) == 0 {
+		t.Fatalf("snapshots %v, %v", inFolder, err)
+	}
+	fromFolder, err := os.ReadFile(inFolder[len(inFolder)-1])
+	if err != nil {
+		t.Fatal(err)
+	}
+	if v, err := Restore(wal.NewMem(), PlanOf(a.control), fromFolder); err != nil || v.Number != 1 {
+		t.Fatalf("from a folder's file: %v, %v", v, err)
+	}
 	var control operator.Control
 	b := boot(t, "b", "new", func(c *operator.Control) {
 		dir, err := wal.MakeDir(c.Data)
--- a/internal/consensus/helper_test.go
+++ b/internal/consensus/helper_test.go
@@ -169,3 +169,9 @@
 }
 
 func quietLogger() *logrus.Logger { return logs.New(io.Discard, "text", "error") }
+
+func loudPlan(c *operator.Control) Plan {
+	p := PlanOf(c)
+	p.Logger = raftLog{quietLogger()}
+	return p
+}
--- a/internal/consensus/replica.go
+++ b/internal/consensus/replica.go
@@ -207,6 +207,9 @@
 // Restore makes an empty folder the first instance of a new group that has the state of a saved snapshot. The group is
 // another one: instances of the old one are refused, and what was agreed on after the snapshot is lost.
 func Restore(fs wal.FS, plan Plan, raw []byte) (*Version, error) {
+	if body, _, ok := wal.Unwrap(raw); ok { // a file out of another folder
+		raw = body
+	}
 	_, state, err := readSnapshot(raw)
 	if err != nil {
 		return nil, err
--- a/internal/wal/snapshot.go
+++ b/internal/wal/snapshot.go
@@ -166,9 +166,18 @@
 			return nil, &Damage{name, 0, "a snapshot", err.Error()}
 		}
 	}
-	if size < snapHead || string(raw[:8]) != snapMagic || binary.LittleEndian.Uint64(raw[16:]) != number ||
-		binary.LittleEndian.Uint64(raw[8:]) != xxhash.Sum64(raw[16:]) {
+	body, of, ok := Unwrap(raw)
+	if !ok || of != number {
 		return nil, &Damage{name, 0, "a snapshot", "its sum does not fit"}
 	}
-	return raw[snapHead:], nil
+	return body, nil
+}
+
+// Unwrap gives what a snapshot's file holds, and its number.
+func Unwrap(raw []byte) (body []byte, number uint64, ok bool) {
+	if len(raw) < snapHead || string(raw[:8]) != snapMagic ||
+		binary.LittleEndian.Uint64(raw[8:]) != xxhash.Sum64(raw[16:]) {
+		return nil, 0, false
+	}
+	return raw[snapHead:], binary.LittleEndian.Uint64(raw[16:]), true
 }
