The laboratory parts, stalls and fills the disks of real leaders; peers may stand behind a forwarder

Need: real processes were only killed; partitions and disks that stall or fill were tried in virtual time alone.

Change: a switchboard between processes that knows by the greeting who dialled; faults that an instance brings on itself on SIGUSR2 where the laboratory's environment asks for it; instance.bind for a group behind forwarders.

--- a/internal/cli/control.go
+++ b/internal/cli/control.go
@@ -19,6 +19,7 @@
 	"github.com/spf13/cobra"
 
 	"umberwinch/internal/consensus"
+	"umberwinch/internal/lab"
 	"umberwinch/internal/logs"
 	"umberwinch/internal/operator"
 	"umberwinch/internal/wal"
@@ -50,7 +51,7 @@
 
 func runInstance(ctx context.Context, o *operator.Control, out io.Writer) error {
 	log := logs.New(out, o.LogForm, o.LogFrom)
-	g, err := consensus.Start(o, log, crashPoint())
+	g, err := consensus.Start(o, log, lab.FaultsOnDemand())
 	if err != nil {
 		return err
 	}
--- a/internal/cli/lab.go
+++ b/internal/cli/lab.go
@@ -4,10 +4,7 @@
 	"errors"
 	"fmt"
 	"os"
-	"os/signal"
 	"strings"
-	"sync/atomic"
-	"syscall"
 
 	"github.com/spf13/cobra"
 
@@ -79,27 +76,3 @@
 	f.Int64Var(&replay, "replay", 0, "play one schedule's seed and tell each step")
 	return c
 }
-
-// crashEnv names a step at which an instance kills itself, as kill -9 would, once SIGUSR2 has told it to. It is for
-// the laboratory: without it SIGUSR2 does what it does to any process.
-const crashEnv = "UMBERWINCH_CRASH"
-
-func crashPoint() func(string) {
-	step := os.Getenv(crashEnv)
-	if step == "" {
-		return nil
-	}
-	var armed atomic.Bool
-	told := make(chan os.Signal, 1)
-	signal.Notify(told, syscall.SIGUSR2)
-	go func() {
-		<-told
-		armed.Store(true)
-	}()
-	return func(name string) {
-		if name == step && armed.Load() {
-			syscall.Kill(os.Getpid(), syscall.SIGKILL)
-			select {}
-		}
-	}
-}
--- a/internal/consensus/group.go
+++ b/internal/consensus/group.go
@@ -125,8 +125,14 @@
 		Snapshot: c.SnapMB << 20, Sizes: wal.Sizes{Segment: min(4<<20, bound/16), Bound: bound}, Draw: drawID}
 }
 
-// Start opens the folder and begins to serve peers. Point is told each step, for crashes on purpose; nil otherwise.
-func Start(c *operator.Control, log *logrus.Logger, point func(string)) (*Group, error) {
+// Faults are what the laboratory does to an instance on purpose; the zero value does nothing.
+type Faults struct {
+	Point func(step string)   // hears of each step of Work
+	Disk  func(wal.FS) wal.FS // stands between the log and its folder
+}
+
+// Start opens the folder and begins to serve peers.
+func Start(c *operator.Control, log *logrus.Logger, faults Faults) (*Group, error) {
 	dir, err := wal.MakeDir(c.Data)
 	if err != nil {
 		return nil, err
@@ -139,12 +145,16 @@
 		return nil, err
 	}
 	plan := PlanOf(c)
-	plan.Logger, plan.Point = raftLog{log}, point
-	g.rep, err = Open(timedFS{dir, g.meters}, plan)
+	plan.Logger, plan.Point = raftLog{log}, faults.Point
+	var disk wal.FS = dir
+	if faults.Disk != nil {
+		disk = faults.Disk(dir)
+	}
+	g.rep, err = Open(timedFS{disk, g.meters}, plan)
 	if err != nil {
 		return nil, err
 	}
-	l, err := g.trust.listen(c.Peer)
+	l, err := g.trust.listen(c.Bind)
 	if err != nil {
 		g.rep.Close()
 		return nil, err
--- a/internal/consensus/helper_test.go
+++ b/internal/consensus/helper_test.go
@@ -41,7 +41,7 @@
 func boot(t *testing.T, name, start string, change func(*operator.Control)) *instance {
 	t.Helper()
 	at := address()
-	c := &operator.Control{Name: name, Data: filepath.Join(t.TempDir(), name), Start: start, Peer: at + ":7101",
+	c := &operator.Control{Name: name, Data: filepath.Join(t.TempDir(), name), Start: start, Peer: at + ":7101", Bind: at + ":7101",
 		Listen: at + ":7201", Tick: 10 * time.Millisecond, Elect: 10, DiskMB: 64, SnapMB: 1, RateMB: 64,
 		Touch: 500 * time.Millisecond}
 	if change != nil {
@@ -56,7 +56,7 @@
 func (i *instance) start() {
 	i.t.Helper()
 	var err error
-	if i.group, err = Start(i.control, logs.New(io.Discard, "text", "error"), nil); err != nil {
+	if i.group, err = Start(i.control, logs.New(io.Discard, "text", "error"), Faults{}); err != nil {
 		i.t.Fatal(err)
 	}
 	if i.api, err = i.group.Serve(); err != nil {
--- /dev/null
+++ b/internal/lab/ondemand.go
@@ -0,0 +1,88 @@
+package lab
+
+import (
+	"os"
+	"os/signal"
+	"sync/atomic"
+	"syscall"
+	"time"
+
+	"umberwinch/internal/consensus"
+	"umberwinch/internal/wal"
+)
+
+// faultEnv names what an instance does to itself once SIGUSR2 has told it to: a step of Work at which it kills itself
+// as kill -9 would, or a way in which its disk fails. Without it SIGUSR2 does what it does to any process.
+const faultEnv = "UMBERWINCH_FAULT"
+
+// Ways in which a disk fails on demand.
+const (
+	diskStalls = "stall" // the next sync takes diskStall
+	diskFull   = "full"  // each write from then on finds no room
+	diskStall  = 3 * time.Second
+)
+
+// FaultsOnDemand gives an instance the faults that its environment asks for.
+func FaultsOnDemand() consensus.Faults {
+	kind := os.Getenv(faultEnv)
+	if kind == "" {
+		return consensus.Faults{}
+	}
+	armed := &atomic.Bool{}
+	told := make(chan os.Signal, 1)
+	signal.Notify(told, syscall.SIGUSR2)
+	go func() {
+		for range told {
+			armed.Store(true)
+		}
+	}()
+	if kind == diskStalls || kind == diskFull {
+		return consensus.Faults{Disk: func(fs wal.FS) wal.FS { return failing{fs, kind, armed} }}
+	}
+	return consensus.Faults{Point: func(name string) {
+		if name == kind && armed.Load() {
+			syscall.Kill(os.Getpid(), syscall.SIGKILL)
+			select {}
+		}
+	}}
+}
+
+// failing is a folder whose disk fails once armed.
+type failing struct {
+	wal.FS
+	kind  string
+	armed *atomic.Bool
+}
+
+type failingFile struct {
+	wal.File
+	of failing
+}
+
+func (f failing) Create(name string) (wal.File, error) {
+	file, err := f.FS.Create(name)
+	return failingFile{file, f}, err
+}
+
+func (f failing) Open(name string) (wal.File, error) {
+	file, err := f.FS.Open(name)
+	return failingFile{file, f}, err
+}
+
+func (f failingFile) WriteAt(p []byte, off int64) (int, error) {
+	if f.of.kind == diskFull && f.of.armed.Load() {
+		n, err := f.File.WriteAt(p[:len(p)/2], off)
+		if err == nil {
+			err = syscall.ENOSPC
+		}
+		return n, err
+	}
+	return f.File.WriteAt(p, off)
+}
+
+func (f failingFile) Sync() error {
+	if f.of.kind == diskStalls && f.of.armed.CompareAndSwap(true, false) {
+		time.Sleep(diskStall)
+	}
+	return f.File.Sync()
+}
--- a/internal/lab/procs.go
+++ b/internal/lab/procs.go
@@ -26,18 +26,15 @@
 	"umberwinch/internal/consensus"
 )
 
-// crashEnv names the step at which an instance kills itself once SIGUSR2 has told it to.
-const crashEnv = "UMBERWINCH_CRASH"
-
 // realWithin is the promise for processes: after a leader's death writes are taken again within it.
 const realWithin = 5 * time.Second
 
 // proc is one instance as a process.
 type proc struct {
-	name, listen, peer, file string
-	cmd                      *exec.Cmd
-	ended                    chan struct{}
-	step                     string // where SIGUSR2 kills it, "" for plain SIGKILL
+	name, listen, peer, bind, file string
+	cmd                            *exec.Cmd
+	ended                          chan struct{}
+	fault                          string // what SIGUSR2 brings, "" for plain SIGKILL
 }
 
 // cluster is a group of processes on loopback.
@@ -46,6 +43,7 @@
 	procs        []*proc
 	http         *http.Client
 	out          *os.File
+	board        *switchboard
 }
 
 // freePort gives a port that nobody has at the moment; whoever uses it may find that it went, and tries another.
@@ -60,7 +58,7 @@
 
 // newCluster starts a group and waits until all are voters. extra stands at the end of each operator's file.
 func newCluster(ctx context.Context, program, dir string, size int, extra string) (*cluster, error) {
-	c := &cluster{program: program, dir: dir, http: &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 128,
+	c := &cluster{program: program, dir: dir, board: newSwitchboard(), http: &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 128,
 		DialContext: (&net.Dialer{Timeout: 200 * time.Millisecond}).DialContext}}}
 	var err error
 	if c.out, err = os.OpenFile(filepath.Join(dir, "instances.log"), os.O_CREATE|os.O_APPEND|os.O_WRONLY,
@@ -109,27 +107,33 @@
 func (c *cluster) add(i int, extra string) error {
 	name := string(rune('a' + i))
 	p := &proc{name: name, file: filepath.Join(c.dir, name+".ini")}
-	for _, at := range []*string{&p.listen, &p.peer} {
+	for _, at := range []*string{&p.listen, &p.bind} {
 		port, err := freePort()
 		if err != nil {
 			return err
 		}
 		*at = "127.0.0.1:" + strconv.Itoa(port)
 	}
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		return err
+	}
+	p.peer = l.Addr().String()
+	c.board.front(l, name, p.bind)
 	start := "join"
 	if i == 0 {
 		start = "new"
 	}
 	c.procs = append(c.procs, p)
 	return os.WriteFile(p.file, []byte(fmt.Sprintf("[instance]\nname = %s\ndata = %s\nstart = %s\npeer = %s\n"+
-		"listen = %s\n%s", name, filepath.Join(c.dir, name), start, p.peer, p.listen, extra)), 0o600)
+		"bind = %s\nlisten = %s\n%s", name, filepath.Join(c.dir, name), start, p.peer, p.bind, p.listen, extra)), 0o600)
 }
 
-func (c *cluster) start(p *proc, step string) error {
+func (c *cluster) start(p *proc, fault string) error {
 	p.cmd = exec.Command(c.program, "control", "run", "--file", p.file)
 	p.cmd.Stderr = c.out
-	p.cmd.Env = append(os.Environ(), crashEnv+"="+step)
-	p.step, p.ended = step, make(chan struct{})
+	p.cmd.Env = append(os.Environ(), faultEnv+"="+fault)
+	p.fault, p.ended = fault, make(chan struct{})
 	if err := p.cmd.Start(); err != nil {
 		return err
 	}
@@ -139,7 +143,7 @@
 
 // kill ends a process at its step, or at once, and waits until it is gone.
 func (c *cluster) kill(p *proc) {
-	if p.step != "" {
+	if p.fault != "" && p.fault != diskStalls {
 		p.cmd.Process.Signal(syscall.SIGUSR2)
 		select {
 		case <-p.ended:
@@ -151,6 +155,29 @@
 	<-p.ended
 }
 
+// cutOff is a fault of the lines between processes, beside those that a process brings on itself.
+const cutOff = "cut off"
+
+// strike does to a leader what it was started for, or parts it from the others. It tells whether the process ended.
+func (c *cluster) strike(p *proc, cut bool) (ended bool) {
+	switch {
+	case cut:
+		var others []string
+		for _, o := range c.procs {
+			if o != p {
+				others = append(others, o.name)
+			}
+		}
+		c.board.part(p.name, others, true, true)
+		return false
+	case p.fault == diskStalls:
+		p.cmd.Process.Signal(syscall.SIGUSR2)
+		return false
+	}
+	c.kill(p)
+	return true
+}
+
 func (c *cluster) close() {
 	for _, p := range c.procs {
 		if p.cmd != nil && p.cmd.Process != nil {
@@ -159,6 +186,7 @@
 		}
 	}
 	c.out.Close()
+	c.board.close()
 }
 
 func (c *cluster) await(ctx context.Context, holds func() error) error {
@@ -455,13 +483,14 @@
 	if err != nil {
 		return err
 	}
-	steps := append([]string{""}, consensus.Points...)
+	kinds := append([]string{"", diskStalls, diskFull}, consensus.Points...)
 	chance := rand.New(rand.NewSource(r.Seed))
 	gaps := hdrhistogram.New(1, 60_000, 3)
+	kindsDone := map[string]int{}
 	l := c.load(ctx, max(1, r.Clients))
 	for _, p := range c.procs { // armed by being started anew, so that each step's crash can be told by a signal
 		c.kill(p)
-		if err := c.start(p, steps[chance.Intn(len(steps))]); err != nil {
+		if err := c.start(p, kinds[chance.Intn(len(kinds))]); err != nil {
 			return err
 		}
 		if err := c.await(ctx, func() error {
@@ -485,8 +514,25 @@
 		}); err != nil {
 			return err
 		}
-		c.kill(p)
+		what, cut := p.fault, chance.Intn(8) == 0
+		if cut {
+			what = cutOff
+		}
 		died := time.Since(l.begun)
+		ended := c.strike(p, cut)
+		if ended {
+			died = time.Since(l.begun)
+		} else { // writes go on until the fault shows: it is over once another leads
+			if err := c.await(ctx, func() error {
+				if n := c.leader(); n == nil || n == p {
+					return errors.New("no other leader")
+				}
+				return nil
+			}); err != nil {
+				rep.Break("kill %d: leader %q is not followed: %v", k+1, what, err)
+				break
+			}
+		}
 		for l.last.Load() <= int64(died) && ctx.Err() == nil {
 			if time.Since(l.begun)-died > 2*realWithin {
 				break
@@ -496,11 +542,21 @@
 		gap := time.Duration(l.last.Load()) - died
 		if gap <= 0 || gap > realWithin {
 			rep.Break("no write was taken for %v after kill %d of a leader of %d at %q", time.Since(l.begun)-died, k+1,
-				size, p.step)
+				size, what)
 			break
 		}
+		kindsDone[what]++
 		gaps.RecordValue(gap.Milliseconds())
-		if err := c.start(p, steps[chance.Intn(len(steps))]); err != nil {
+		if !ended && !cut {
+			if err := c.await(ctx, func() error { _, err := c.report(p); return err }); err != nil {
+				return err
+			}
+			c.kill(p)
+			ended = true
+		}
+		c.board.heal()
+		if !ended {
+		} else if err := c.start(p, kinds[chance.Intn(len(kinds))]); err != nil {
 			return err
 		}
 		if err := c.await(ctx, func() error { // back before the next is killed
@@ -516,7 +572,7 @@
 	if err := l.end(); err != nil {
 		rep.Break("%d instances: %v", size, err)
 	}
-	rep.Rows = append(rep.Rows, []string{"kill -9 of the leader", strconv.Itoa(size),
+	rep.Rows = append(rep.Rows, []string{"leader lost", strconv.Itoa(size),
 		strconv.FormatInt(gaps.TotalCount(), 10), strconv.Itoa(l.puts), strconv.FormatBool(rep.Broken != ""),
 		ms(gaps.ValueAtQuantile(50)), ms(gaps.ValueAtQuantile(99)), ms(gaps.Max())})
 	key := fmt.Sprintf("kills%d", size)
@@ -524,6 +580,11 @@
 	rep.Add(key+"_median_ms", "%d", gaps.ValueAtQuantile(50))
 	rep.Add(key+"_p99_ms", "%d", gaps.ValueAtQuantile(99))
 	rep.Add(key+"_worst_ms", "%d", gaps.Max())
+	for _, kind := range append(kinds, cutOff) {
+		if n := kindsDone[kind]; n > 0 {
+			rep.Notes = append(rep.Notes, fmt.Sprintf("%d instances: %d leaders: %s", size, n, whatKind(kind)))
+		}
+	}
 	rep.Add(key+"_versions", "%d", len(l.taken))
 	line := Line{Name: fmt.Sprintf("%d instances", size)}
 	for _, q := range []float64{1, 5, 10, 25, 50, 75, 90, 95, 99, 100} {
@@ -533,6 +594,20 @@
 	return nil
 }
 
+func whatKind(kind string) string {
+	switch kind {
+	case "":
+		return "kill -9"
+	case cutOff:
+		return "cut off from all others"
+	case diskStalls:
+		return "its disk stalled " + diskStall.String()
+	case diskFull:
+		return "its disk was full"
+	}
+	return "killed itself before " + kind
+}
+
 func ms(n int64) string { return strconv.FormatInt(n, 10) + " ms" }
 
 // speed measures puts without faults, by one client and by many.
--- /dev/null
+++ b/internal/lab/proxy.go
@@ -0,0 +1,126 @@
+package lab
+
+import (
+	"encoding/binary"
+	"encoding/json"
+	"io"
+	"net"
+	"sync"
+	"time"
+)
+
+// switchboard stands between instances of a group of processes: a forwarder in front of each peers' address, which
+// knows by the greeting who dialled, and can part any two, one way each.
+type switchboard struct {
+	mu    sync.Mutex
+	cut   map[[2]string]bool // by names, from and to
+	conns map[net.Conn][2]string
+	wg    sync.WaitGroup
+	ls    []net.Listener
+}
+
+func newSwitchboard() *switchboard {
+	return &switchboard{cut: map[[2]string]bool{}, conns: map[net.Conn][2]string{}}
+}
+
+// front forwards what comes to a listener to an instance.
+func (s *switchboard) front(l net.Listener, name, to string) {
+	s.ls = append(s.ls, l)
+	s.wg.Add(1)
+	go func() {
+		defer s.wg.Done()
+		for {
+			c, err := l.Accept()
+			if err != nil {
+				return
+			}
+			s.wg.Add(1)
+			go func() { defer s.wg.Done(); s.forward(c, name, to) }()
+		}
+	}()
+}
+
+// forward reads the greeting to learn who dials, then copies both ways until either side ends or the two are parted.
+func (s *switchboard) forward(c net.Conn, name, to string) {
+	defer c.Close()
+	c.SetReadDeadline(time.Now().Add(2 * time.Second))
+	head := make([]byte, 8)
+	if _, err := io.ReadFull(c, head); err != nil {
+		return
+	}
+	n := binary.LittleEndian.Uint32(head)
+	if n == 0 || n > 4<<10 {
+		return
+	}
+	raw := make([]byte, n)
+	if _, err := io.ReadFull(c, raw); err != nil {
+		return
+	}
+	var hello struct {
+		Name string `json:"name"`
+	}
+	if json.Unmarshal(raw[1:], &hello) != nil {
+		return
+	}
+	c.SetReadDeadline(time.Time{})
+	out, err := net.DialTimeout("tcp", to, time.Second)
+	if err != nil {
+		return
+	}
+	defer out.Close()
+	key := [2]string{hello.Name, name}
+	s.mu.Lock()
+	parted := s.cut[key]
+	if !parted {
+		s.conns[c] = key
+	}
+	s.mu.Unlock()
+	if parted {
+		return
+	}
+	defer func() { s.mu.Lock(); delete(s.conns, c); s.mu.Unlock() }()
+	if _, err = out.Write(append(head, raw...)); err != nil {
+		return
+	}
+	back := make(chan struct{})
+	go func() { io.Copy(c, out); c.Close(); close(back) }()
+	io.Copy(out, c)
+	out.Close()
+	<-back
+}
+
+// part cuts one instance off from some others, both ways, or only what it says or only what it hears.
+func (s *switchboard) part(name string, others []string, says, hears bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for _, o := range others {
+		if says {
+			s.cut[[2]string{name, o}] = true
+		}
+		if hears {
+			s.cut[[2]string{o, name}] = true
+		}
+	}
+	for c, key := range s.conns {
+		if s.cut[key] {
+			c.Close()
+		}
+	}
+}
+
+func (s *switchboard) heal() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.cut = map[[2]string]bool{}
+}
+
+func (s *switchboard) close() {
+	for _, l := range s.ls {
+		l.Close()
+	}
+	s.mu.Lock()
+	for c := range s.conns {
+		c.Close()
+	}
+	s.mu.Unlock()
+}
--- a/internal/operator/control.go
+++ b/internal/operator/control.go
@@ -12,6 +12,7 @@
 	Data    string // folder of its log and snapshots; one process at a time
 	Start   string // "new" founds a group of one, "join" waits to be added to one
 	Peer    string // where other instances reach it
+	Bind    string // where it listens for them, if a forwarder stands between
 	Listen  string // where clients do
 	Tick    time.Duration
 	Elect   int // ticks without a leader after which an instance stands for election, at most twice that
@@ -56,10 +57,11 @@
 		LogForm: t.Choice("log", "form", "text", "text", "json"),
 		LogFrom: t.Choice("log", "from", "info", "debug", "info", "warning", "error"),
 	}
+	c.Bind = t.Address("instance", "bind", c.Peer)
 	if c.Name != "" && !IsName(c.Name) {
 		t.Note("instance", "name", strconv.Quote(clip(c.Name)), "up to 40 letters, digits, '-' and '_'")
 	}
-	if c.Peer == c.Listen {
+	if c.Peer == c.Listen || c.Bind == c.Listen {
 		t.Note("instance", "listen", strconv.Quote(c.Listen)+", the peers' address", "an address of its own")
 	}
 	if c.DiskMB < 6*c.SnapMB {
@@ -69,8 +71,9 @@
 	if given := c.Cert != "" || c.Key != "" || c.CA != ""; given && (c.Cert == "" || c.Key == "" || c.CA == "") {
 		t.Note("tls", "", "some of its keys", "certificate, key and authority, or none")
 	} else if !given {
-		for _, a := range []struct{ key, at string }{{"peer", c.Peer}, {"listen", c.Listen}} {
-			if !Loopback(a.at) {
+		for _, a := range []struct{ key, at string }{{"peer", c.Peer}, {"bind", c.Bind},
+			{"listen", c.Listen}} {
+			if !Loopback(a.at) && (a.key != "bind" || c.Bind != c.Peer) {
 				t.Note("instance", a.key, strconv.Quote(a.at)+" and no [tls]",
 					"a loopback address, or certificate, key and authority under [tls]")
 			}
