Pools of run slots with a reserve: decisions, the module's question, the operator's file

Change: internal/pools decides, without I/O, clock or chance, whether the next of a handler may take a slot: limits by measured work, value and need, cut while another suffers, lent while nobody waits; a reserve for the cheapest; a pool of the heavy; half a limited pool at most a tenant. Off on the platform.

All scenarios of the module give the same decisions with pools that have room.

--- a/admission/admission.go
+++ b/admission/admission.go
@@ -99,6 +99,7 @@
 	back                  ring            // reqs of callers that came shortly before, and reqs read
 	maxPause              Time
 	grace, graceEnd, kill Time
+	pools                 Pools
 }
 
 // New readies a controller for a server that starts now.
@@ -119,7 +120,7 @@
 		ghosts: newRing(5, max(d.Linger, 4)/4),
 		// Four seconds of reqs: dozens at a server's rate, and shorter than a storm.
 		turned: newRing(8, Second/2), again: newRing(8, Second/2), back: newRing(8, Second),
-		seen: map[uint32]Time{},
+		seen: map[uint32]Time{}, pools: d.Pools,
 	}
 	if d.Cold && d.ColdSpeed > 0 && d.ColdSpeed < 1 {
 		c.cold, c.warmAt = d.ColdSpeed, d.Start+d.WarmAfter
@@ -269,6 +270,9 @@
 	default:
 		c.hold.insertAfter(&c.s, i, c.hold.tail)
 		it.phase = held
+		if c.pools != nil {
+			c.pools.Arrived(c.now, int(it.h), int(it.t))
+		}
 		if it.prior == none {
 			c.remember(i)
 		}
@@ -364,20 +368,29 @@
 
 // ---- 3. Slots.
 
-// start gives free slots to the longest waiting, in strict arrival order.
+// start gives free slots to the longest waiting, in strict arrival order. With pools, a req whose handler has no room
+// is passed by younger ones whose handler has. Guards against costly work that holds all slots; harms what is passed,
+// by the slots of its pool at most. What starts may change who may, so each start looks from the head again.
 func (c *Controller) start() {
 	top := c.ceiling()
-	for c.hold.head != none && c.running < min(c.limit, top) {
-		i := c.hold.head
+	for i := c.hold.head; i != none && c.running < min(c.limit, top); {
 		it := &c.s.at[i]
+		if c.pools != nil && !c.pools.May(int(it.h), int(it.t)) {
+			i = it.queue.next
+			continue
+		}
 		if c.mem+it.kb*(c.runKB-1) > c.memTop || c.hung && c.running > 0 {
 			return
 		}
 		if c.drain && c.now+Time(c.est(it)*1.5)+2*tick > c.kill {
 			c.shed(i, false)
+			i = c.hold.head
 			continue
 		}
 		c.lap = c.now - it.came
+		if c.pools != nil {
+			c.pools.Started(c.now, it.id, int(it.h), int(it.t), c.lap)
+		}
 		c.hold.remove(&c.s, i)
 		it.phase, it.ran = running, true
 		c.running++
@@ -389,6 +402,7 @@
 			c.share(k)
 		}
 		c.look(i)
+		i = c.hold.head
 	}
 }
 
@@ -423,6 +437,7 @@
 	}
 	it := &c.s.at[i]
 	it.phase = calling
+	c.away(it, true)
 	c.moved()
 	if !it.answered {
 		c.queueCall(i)
@@ -532,6 +547,7 @@
 		c.took.add(c.now, float64(b.Took), 1)
 		c.passed.add(c.now, 1, 0)
 		it.phase = running
+		c.away(it, false)
 		c.moved()
 		return
 	case Unrun:
@@ -558,10 +574,18 @@
 func (c *Controller) skip(i int32) {
 	it := &c.s.at[i]
 	it.phase = running
+	c.away(it, false)
 	c.w.Skip(it.id)
 	c.look(i)
 }
 
+// away tells pools that a run stands at a call, which is no work, or goes on.
+func (c *Controller) away(it *item, away bool) {
+	if c.pools != nil {
+		c.pools.Away(c.now, it.id, away)
+	}
+}
+
 // ---- 5. Uniqued table and shared reads.
 
 // repeat settles a req that repeats prior; false lets it through the door as a new one.
@@ -605,7 +629,7 @@
 func (c *Controller) share(i int32) {
 	it := &c.s.at[i]
 	if it.phase == held {
-		c.hold.remove(&c.s, i)
+		c.outOfHold(i, false)
 	}
 	it.phase = sharing
 	c.w.Reuse(it.id)
@@ -716,17 +740,28 @@
 	// Six tenths for the two shares lost what it gained, seven, nine and ten gained less.
 	full := c.press > 0.5 || c.turned.mean(c.now, 0)+c.again.mean(c.now, 0) > 0.8
 	last := waited && (it.again || full || c.now-it.came > c.h[it.h].target/3)
-	c.w.Shed(it.id, last, c.comeBack())
+	c.w.Shed(it.id, last, c.comeBack(int(it.h)))
 	c.turned.add(c.now, 1, 0)
 	it.answered, it.failed = true, true
-	c.unhold(i)
+	if c.pools != nil && it.phase != held {
+		c.pools.Refused(c.now, int(it.h))
+	}
+	c.unhold(i, true)
+}
+
+// outOfHold takes a req out of the hold that gets no run.
+func (c *Controller) outOfHold(i int32, shed bool) {
+	c.hold.remove(&c.s, i)
+	if it := &c.s.at[i]; c.pools != nil {
+		c.pools.Left(c.now, int(it.h), int(it.t), shed)
+	}
 }
 
 // unhold takes out a req that never ran; the first of those that wait for it takes its place in the table.
-func (c *Controller) unhold(i int32) {
+func (c *Controller) unhold(i int32, shed bool) {
 	it := &c.s.at[i]
 	if it.phase == held {
-		c.hold.remove(&c.s, i)
+		c.outOfHold(i, shed)
 	}
 	c.s.part(i)
 	c.forget(it)
@@ -769,7 +804,7 @@
 	switch it.phase {
 	case held:
 		it.failed = true
-		c.unhold(i)
+		c.unhold(i, false)
 		return
 	case read, sharing:
 		it.failed = true
@@ -809,6 +844,9 @@
 		c.giveUpCall()
 	}
 	c.running--
+	if c.pools != nil {
+		c.pools.Ended(c.now, it.id, e.How == OK, e.How == OK && !late)
+	}
 	c.mem -= it.kb * (c.runKB - 1)
 	it.failed = it.failed || e.How != OK
 	h.met.add(c.now, 0, -one(e.How == Unrun)) // it was no req that any caller meant: not to be counted
@@ -842,6 +880,12 @@
 		c.onCores = r.Gauges.OnCores
 		c.grow()
 	}
+	if c.pools != nil {
+		c.pools.Tick(c.now, min(c.limit, c.ceiling()))
+		for _, line := range c.pools.Told() {
+			c.w.Log(line)
+		}
+	}
 	// An eighth of the target unread is well past what reading itself takes; a quarter scored the same.
 	c.long = float64(c.hold.n) >= c.cores || c.unread.mean(c.now, 0) > 0.125
 	c.watch(dt)
@@ -943,12 +987,16 @@
 	}
 }
 
-// comeBack is how long until the hold will have shortened: a lap of it, by the last start or its head.
-func (c *Controller) comeBack() Time {
+// comeBack is how long until the hold will have shortened: a lap of it, by the last start or its head; with pools a
+// lap of the handler's own.
+func (c *Controller) comeBack(handler int) Time {
 	if !c.good {
 		return c.maxPause
 	}
 	wait := max(c.lap, rest)
+	if c.pools != nil {
+		wait = max(wait, c.pools.Lap(handler))
+	}
 	if c.hold.head != none {
 		wait = max(wait, c.now-c.s.at[c.hold.head].came)
 	}
--- a/admission/interface.go
+++ b/admission/interface.go
@@ -105,6 +105,22 @@
 	Voice      Voice
 	MaxPause   Time // longest time to come back that is passed on; 0: none is
 	Idle       Time
+
+	Pools Pools // nil: slots go to whoever has waited longest
+}
+
+// Pools sets run slots apart by handler. It is told all that touches a slot and asked before one is given.
+type Pools interface {
+	Arrived(now Time, handler, tenant int)         // joined the hold
+	Left(now Time, handler, tenant int, shed bool) // left it without a run
+	Refused(now Time, handler int)                 // was shed before it joined
+	May(handler, tenant int) bool                  // take a slot now
+	Started(now Time, id uint32, handler, tenant int, waited Time)
+	Away(now Time, id uint32, away bool) // stands at a call, or goes on
+	Ended(now Time, id uint32, done, inTime bool)
+	Tick(now Time, slots int)
+	Lap(handler int) Time // how long the last one of a handler to start had waited
+	Told() []string       // changes since it was last asked, for the log
 }
 
 // Req is one try of a caller's request, just read.
--- a/admission/scenario_test.go
+++ b/admission/scenario_test.go
@@ -20,6 +20,7 @@
 //	at MS: EVENT; EVENT          plays the wake-ups asked for until MS, then one round with the events
 //	does DECISION; ...           exactly these, in order, since the line before; nothing: none
 //	among DECISION; ...          these are among them
+//	pools N N ...                run slots of each handler, in order; without the line each has room
 //	still MS                     the process stands still so long: wake-ups come late
 //	never DECISION               not since the scenario began, whatever else is said with it
 //
@@ -39,6 +40,56 @@
 	busy  map[uint32]bool
 	log   []string
 	all   []string
+	pools *tally
+}
+
+// tally is pools with fixed slots; it holds the module to telling it of all that touches a slot.
+type tally struct {
+	t             *testing.T
+	slots         []int
+	held, running map[int]int
+	runs          map[uint32]int
+	away          map[uint32]bool
+}
+
+func (p *tally) Arrived(_ Time, h, _ int) { p.held[h]++ }
+func (p *tally) Refused(Time, int)        {}
+func (p *tally) Left(_ Time, h, _ int, _ bool) {
+	p.held[h]--
+}
+func (p *tally) May(h, _ int) bool { return h >= len(p.slots) || p.running[h] < p.slots[h] }
+func (p *tally) Started(_ Time, id uint32, h, _ int, _ Time) {
+	if p.held[h]--; !p.May(h, 0) {
+		p.t.Errorf("%d was started past the slots of handler %d", id, h)
+	}
+	p.runs[id] = h
+	p.running[h]++
+}
+func (p *tally) Away(_ Time, id uint32, away bool) {
+	if _, runs := p.runs[id]; !runs || p.away[id] == away {
+		p.t.Errorf("%d away %v again, or without a run", id, away)
+	}
+	p.away[id] = away
+}
+func (p *tally) Ended(_ Time, id uint32, _, _ bool) {
+	h, runs := p.runs[id]
+	if !runs {
+		p.t.Errorf("%d ended without a run", id)
+	}
+	delete(p.runs, id)
+	delete(p.away, id)
+	p.running[h]--
+}
+func (p *tally) Tick(Time, int) {}
+func (p *tally) Lap(int) Time   { return 0 }
+func (p *tally) Told() []string { return nil }
+
+// sums compares with what the module holds.
+func (p *tally) sums(c *Controller) (held, running int) {
+	for h := range c.h {
+		held += p.held[h]
+	}
+	return held, len(p.runs)
 }
 
 func (s *scene) note(f string, a ...any) { s.log = append(s.log, fmt.Sprintf(f, a...)) }
@@ -184,6 +235,11 @@
 		}
 	}
 	s.c.Decide(&r, s)
+	if s.pools != nil {
+		if held, running := s.pools.sums(s.c); held != s.c.hold.n || running != s.c.running {
+			s.fatal("pools know of %d held and %d running, expected %d and %d", held, running, s.c.hold.n, s.c.running)
+		}
+	}
 	if s.c.mem < -0.01 || s.c.mem > s.d.MemKB {
 		s.fatal("memory in use is %.1f of %.1f", s.c.mem, s.d.MemKB)
 	}
@@ -275,6 +331,10 @@
 		}
 	case "links":
 		s.links = s.num(rest)
+	case "pools":
+		for _, w := range strings.Fields(rest) {
+			s.pools.slots = append(s.pools.slots, int(s.num(w)))
+		}
 	case "at":
 		s.log = s.log[:0]
 		when, events, ok := strings.Cut(rest, ":")
@@ -317,17 +377,31 @@
 		if err != nil {
 			t.Fatal(err)
 		}
-		t.Run(strings.TrimSuffix(filepath.Base(file), ".txt"), func(t *testing.T) {
-			s := &scene{t: t, file: file, auto: true, busy: map[uint32]bool{}}
-			s.d = Deployment{Cores: 1, MemKB: 1000, RunFactor: 4, KeyKB: 5, Fall: 5, Fleet: 1, Senders: 1,
-				Granule: 10, Stop: StopPause, DrainGrace: Second, MaxPause: Second, Beyond: 0.05}
-			for k, line := range strings.Split(string(text), "\n") {
-				s.line = k + 1
-				line, _, _ = strings.Cut(line, "#")
-				if line = strings.TrimSpace(line); line != "" {
-					s.play(line)
-				}
+		// Each is played without pools and with pools that have room: what it says has to hold for both.
+		for _, with := range []bool{false, true} {
+			name := strings.TrimSuffix(filepath.Base(file), ".txt")
+			if with {
+				name += "/pools"
+			} else if strings.Contains(string(text), "\npools ") {
+				continue
 			}
-		})
+			t.Run(name, func(t *testing.T) {
+				s := &scene{t: t, file: file, auto: true, busy: map[uint32]bool{}}
+				s.d = Deployment{Cores: 1, MemKB: 1000, RunFactor: 4, KeyKB: 5, Fall: 5, Fleet: 1, Senders: 1,
+					Granule: 10, Stop: StopPause, DrainGrace: Second, MaxPause: Second, Beyond: 0.05}
+				if with {
+					s.pools = &tally{t: t, held: map[int]int{}, running: map[int]int{}, runs: map[uint32]int{},
+						away: map[uint32]bool{}}
+					s.d.Pools = s.pools
+				}
+				for k, line := range strings.Split(string(text), "\n") {
+					s.line = k + 1
+					line, _, _ = strings.Cut(line, "#")
+					if line = strings.TrimSpace(line); line != "" {
+						s.play(line)
+					}
+				}
+			})
+		}
 	}
 }
--- a/cmd/umberwinch/main.go
+++ b/cmd/umberwinch/main.go
@@ -16,13 +16,16 @@
 )
 
 func main() {
-	file := &operator.Node{LogForm: "text", LogFrom: "info"}
-	if path := os.Getenv("UMBERWINCH_FILE"); path != "" {
-		var err error
-		if file, err = operator.ReadNode(path); err != nil {
-			fmt.Fprintln(os.Stderr, err)
-			os.Exit(2)
+	own := func() (*operator.Node, error) {
+		if path := os.Getenv("UMBERWINCH_FILE"); path != "" {
+			return operator.ReadNode(path)
 		}
+		return &operator.Node{LogForm: "text", LogFrom: "info"}, nil
+	}
+	file, err := own()
+	if err != nil {
+		fmt.Fprintln(os.Stderr, err)
+		os.Exit(2)
 	}
 	log := logs.New(os.Stderr, file.LogForm, file.LogFrom)
 	if level, err := logrus.ParseLevel(os.Getenv("UMBERWINCH_LOG")); err == nil {
@@ -31,7 +34,15 @@
 	signals := make(chan os.Signal, 4)
 	signal.Notify(signals, syscall.SIGTERM, syscall.SIGUSR1, syscall.SIGHUP)
 	read := func() (*backend.Node, error) {
-		return backend.ReadNode(os.Getenv("NODE_CONFIG"), os.Getenv("NODE_NAME"), os.Getenv("NODE_LISTEN"))
+		c, err := backend.ReadNode(os.Getenv("NODE_CONFIG"), os.Getenv("NODE_NAME"), os.Getenv("NODE_LISTEN"))
+		if err != nil {
+			return nil, err
+		}
+		mine, err := own()
+		if err != nil {
+			return nil, err
+		}
+		return c, c.Own(mine)
 	}
 	c, err := read()
 	if err != nil {
--- a/internal/backend/helper_test.go
+++ b/internal/backend/helper_test.go
@@ -355,9 +355,16 @@
 	ended  chan struct{}
 	err    error
 	file   string
+	own    string
 	set    map[string]string
 }
 
+func (n *node) writeOwn(text string) {
+	if err := os.WriteFile(n.own, []byte(text), 0o600); err != nil {
+		n.t.Fatal(err)
+	}
+}
+
 const family = `"family_info":{"below":"tier","cancel_seen":true,"cores":2,"degraded_worth":[0.5,0,0],
  "fresh":%s,"idle":30000000,"key_kb":10,"memory_kb":50000,
  "meters":["core_use","on_cores","heap_share","links"],
@@ -383,6 +390,11 @@
 	n.write("")
 	n.cmd = exec.Command(program)
 	n.cmd.Env = append(os.Environ(), "NODE_CONFIG="+n.file, "UMBERWINCH_LOG=debug")
+	if own := set["own"]; own != "" { // the operator's file
+		n.own = filepath.Join(filepath.Dir(n.file), "node.ini")
+		n.writeOwn(own)
+		n.cmd.Env = append(n.cmd.Env, "UMBERWINCH_FILE="+n.own)
+	}
 	out, err := n.cmd.StderrPipe()
 	if err != nil {
 		t.Fatal(err)
--- a/internal/backend/kernel.go
+++ b/internal/backend/kernel.go
@@ -195,6 +195,7 @@
 		d := l.prof.Deployment
 		d.Start, d.Cold = l.now-admission.Time(n.Spent*10), string(n.Outcome) == "COLD"
 		l.logf("kernel is up, %s for %.0f ms", n.Outcome, n.Spent)
+		l.makePools()
 		l.ctl = admission.New(d)
 		l.wakes = true
 		if l.drains {
--- a/internal/backend/link.go
+++ b/internal/backend/link.go
@@ -234,4 +234,5 @@
 	l.move(&l.kernel.link, c.Kernel)
 	l.move(&l.control.link, c.Control)
 	l.moveStore(c.Store)
+	l.movePools(c)
 }
--- a/internal/backend/loop.go
+++ b/internal/backend/loop.go
@@ -18,6 +18,7 @@
 	"github.com/sirupsen/logrus"
 
 	"umberwinch/admission"
+	"umberwinch/internal/pools"
 	"umberwinch/internal/profile"
 	"umberwinch/internal/proto"
 )
@@ -57,6 +58,7 @@
 }
 
 type loop struct {
+	pools *pools.Pools // nil: none
 	lim   Limits
 	log   *logrus.Logger
 	in    chan event
@@ -244,6 +246,7 @@
 		l.decide()
 	}
 	l.log.WithFields(l.fields()).Info("counters")
+	l.showPools()
 }
 
 // handle takes one event.
@@ -263,6 +266,7 @@
 		l.drain()
 	case newsCount:
 		l.log.WithFields(l.fields()).Info("counters")
+		l.showPools()
 	case newsReload:
 		l.reload(e.node, e.err)
 	default:
--- a/internal/backend/node.go
+++ b/internal/backend/node.go
@@ -12,6 +12,7 @@
 	"os"
 	"strings"
 
+	"umberwinch/internal/operator"
 	"umberwinch/internal/profile"
 )
 
@@ -31,6 +32,7 @@
 	Profile json.RawMessage `json:"settings"`
 
 	prof *profile.Profile
+	own  *operator.Node // nil: the operator has no file of its own
 }
 
 // ReadNode reads the start-up file; name and address of the environment come before the file's.
--- /dev/null
+++ b/internal/backend/pools.go
@@ -0,0 +1,80 @@
+// Pools on the node: what the operator's file says of run slots becomes a plan for internal/pools, moves with a new
+// file, and is shown. Nothing here decides about a req, and without pools in the file nothing here runs.
+package backend
+
+import (
+	"fmt"
+
+	"umberwinch/internal/operator"
+	"umberwinch/internal/pools"
+)
+
+// Own takes the operator's file along with the start-up file, checked against the handlers that this one names.
+func (c *Node) Own(own *operator.Node) error {
+	names := make([]string, len(c.prof.Deployment.Handlers))
+	for name, i := range c.prof.Handlers {
+		names[i] = name
+	}
+	if err := own.Against(names); err != nil {
+		return err
+	}
+	c.own = own
+	return nil
+}
+
+// poolPlan gives what the operator's file says for each handler; without a pool for any it is off.
+func (c *Node) poolPlan() pools.Plan {
+	d := c.prof.Deployment
+	p := pools.Plan{Off: c.own == nil || len(c.own.Pools) == 0, Tenants: max(1, len(d.Tenants))}
+	p.Classes = make([]pools.Class, len(d.Handlers))
+	for name, i := range c.prof.Handlers {
+		p.Classes[i] = pools.Class{Name: name, Value: d.Handlers[i].Value, Late: d.Handlers[i].Target}
+	}
+	if p.Off {
+		return p
+	}
+	p.Reserve = c.own.Reserve
+	for _, o := range c.own.Pools {
+		k := &p.Classes[c.prof.Handlers[o.Handler]]
+		k.Floor, k.Cap, k.Fixed = o.Floor, o.Cap, o.Fixed
+	}
+	return p
+}
+
+// makePools readies pools for a module that starts, if the operator wants them.
+func (l *loop) makePools() {
+	if p := l.told.poolPlan(); !p.Off {
+		l.pools = pools.New(p)
+		l.prof.Deployment.Pools = l.pools
+		l.log.Infof("pools for %d handlers, reserve %v", len(l.told.own.Pools), p.Reserve)
+	}
+}
+
+// movePools takes another file's word for pools.
+func (l *loop) movePools(next *Node) {
+	p := next.poolPlan()
+	switch {
+	case l.pools != nil:
+		l.pools.Set(p)
+		l.log.Infof("operator's file taken: pools %s", map[bool]string{true: "off", false: "on"}[p.Off])
+	case !p.Off:
+		l.log.Warn("operator's file: pools can't be begun while the program serves; restart it")
+	}
+	l.told.own = next.own
+}
+
+// showPools logs each pool.
+func (l *loop) showPools() {
+	if l.pools == nil {
+		return
+	}
+	for _, v := range l.pools.Views() {
+		limit := "none"
+		if v.Limit < 1<<20 {
+			limit = fmt.Sprintf("%.1f", v.Limit)
+		}
+		l.log.Infof("pool %s: limit %s (%s), due %.1f, running %d, heavy %d, held %d, shed %d, lent %d, reserve %d, "+
+			"work %.1f ms, 95th %.1f ms", v.Name, limit, v.Why, v.Entitled, v.Running, v.Heavy, v.Held, v.Shed, v.Lent,
+			v.Reserve, v.Median/10, v.High/10)
+	}
+}
--- /dev/null
+++ b/internal/backend/pools_test.go
@@ -0,0 +1,48 @@
+package backend
+
+import (
+	"os"
+	"os/exec"
+	"path/filepath"
+	"strings"
+	"syscall"
+	"testing"
+)
+
+// TestPoolsOnTheNode: pools show themselves and move with a new file; pools.txt has what they do to reqs.
+func TestPoolsOnTheNode(t *testing.T) {
+	n := start(t, map[string]string{"own": "[pools]\nreserve = no\n[pool act]\ncap = 0.5\nlimit = fixed\n"})
+	if !n.logged("pools for 1 handlers, reserve false") {
+		t.Fatal("no pools at the start")
+	}
+	n.cmd.Process.Signal(syscall.SIGUSR1)
+	if !n.logged("pool act: limit 1.0 (fixed), due 0.0, running 0, heavy 0, held 0") {
+		t.Fatal("the pools are not shown")
+	}
+	n.writeOwn("[pool act]\ncap = 2\n")
+	n.cmd.Process.Signal(syscall.SIGHUP)
+	if !n.logged("start-up file not taken, the old one stays: " + n.own + ":2: pool act.cap: found ") {
+		t.Fatal("a bad file is not told")
+	}
+	n.writeOwn("[log]\nform = text\n")
+	n.cmd.Process.Signal(syscall.SIGHUP)
+	if !n.logged("operator's file taken: pools off") {
+		t.Fatal("a file without pools is not taken")
+	}
+}
+
+// TestWrongOwnFile: a handler that the platform does not name starts nothing.
+func TestWrongOwnFile(t *testing.T) {
+	n := start(t, nil)
+	own := filepath.Join(t.TempDir(), "node.ini")
+	if err := os.WriteFile(own, []byte("[log]\nform = json\n\n[pool fly]\n"), 0o600); err != nil {
+		t.Fatal(err)
+	}
+	cmd := exec.Command(program)
+	cmd.Env = append(os.Environ(), "NODE_CONFIG="+n.file, "UMBERWINCH_FILE="+own)
+	out, err := cmd.CombinedOutput()
+	if err == nil || cmd.ProcessState.ExitCode() != 2 || !strings.Contains(string(out),
+		own+":4: pool fly: found a handler that is not known, expected one of get, put, act") {
+		t.Fatalf("%v: %s", err, out)
+	}
+}
--- a/internal/operator/operator_test.go
+++ b/internal/operator/operator_test.go
@@ -86,3 +86,35 @@
 		t.Fatalf("got %v, expected a refusal by size", err)
 	}
 }
+
+func TestPoolsOfANode(t *testing.T) {
+	read := func(raw string) (*Node, string) {
+		n, err := readNode(Parse("f", []byte(raw)))
+		if err == nil {
+			err = n.Against([]string{"view", "save"})
+		}
+		if err != nil {
+			return nil, err.Error()
+		}
+		return n, ""
+	}
+	for _, c := range []struct{ raw, want string }{
+		{"[pool view]\nfloor = 0.5\n[pool save]\nfloor = 0.6\n", "f:4: pool save.floor: found floors of 1.1 up to here"},
+		{"[pool view]\nfloor = 0.5\ncap = 0.4\n", "f:3: pool view.cap: found 0.4, expected no less than floor, 0.5"},
+		{"[pool load]\n", "f:1: pool load: found a handler that is not known, expected one of view, save"},
+		{"[pools]\nreserve = no\n", "f:1: pools: found no [pool HANDLER]"},
+		{"[pool view]\nlimit = often\n", `f:2: pool view.limit: found "often"`},
+		{"[pool view]\ncap = 0\n", `f:2: pool view.cap: found "0"`},
+	} {
+		if _, got := read(c.raw); !strings.HasPrefix(got, c.want) {
+			t.Errorf("%q: got %q, expected %q", c.raw, got, c.want)
+		}
+	}
+	n, got := read("[pools]\n[pool view]\n[pool save]\ncap = 0.4\nlimit = fixed\n")
+	if got != "" || !n.Reserve || len(n.Pools) != 2 || n.Pools[1] != (Pool{"save", 0, 0.4, true}) {
+		t.Fatalf("%+v %q", n, got)
+	}
+	if n, err := readNode(Parse("f", []byte("[pool view]\n"))); err != nil || n.Against([]string{"view"}) == nil {
+		t.Fatal("a reserve with one handler was taken")
+	}
+}
--- /dev/null
+++ b/internal/pools/pools.go
@@ -0,0 +1,540 @@
+// Package pools sets run slots apart per class, so that costly work does not starve cheap calls: it decides whether the
+// next req of a class may take a slot now. It owns what each class costs, holds and is entitled to. It does no I/O, has
+// no clock and no chance: it is told the time, starts, ends and sheds, and answers. It never frees a slot, sheds a req or
+// looks at one: the module does, and its ceiling on runs stands above all pools. docs/design/pools.md says why.
+package pools
+
+import (
+	"fmt"
+	"math"
+
+	"umberwinch/admission"
+)
+
+// Time and Second are the module's.
+type Time = admission.Time
+
+const Second = admission.Second
+
+// How the limits move. A look comes twice a second: a few dozen runs at a server's rate. A cut is larger than a growth,
+// so that two classes that press each other come to rest under what both want and not over it; growth by a tenth has a
+// class back at twice its limit within four seconds.
+const (
+	lookEvery = Second / 2
+	cutTo     = 0.85
+	growBy    = 0.1
+	// suffers is the share of a class's recent reqs that were shed or late from which it counts as suffering: one in
+	// twenty, what the reserve is to keep the cheapest class under.
+	suffers = 0.05
+	// heavyTimes is how often its class's usual work a run has used when it counts as heavy. Five is past what a class
+	// with an even spread shows (an exponential one has under one in thirty), and short of the tenfold that hurts.
+	heavyTimes = 5
+	enough     = 20 // runs of a class from which its usual work is known
+	// bunches is what a class needs over its mean: at three quarters of its slots in use few of its reqs wait long.
+	bunches     = 1.3
+	heavyPart   = 0.2  // of the slots go to heavy runs before they count as their class's own
+	reservePart = 0.25 // of the slots the reserve is at most
+	// holdsOn is by how much another class has to be cheaper to take the reserve over: measured work differs by a few
+	// in 100 from look to look.
+	holdsOn = 0.7
+)
+
+// Class is what the operator says of one class, in shares of the run slots. The zero value has no floor and no cap.
+type Class struct {
+	Name  string
+	Floor float64 // never limited under it
+	Cap   float64 // never over it; 0 for none
+	Fixed bool    // its limit is its cap and does not move
+	Value float64 // what a req of it is worth: shares of what there is go by it
+	Late  Time    // its response target
+}
+
+// Plan is what the pools are made for.
+type Plan struct {
+	Off     bool // all have room
+	Classes []Class
+	Reserve bool // the class with the least work takes a slot first while it waits
+	Tenants int
+}
+
+// state is one class.
+type state struct {
+	Class
+	cost     aged
+	usual    float64 // median work lately, kept while nothing runs
+	high     float64 // 95th
+	mean     float64
+	limit    float64 // slots; infinite while nothing presses
+	entitled float64 // slots that are its by value and need
+	wants    bool    // more than that: it alone is limited
+	running  int     // of its slots, less its heavy runs that the heavy pool takes
+	held     int
+	heavy    int
+	came     counter // reqs read, and those shed or late
+	bad      counter
+	worked   counter // work that ended
+	lent     int     // runs started past its limit, as nobody else wanted the slot
+	why      string
+	lap      Time // how long its last one to start had waited
+	shed     uint64
+	byTenant []int // running
+	heldBy   []int
+}
+
+// counter sums over four seconds.
+type counter struct {
+	slot int64
+	at   [ringSteps]float64
+	sum  float64
+}
+
+func (c *counter) add(now Time, v float64) {
+	c.roll(now)
+	c.at[c.slot%ringSteps] += v
+	c.sum += v
+}
+
+func (c *counter) roll(now Time) float64 {
+	slot := int64(now / ringStep)
+	if c.slot == 0 || slot-c.slot >= ringSteps {
+		*c = counter{slot: slot}
+	}
+	for c.slot < slot {
+		c.slot++
+		c.sum -= c.at[c.slot%ringSteps]
+		c.at[c.slot%ringSteps] = 0
+	}
+	return c.sum
+}
+
+// rate is the sum a second, over the seven steps that are whole and what the last one has so far.
+func (c *counter) rate(now Time) float64 {
+	span := (ringSteps-1)*ringStep + now%ringStep
+	return c.roll(now) * float64(Second) / float64(span)
+}
+
+// run is one run slot in use.
+type run struct {
+	class, tenant int
+	since         Time // it went on, after its start or a call
+	used          Time
+	away          bool // at a call
+	heavy         bool
+}
+
+// Pools decide for one server.
+type Pools struct {
+	plan    Plan
+	c       []state
+	runs    map[uint32]*run
+	free    []*run
+	order   []uint32 // ids of runs in the order of their starts: never ranged over by the map
+	slots   int
+	running int
+	heavy   int
+	looked  Time
+	cheap   int // class that has the reserve, -1 for none
+	reserve int // slots it takes first
+	Changes []string
+}
+
+// New readies pools.
+func New(p Plan) *Pools {
+	o := &Pools{plan: p, runs: map[uint32]*run{}, cheap: -1, slots: 1}
+	for _, c := range p.Classes {
+		s := state{Class: c, limit: math.Inf(1), why: "room", byTenant: make([]int, max(1, p.Tenants)),
+			heldBy: make([]int, max(1, p.Tenants))}
+		if s.Value <= 0 {
+			s.Value = 1
+		}
+		o.c = append(o.c, s)
+	}
+	return o
+}
+
+// Set moves what the operator says: limits change, what runs goes on. Classes stay as they are in number and order.
+func (o *Pools) Set(p Plan) {
+	p.Tenants = o.plan.Tenants
+	o.plan = p
+	for k := range p.Classes {
+		s := &o.c[k]
+		value := s.Value
+		s.Class = p.Classes[k]
+		if s.Value <= 0 {
+			s.Value = value
+		}
+		if !s.Fixed {
+			s.limit, s.why = math.Inf(1), "room"
+		}
+	}
+	if !p.Reserve {
+		o.cheap, o.reserve = -1, 0
+	}
+	o.looked = 0
+}
+
+// Arrived tells of a req that joins the hold.
+func (o *Pools) Arrived(now Time, class, tenant int) {
+	s := &o.c[class]
+	s.held++
+	s.heldBy[tenant]++
+	s.came.add(now, 1)
+}
+
+// Left tells of a held req that leaves the hold without a run: shed, gone, or answered by another's result.
+func (o *Pools) Left(now Time, class, tenant int, shed bool) {
+	s := &o.c[class]
+	s.held--
+	s.heldBy[tenant]--
+	if shed {
+		s.bad.add(now, 1)
+		s.shed++
+	}
+}
+
+// Refused tells of a req that was shed before it joined the hold.
+func (o *Pools) Refused(now Time, class int) {
+	s := &o.c[class]
+	s.came.add(now, 1)
+	s.bad.add(now, 1)
+	s.shed++
+}
+
+// May tells whether the oldest held req of a class and tenant may take a slot now. It may while its class has room;
+// past that only where nobody with room waits. The reserve's class goes before all others while it waits and has less
+// than the reserve.
+func (o *Pools) May(class, tenant int) bool {
+	if o.plan.Off {
+		return true
+	}
+	s := &o.c[class]
+	if o.cheap >= 0 && class != o.cheap {
+		if r := &o.c[o.cheap]; r.held > 0 && r.running < o.reserve {
+			return false
+		}
+	}
+	if o.crowds(s, tenant) {
+		return false
+	}
+	if o.room(s) {
+		return true
+	}
+	if s.Cap > 0 && float64(s.running) >= s.Cap*float64(o.slots) {
+		return false // a cap is the operator's word, also where a slot would idle
+	}
+	for k := range o.c {
+		if other := &o.c[k]; other != s && other.held > 0 && o.room(other) {
+			return false
+		}
+	}
+	return true
+}
+
+func (o *Pools) room(s *state) bool {
+	return float64(s.running) < max(1, math.Floor(min(s.limit, o.most(s))+1e-9))
+}
+
+// crowds tells whether a tenant holds more than half of a limited class's slots while others of the class wait: what
+// is beyond its share goes last.
+func (o *Pools) crowds(s *state, tenant int) bool {
+	if math.IsInf(s.limit, 1) || s.held == s.heldBy[tenant] {
+		return false
+	}
+	return float64(s.byTenant[tenant]) >= max(1, math.Floor(s.limit/2))
+}
+
+func (o *Pools) most(s *state) float64 {
+	if s.Cap > 0 {
+		return s.Cap * float64(o.slots)
+	}
+	return math.Inf(1)
+}
+
+// Started tells of a held req that took a slot.
+func (o *Pools) Started(now Time, id uint32, class, tenant int, waited Time) {
+	s := &o.c[class]
+	if !o.room(s) {
+		s.lent++
+	}
+	s.held--
+	s.heldBy[tenant]--
+	s.byTenant[tenant]++
+	s.running++
+	s.lap = waited
+	o.running++
+	var r *run
+	if n := len(o.free); n > 0 {
+		r, o.free = o.free[n-1], o.free[:n-1]
+	} else {
+		r = new(run)
+	}
+	*r = run{class: class, tenant: tenant, since: now}
+	o.runs[id] = r
+	o.order = append(o.order, id)
+}
+
+// Away tells that a run stands at a call, or goes on after one: its time there is no work.
+func (o *Pools) Away(now Time, id uint32, away bool) {
+	r := o.runs[id]
+	if r == nil || r.away == away {
+		return
+	}
+	if away {
+		r.used += now - r.since
+	}
+	r.since, r.away = now, away
+}
+
+// Ended tells of a run's end: its slot is free. done tells whether it came to a result, inTime whether within the
+// response target.
+func (o *Pools) Ended(now Time, id uint32, done, inTime bool) {
+	r := o.runs[id]
+	if r == nil {
+		return
+	}
+	s := &o.c[r.class]
+	work := float64(o.used(now, r))
+	if done { // a run that was stopped or hung tells nothing of what its class costs
+		s.cost.add(now, work)
+	}
+	s.worked.add(now, work)
+	if !inTime {
+		s.bad.add(now, 1)
+	}
+	if r.heavy {
+		s.heavy--
+		o.heavy--
+	} else {
+		s.running--
+	}
+	s.byTenant[r.tenant]--
+	o.running--
+	delete(o.runs, id)
+	for k, other := range o.order {
+		if other == id {
+			o.order = append(o.order[:k], o.order[k+1:]...)
+			break
+		}
+	}
+	o.free = append(o.free, r)
+}
+
+func (o *Pools) used(now Time, r *run) Time {
+	if r.away {
+		return r.used
+	}
+	return r.used + now - r.since
+}
+
+// Tick looks at the time that has gone by: heavy runs move to their pool at each, limits twice a second. slots is how
+// many runs the module has room for.
+func (o *Pools) Tick(now Time, slots int) {
+	o.slots = max(1, slots)
+	o.weigh(now)
+	if now-o.looked < lookEvery {
+		return
+	}
+	o.looked = now
+	for k := range o.c {
+		s := &o.c[k]
+		all := s.cost.all(now)
+		if all.n >= enough || s.usual == 0 && all.n > 0 {
+			s.usual, s.high = all.quantile(0.5), all.quantile(0.95)
+		}
+	}
+	o.entitle(now)
+	o.move(now)
+	o.keep(now)
+}
+
+// weigh moves runs that have used several times their class's usual work to the pool of the heavy, as far as that has
+// room; what it has no room for stays its class's own.
+func (o *Pools) weigh(now Time) {
+	room := max(1, int(heavyPart*float64(o.slots)))
+	for _, id := range o.order {
+		r := o.runs[id]
+		s := &o.c[r.class]
+		if r.heavy || s.usual == 0 || o.heavy >= room || float64(o.used(now, r)) < heavyTimes*s.usual {
+			continue
+		}
+		r.heavy = true
+		s.heavy++
+		o.heavy++
+		s.running--
+	}
+}
+
+// entitle splits the slots: each class gets what its recent work needs, and where that is more than there is, the
+// classes that need least for what they are worth are filled first, none past its need.
+func (o *Pools) entitle(now Time) {
+	// What a class needs is the slots its arrivals would hold: their number a second times the work of one.
+	need := make([]float64, len(o.c))
+	for k := range o.c {
+		s := &o.c[k]
+		n := s.came.rate(now)
+		mean := s.usual
+		if ends := s.cost.all(now); ends.n > 0 {
+			mean = max(mean, s.worked.roll(now)/float64(ends.n))
+		}
+		s.mean = mean
+		need[k] = bunches * n * mean / float64(Second)
+	}
+	left, open := float64(o.slots), len(o.c)
+	done := make([]bool, len(o.c))
+	for k := range o.c {
+		o.c[k].entitled, o.c[k].wants = 0, false
+	}
+	for open > 0 && left > 1e-9 {
+		weights := 0.0
+		for k := range o.c {
+			if !done[k] {
+				weights += o.c[k].Value
+			}
+		}
+		filled := false
+		for k := range o.c {
+			if share := left * o.c[k].Value / weights; !done[k] && need[k] <= share {
+				o.c[k].entitled = need[k]
+				done[k], filled = true, true
+				left -= need[k]
+				open--
+				break
+			}
+		}
+		if filled {
+			continue
+		}
+		for k := range o.c {
+			if !done[k] {
+				o.c[k].entitled, o.c[k].wants = left*o.c[k].Value/weights, true
+			}
+		}
+		break
+	}
+}
+
+// move cuts the class that is furthest over its due while another suffers, the one furthest under its own. A class that
+// needs no more than its due is never limited. Growth ends at the due while all want more than there is: to grow past it
+// and be cut again would have the others suffer each time.
+func (o *Pools) move(now Time) {
+	suffer, worst, least, over := -1, -1, math.Inf(1), 1.0
+	for k := range o.c {
+		s := &o.c[k]
+		came, bad := s.came.roll(now), s.bad.roll(now)
+		by := float64(s.running) - max(s.entitled, s.Floor*float64(o.slots), 1)
+		if came >= 4 && bad > suffers*came && by < least {
+			suffer, least = k, by
+		}
+		if !s.Fixed && s.wants && by > over {
+			worst, over = k, by
+		}
+	}
+	if suffer == worst {
+		worst = -1
+	}
+	for k := range o.c {
+		s := &o.c[k]
+		floor, most := max(1, s.Floor*float64(o.slots)), float64(o.slots)
+		if s.Cap > 0 {
+			most = min(most, s.Cap*float64(o.slots))
+		}
+		switch {
+		case s.Fixed:
+			o.set(s, most, "fixed")
+		case suffer >= 0 && k == worst:
+			o.set(s, max(floor, min(s.limit, float64(s.running))*cutTo, s.entitled), "cut: "+o.c[suffer].Name+" suffers")
+		case math.IsInf(s.limit, 1):
+		case s.limit >= most:
+			o.set(s, math.Inf(1), "room")
+		case s.wants && s.limit >= s.entitled:
+			o.set(s, s.limit, "its due, while all want more than there is")
+		case suffer < 0 || !s.wants:
+			o.set(s, s.limit+max(1, growBy*s.limit), "grows")
+		}
+	}
+}
+
+// set moves a limit; a change by a whole slot or of its cause is told.
+func (o *Pools) set(s *state, limit float64, why string) {
+	if math.Floor(limit) != math.Floor(s.limit) && why != s.why && len(o.Changes) < 16 {
+		o.Changes = append(o.Changes, fmt.Sprintf("pool %s: limit %.0f of %d, was %.0f: %s", s.Name, limit, o.slots,
+			s.limit, why))
+	}
+	s.limit, s.why = limit, why
+}
+
+// keep gives the reserve to the class with the least usual work, and sizes it by what that class needs.
+func (o *Pools) keep(now Time) {
+	if !o.plan.Reserve {
+		return
+	}
+	best := o.cheap
+	for k := range o.c {
+		s := &o.c[k]
+		if s.usual == 0 || k == best {
+			continue
+		}
+		if best < 0 || s.usual < holdsOn*o.c[best].usual {
+			best = k
+		}
+	}
+	if best < 0 {
+		return
+	}
+	if best != o.cheap && len(o.Changes) < 16 {
+		o.Changes = append(o.Changes, fmt.Sprintf("reserve: %s has it, with %.1f ms of work a req", o.c[best].Name,
+			o.c[best].usual/10))
+	}
+	o.cheap = best
+	s := &o.c[best]
+	n := s.came.rate(now)
+	// Twice what it needs in the mean: arrivals bunch.
+	o.reserve = max(1, min(int(math.Ceil(2*n*s.high/float64(Second))), int(reservePart*float64(o.slots))))
+}
+
+// Lap is how long a limited class's waiting is at the moment, by the last of it to start; 0 while it has no limit.
+func (o *Pools) Lap(class int) Time {
+	if o.plan.Off || math.IsInf(o.c[class].limit, 1) {
+		return 0
+	}
+	return o.c[class].lap
+}
+
+// View is one class for operators.
+type View struct {
+	Name     string
+	Limit    float64 // infinite: none
+	Why      string
+	Running  int
+	Heavy    int
+	Held     int
+	Shed     uint64
+	Lent     int // runs that began past the limit
+	Median   float64
+	High     float64 // 95th, in tenths of a ms as the median
+	Entitled float64
+	Reserve  int
+}
+
+// Views gives all classes in order.
+func (o *Pools) Views() []View {
+	out := make([]View, len(o.c))
+	for k := range o.c {
+		s := &o.c[k]
+		out[k] = View{Name: s.Name, Limit: s.limit, Why: s.why, Running: s.running, Heavy: s.heavy, Held: s.held,
+			Shed: s.shed, Lent: s.lent, Median: s.usual, High: s.high, Entitled: s.entitled}
+		if k == o.cheap {
+			out[k].Reserve = o.reserve
+		}
+	}
+	return out
+}
+
+// Told gives what changed since it was last asked.
+func (o *Pools) Told() []string {
+	out := o.Changes
+	o.Changes = nil
+	return out
+}
+
+var _ admission.Pools = (*Pools)(nil)
