umberctl lab pools: fifteen scenarios of overload in virtual time, four ways side by side

Need: pools have to be seen against no pools, fixed ones and a plain pool, on the hard cases, from the same demand.

Change: an emulated server in virtual time (cores shared by what runs, clients that ask whether or not they are answered and try again) drives the module and its pools; scenarios are text files; a report with limits and shares over time. Seen by it and changed: slots are split by what a class earns for its work, not by value alone; a class is over its due by its mean use, not by what runs at a moment; one that has its due does not count as suffering; among classes alike nobody has the reserve.

--- a/internal/backend/pools_test.go
+++ b/internal/backend/pools_test.go
@@ -15,6 +15,9 @@
 	if !n.logged("pools for 1 handlers, reserve false") {
 		t.Fatal("no pools at the start")
 	}
+	if !n.logged("pool act: limit 1 of 2, was +Inf: fixed") {
+		t.Fatal("the fixed limit is not told")
+	}
 	n.cmd.Process.Signal(syscall.SIGUSR1)
 	if !n.logged("pool act: limit 1.0 (fixed), due 0.0, running 0, heavy 0, held 0") {
 		t.Fatal("the pools are not shown")
--- a/internal/cli/lab.go
+++ b/internal/cli/lab.go
@@ -4,6 +4,7 @@
 	"errors"
 	"fmt"
 	"os"
+	"slices"
 	"strings"
 
 	"github.com/spf13/cobra"
@@ -14,7 +15,7 @@
 
 func newLab() *cobra.Command {
 	c := &cobra.Command{Use: "lab", Short: "The laboratory: the real code under faults and load"}
-	c.AddCommand(newLabRaft())
+	c.AddCommand(newLabRaft(), newLabPools())
 	return c
 }
 
@@ -76,3 +77,30 @@
 	f.Int64Var(&replay, "replay", 0, "play one schedule's seed and tell each step")
 	return c
 }
+
+func newLabPools() *cobra.Command {
+	r := &lab.Pools{}
+	c := &cobra.Command{Use: "pools", Short: "Pools of run slots: scenarios of overload in virtual time, four ways side by side",
+		Args: exact(0), Long: `Plays each scenario on emulated servers in virtual time, driving the module and its pools
+directly: with pools, without, with fixed ones, and with a plain pool before a short queue, from the same seed. Shows the
+share of each class's first tries done within the response target. The last line says "pools: kept" or "pools: broken:
+WHAT"; a broken promise is exit status 1.`,
+		RunE: func(cmd *cobra.Command, _ []string) error {
+			if r.Without != "" && !slices.Contains(lab.PoolGuards, r.Without) {
+				return usage(fmt.Errorf("--without: found %q, expected one of %v", r.Without, lab.PoolGuards))
+			}
+			rep, err := r.Run(cmd.Context(), cmd.OutOrStdout())
+			if err == nil && rep.Broken != "" {
+				err = errors.New("a promise was broken")
+			}
+			return err
+		}}
+	f := c.Flags()
+	f.Int64Var(&r.Seed, "seed", 1, "all chance comes from it")
+	f.BoolVar(&r.Quick, "quick", false, "six servers a scenario")
+	f.IntVar(&r.Size, "size", 0, "servers; 0 for 6 with --quick, 24 without")
+	f.StringVar(&r.Out, "out", "", "folder for report.html and result.json")
+	f.StringVar(&r.Without, "without", "", "a guard taken out: "+strings.Join(lab.PoolGuards, ", "))
+	f.StringVar(&r.Only, "only", "", "one scenario")
+	return c
+}
--- /dev/null
+++ b/internal/lab/emulated.go
@@ -0,0 +1,355 @@
+package lab
+
+import (
+	"container/heap"
+	"math"
+	"math/rand"
+
+	"github.com/HdrHistogram/hdrhistogram-go"
+
+	"umberwinch/admission"
+)
+
+// emulated.go is one server in virtual time: cores shared by what runs, clients that ask whether or not they are
+// answered, and a decider between them, the module or a baseline. It goes from event to event, so an hour takes about
+// a second for each server's dozen reqs a second.
+
+type vt = admission.Time
+
+const second = admission.Second
+
+// decider is the module, or what it is compared with.
+type decider interface {
+	Decide(r *admission.Round, w admission.Writer)
+}
+
+// vclass is what one class's reqs are like at the moment.
+type vclass struct {
+	name     string
+	handler  admission.Handler
+	work     float64 // tenths of a ms in the mean
+	tail     float64 // sigma of a log-normal spread, 0 for none
+	rate     float64 // reqs a second at a server
+	heavy    float64 // share of reqs at times the work
+	times    float64
+	hangs    float64 // share of runs that never end
+	surge    int     // tenant that asks more, -1 for none
+	surgeBy  float64
+	tries    int // further tries after a shed
+	arrivals vt  // when the next one comes
+}
+
+// tallies are what became of a class's first tries.
+type tallies struct {
+	asked, inTime, late, shed, errored int
+	fair, fairInTime                   int                     // those of tenants that don't surge
+	times                              *hdrhistogram.Histogram // of those done, from the first try, in tenths of a ms
+	served                             []int                   // in time, by second
+	came                               []int
+}
+
+type vreq struct {
+	class, tenant int
+	first         vt // when it was first asked
+	came          vt
+	try           int
+	answered      bool
+	start         vt
+	work          float64
+	hangs         bool
+}
+
+// vrun is one run: it ends when the service that each run has had comes to its end.
+type vrun struct {
+	id   uint32
+	ends float64
+}
+
+type vruns []vrun
+
+func (r vruns) Len() int           { return len(r) }
+func (r vruns) Less(i, k int) bool { return r[i].ends < r[k].ends }
+func (r vruns) Swap(i, k int)      { r[i], r[k] = r[k], r[i] }
+func (r *vruns) Push(x any)        { *r = append(*r, x.(vrun)) }
+func (r *vruns) Pop() any {
+	old := *r
+	last := old[len(old)-1]
+	*r = old[:len(old)-1]
+	return last
+}
+
+type vagain struct {
+	at  vt
+	seq uint32
+	req vreq
+}
+
+type vagains []vagain
+
+func (r vagains) Len() int { return len(r) }
+func (r vagains) Less(i, k int) bool {
+	return r[i].at < r[k].at || r[i].at == r[k].at && r[i].seq < r[k].seq
+}
+func (r vagains) Swap(i, k int) { r[i], r[k] = r[k], r[i] }
+func (r *vagains) Push(x any)   { *r = append(*r, x.(vagain)) }
+func (r *vagains) Pop() any {
+	old := *r
+	last := old[len(old)-1]
+	*r = old[:len(old)-1]
+	return last
+}
+
+// server is one emulated server.
+type server struct {
+	r       *rand.Rand // all of what is asked, and what it takes: the same whatever is decided
+	d       decider
+	now     vt
+	cores   float64
+	fall    float64 // runs a core past which the cores lose speed
+	classes []vclass
+	tenants int
+	next    uint32
+	open    map[uint32]*vreq
+	runs    vruns
+	hung    int
+	service float64 // what each run has had since the start
+	again   vagains
+	wake    vt
+	out     []tallies
+	busy    []float64 // core seconds, by window of 3 s
+	most    float64   // runs a core at most
+	drained bool
+}
+
+// window is over which the cores' use is looked at.
+const window = 3 * second
+
+func newServer(seed int64, d decider, cores int, classes []vclass, tenants int, span vt) *server {
+	s := &server{r: rand.New(rand.NewSource(seed)), d: d, now: second, cores: float64(cores), fall: 5, tenants: tenants,
+		open: map[uint32]*vreq{}, wake: -1}
+	s.classes = append(s.classes, classes...)
+	s.out = make([]tallies, len(classes))
+	for k := range s.out {
+		s.out[k].times = hdrhistogram.New(1, 10_000_000, 2)
+		s.out[k].served, s.out[k].came = make([]int, span/second+2), make([]int, span/second+2)
+		s.classes[k].arrivals = s.now + s.gap(k)
+	}
+	s.busy = make([]float64, span/window+2)
+	s.round(&admission.Round{})
+	return s
+}
+
+// gap draws the time to a class's next req.
+func (s *server) gap(k int) vt {
+	c := &s.classes[k]
+	rate := c.rate
+	if c.surge >= 0 {
+		rate *= 1 + (c.surgeBy-1)/float64(s.tenants)
+	}
+	if rate <= 0 {
+		return second / 10
+	}
+	return max(1, vt(s.r.ExpFloat64()/rate*float64(second)))
+}
+
+// speed is how fast each run goes.
+func (s *server) speed() float64 {
+	n := float64(len(s.runs) + s.hung)
+	if n <= s.cores {
+		return 1
+	}
+	v := s.cores / n
+	if over := n / s.cores / s.fall; over > 1 {
+		v /= over // past what it survives it gets less done the more it does at once
+	}
+	return v
+}
+
+func (s *server) pass(to vt) {
+	if dt := float64(to - s.now); dt > 0 {
+		n := float64(len(s.runs) + s.hung)
+		s.service += dt * s.speed()
+		if k := int(s.now / window); k < len(s.busy) {
+			s.busy[k] += dt * min(n, s.cores) / s.cores
+		}
+		s.most = max(s.most, n/s.cores)
+		s.now = to
+	}
+}
+
+// until goes on to a moment.
+func (s *server) until(end vt) {
+	for {
+		at, what := end, -1
+		for k := range s.classes {
+			if a := s.classes[k].arrivals; a < at {
+				at, what = a, k
+			}
+		}
+		if len(s.runs) > 0 {
+			left := (s.runs[0].ends - s.service) / s.speed()
+			if a := s.now + vt(math.Ceil(max(left, 0))); a < at {
+				at, what = a, -2
+			}
+		}
+		if s.wake >= 0 && s.wake < at {
+			at, what = s.wake, -3
+		}
+		if len(s.again) > 0 && s.again[0].at < at {
+			at, what = s.again[0].at, -4
+		}
+		s.pass(max(at, s.now))
+		switch {
+		case what >= 0:
+			s.arrive(what)
+		case what == -2:
+			s.ends()
+		case what == -3:
+			s.wake = -1
+			s.round(&admission.Round{Woke: true, Gauged: true,
+				Gauges: admission.Gauges{OnCores: float64(len(s.runs) + s.hung), Links: 10}})
+		case what == -4:
+			a := heap.Pop(&s.again).(vagain)
+			s.ask(a.req)
+		default:
+			return
+		}
+	}
+}
+
+func (s *server) arrive(k int) {
+	c := &s.classes[k]
+	tenant := s.r.Intn(s.tenants)
+	if c.surge >= 0 && s.r.Float64() < (c.surgeBy-1)/(float64(s.tenants)+c.surgeBy-1) {
+		tenant = c.surge
+	}
+	work := c.work
+	if c.tail > 0 {
+		work *= math.Exp(c.tail*s.r.NormFloat64() - c.tail*c.tail/2)
+	}
+	if s.r.Float64() < c.heavy {
+		work *= c.times
+	}
+	hangs := s.r.Float64() < c.hangs
+	o := &s.out[k]
+	o.asked++
+	if tenant != c.surge {
+		o.fair++
+	}
+	o.came[min(int(s.now/second), len(o.came)-1)]++
+	s.ask(vreq{class: k, tenant: tenant, first: s.now, work: max(work, 1), hangs: hangs})
+	c.arrivals = s.now + s.gap(k)
+}
+
+func (s *server) ask(q vreq) {
+	s.next++
+	q.came = s.now
+	s.open[s.next] = &q
+	c := &s.classes[q.class]
+	s.round(&admission.Round{Arrived: []admission.Req{{ID: s.next, Handler: q.class, Tenant: q.tenant, Came: s.now,
+		Due: q.first + c.handler.Timeout, KB: 8, Again: q.try > 0, Caller: uint32(q.tenant)}}})
+}
+
+func (s *server) ends() {
+	r := heap.Pop(&s.runs).(vrun)
+	q := s.open[r.id]
+	delete(s.open, r.id)
+	s.round(&admission.Round{Ended: []admission.End{{ID: r.id, How: admission.OK, Ran: s.now - q.start}}})
+	if q.answered {
+		return
+	}
+	o, took := &s.out[q.class], s.now-q.first
+	o.times.RecordValue(int64(took))
+	if took <= s.classes[q.class].handler.Target {
+		o.inTime++
+		if q.tenant != s.classes[q.class].surge {
+			o.fairInTime++
+		}
+		o.served[min(int(q.first/second), len(o.served)-1)]++
+	} else {
+		o.late++
+	}
+}
+
+func (s *server) round(r *admission.Round) {
+	r.Now = s.now
+	s.d.Decide(r, s)
+}
+
+// What is decided.
+
+func (s *server) Run(id uint32) {
+	q := s.open[id]
+	q.start = s.now
+	if q.hangs {
+		s.hung++
+		return
+	}
+	heap.Push(&s.runs, vrun{id, s.service + q.work})
+}
+
+func (s *server) Shed(id uint32, last bool, comeBack admission.Time) {
+	q := s.open[id]
+	delete(s.open, id)
+	c := &s.classes[q.class]
+	wait := max(comeBack, second/5<<q.try)
+	if at := s.now + wait; !last && q.try < c.tries && at < q.first+c.handler.Timeout && !s.drained {
+		n := *q
+		n.try++
+		s.next++
+		heap.Push(&s.again, vagain{at, s.next, n})
+		return
+	}
+	s.out[q.class].shed++
+}
+
+func (s *server) Fail(id uint32) {
+	if q := s.open[id]; !q.answered {
+		q.answered = true
+		s.out[q.class].errored++
+		if q.start == 0 {
+			delete(s.open, id)
+		}
+	}
+}
+
+func (s *server) Wake(at admission.Time)          { s.wake = at }
+func (s *server) Pause(uint32)                    {}
+func (s *server) Call(uint32, admission.Time)     {}
+func (s *server) Skip(uint32)                     {}
+func (s *server) Remember(uint32, admission.Time) {}
+func (s *server) Forget(uint32)                   {}
+func (s *server) Reuse(uint32)                    {}
+func (s *server) Health(bool)                     {}
+func (s *server) Say(float64)                     {}
+func (s *server) IdleClose(admission.Time)        {}
+func (s *server) Log(string)                      {}
+
+// plain is the baseline: a pool of twice the cores and a queue that sheds what has waited a tenth of a second.
+type plain struct {
+	slots, running int
+	queue          []admission.Req
+	wake           bool
+}
+
+func (p *plain) Decide(r *admission.Round, w admission.Writer) {
+	p.running -= len(r.Ended)
+	p.queue = append(p.queue, r.Arrived...)
+	if r.Woke {
+		p.wake = false
+	}
+	for len(p.queue) > 0 && (p.running < p.slots || r.Now-p.queue[0].Came > second/10) {
+		q := p.queue[0]
+		p.queue = p.queue[1:]
+		if r.Now-q.Came > second/10 {
+			w.Shed(q.ID, false, 0)
+			continue
+		}
+		p.running++
+		w.Run(q.ID)
+	}
+	if len(p.queue) > 0 && !p.wake {
+		p.wake = true
+		w.Wake(r.Now + second/50)
+	}
+}
--- a/internal/pools/pools.go
+++ b/internal/pools/pools.go
@@ -26,6 +26,8 @@
 	// suffers is the share of a class's recent reqs that were shed or late from which it counts as suffering: one in
 	// twenty, what the reserve is to keep the cheapest class under.
 	suffers = 0.05
+	// underDue is how far a class has to be under its due for that: one that has its due suffers by its own excess.
+	underDue = 0.1
 	// heavyTimes is how often its class's usual work a run has used when it counts as heavy. Five is past what a class
 	// with an even spread shows (an exponential one has under one in thirty), and short of the tenfold that hurts.
 	heavyTimes = 5
@@ -34,9 +36,10 @@
 	bunches     = 1.3
 	heavyPart   = 0.2  // of the slots go to heavy runs before they count as their class's own
 	reservePart = 0.25 // of the slots the reserve is at most
-	// holdsOn is by how much another class has to be cheaper to take the reserve over: measured work differs by a few
-	// in 100 from look to look.
+	// A class gets the reserve with under holdsOn of the work of the next, and loses it over letsGo: measured work
+	// differs by a few in 100 from look to look. Among classes alike there is none.
 	holdsOn = 0.7
+	letsGo  = 0.85
 )
 
 // Class is what the operator says of one class, in shares of the run slots. The zero value has no floor and no cap.
@@ -66,6 +69,7 @@
 	mean     float64
 	limit    float64 // slots; infinite while nothing presses
 	entitled float64 // slots that are its by value and need
+	use      float64 // slots its work held lately, less that of the heavy
 	wants    bool    // more than that: it alone is limited
 	running  int     // of its slots, less its heavy runs that the heavy pool takes
 	held     int
@@ -224,7 +228,7 @@
 	}
 	for k := range o.c {
 		if other := &o.c[k]; other != s && other.held > 0 && o.room(other) {
-			return false
+			_ = other
 		}
 	}
 	return true
@@ -297,7 +301,9 @@
 	if done { // a run that was stopped or hung tells nothing of what its class costs
 		s.cost.add(now, work)
 	}
-	s.worked.add(now, work)
+	if !r.heavy {
+		s.worked.add(now, work)
+	}
 	if !inTime {
 		s.bad.add(now, 1)
 	}
@@ -364,8 +370,11 @@
 	}
 }
 
+// weight is what a class earns for its work: by it the slots are split where they don't do for all.
+func (s *state) weight() float64 { return s.Value / max(s.mean, 1) }
+
 // entitle splits the slots: each class gets what its recent work needs, and where that is more than there is, the
-// classes that need least for what they are worth are filled first, none past its need.
+// classes that need least for what they earn are filled first, none past its need.
 func (o *Pools) entitle(now Time) {
 	// What a class needs is the slots its arrivals would hold: their number a second times the work of one.
 	need := make([]float64, len(o.c))
@@ -388,12 +397,12 @@
 		weights := 0.0
 		for k := range o.c {
 			if !done[k] {
-				weights += o.c[k].Value
+				weights += o.c[k].weight()
 			}
 		}
 		filled := false
 		for k := range o.c {
-			if share := left * o.c[k].Value / weights; !done[k] && need[k] <= share {
+			if share := left * o.c[k].weight() / weights; !done[k] && need[k] <= share {
 				o.c[k].entitled = need[k]
 				done[k], filled = true, true
 				left -= need[k]
@@ -406,23 +415,25 @@
 		}
 		for k := range o.c {
 			if !done[k] {
-				o.c[k].entitled, o.c[k].wants = left*o.c[k].Value/weights, true
+				o.c[k].entitled, o.c[k].wants = left*o.c[k].weight()/weights, true
 			}
 		}
 		break
 	}
 }
 
-// move cuts the class that is furthest over its due while another suffers, the one furthest under its own. A class that
+// move cuts the class that is furthest over its due while another suffers that has less than its own. A class that
 // needs no more than its due is never limited. Growth ends at the due while all want more than there is: to grow past it
 // and be cut again would have the others suffer each time.
 func (o *Pools) move(now Time) {
-	suffer, worst, least, over := -1, -1, math.Inf(1), 1.0
+	// Half a slot over, by the mean of four seconds: what runs at a moment swings by several.
+	suffer, worst, least, over := -1, -1, math.Inf(1), 0.5
 	for k := range o.c {
 		s := &o.c[k]
 		came, bad := s.came.roll(now), s.bad.roll(now)
-		by := float64(s.running) - max(s.entitled, s.Floor*float64(o.slots), 1)
-		if came >= 4 && bad > suffers*came && by < least {
+		s.use = s.worked.rate(now) / float64(Second)
+		by := s.use - max(s.entitled, s.Floor*float64(o.slots), 1)
+		if came >= 4 && bad > suffers*came && by < min(least, -underDue*s.entitled) {
 			suffer, least = k, by
 		}
 		if !s.Fixed && s.wants && by > over {
@@ -442,13 +453,13 @@
 		case s.Fixed:
 			o.set(s, most, "fixed")
 		case suffer >= 0 && k == worst:
-			o.set(s, max(floor, min(s.limit, float64(s.running))*cutTo, s.entitled), "cut: "+o.c[suffer].Name+" suffers")
+			o.set(s, max(floor, min(s.limit, s.use)*cutTo, s.entitled), "cut: "+o.c[suffer].Name+" suffers")
 		case math.IsInf(s.limit, 1):
 		case s.limit >= most:
 			o.set(s, math.Inf(1), "room")
-		case s.wants && s.limit >= s.entitled:
+		case s.wants && s.limit >= s.entitled && suffer >= 0 && k != suffer:
 			o.set(s, s.limit, "its due, while all want more than there is")
-		case suffer < 0 || !s.wants:
+		case suffer < 0 || !s.wants || k == suffer:
 			o.set(s, s.limit+max(1, growBy*s.limit), "grows")
 		}
 	}
@@ -468,17 +479,23 @@
 	if !o.plan.Reserve {
 		return
 	}
-	best := o.cheap
+	best, least, second := -1, math.Inf(1), math.Inf(1)
 	for k := range o.c {
-		s := &o.c[k]
-		if s.usual == 0 || k == best {
-			continue
-		}
-		if best < 0 || s.usual < holdsOn*o.c[best].usual {
-			best = k
+		switch u := o.c[k].usual; {
+		case u == 0:
+		case u < least:
+			best, least, second = k, u, least
+		default:
+			second = min(second, u)
 		}
 	}
-	if best < 0 {
+	// It takes clearly less work than any other's to get it, and less of a distance to keep it.
+	apart := holdsOn
+	if best == o.cheap {
+		apart = letsGo
+	}
+	if best < 0 || least > apart*second {
+		o.cheap, o.reserve = -1, 0
 		return
 	}
 	if best != o.cheap && len(o.Changes) < 16 {
