--- a/internal/pools/pools.go
+++ b/internal/pools/pools.go
@@ -228,7 +228,7 @@
 	}
 	for k := range o.c {
 		if other := &o.c[k]; other != s && other.held > 0 && o.room(other) {
-			_ = other
+			return false
 		}
 	}
 	return true
