--- a/admission/admission.go
+++ b/admission/admission.go
@@ -368,9 +368,10 @@
 
 // ---- 3. Slots.
 
-// start gives free slots to the longest waiting, in strict arrival order. With pools, a req whose handler has no room
-// is passed by younger ones whose handler has. Guards against costly work that holds all slots; harms what is passed,
-// by the slots of its pool at most. What starts may change who may, so each start looks from the head again.
+// start gives free slots to the longest waiting, in strict arrival order. With pools, a req whose handler has
+// no room is passed by younger ones whose handler has. Guards against costly work that holds all slots; harms
+// what is passed, by the slots of its pool at most. What starts may change who may, so each start looks from
+// the head again.
 func (c *Controller) start() {
 	top := c.ceiling()
 	for i := c.hold.head; i != none && c.running < min(c.limit, top); {
@@ -987,8 +988,8 @@
 	}
 }
 
-// comeBack is how long until the hold will have shortened: a lap of it, by the last start or its head; with pools a
-// lap of the handler's own.
+// comeBack is how long until the hold will have shortened: a lap of it, by the last start or its head; with
+// pools a lap of the handler's own.
 func (c *Controller) comeBack(handler int) Time {
 	if !c.good {
 		return c.maxPause
--- a/internal/backend/pools.go
+++ b/internal/backend/pools.go
@@ -1,5 +1,6 @@
-// Pools on the node: what the operator's file says of run slots becomes a plan for internal/pools, moves with a new
-// file, and is shown. Nothing here decides about a req, and without pools in the file nothing here runs.
+// Pools on the node: what the operator's file says of run slots becomes a plan for internal/pools, moves with
+// a new file, and is shown. Nothing here decides about a req, and without pools in the file nothing here
+// runs.
 package backend
 
 import (
@@ -9,7 +10,8 @@
 	"umberwinch/internal/pools"
 )
 
-// Own takes the operator's file along with the start-up file, checked against the handlers that this one names.
+// Own takes the operator's file along with the start-up file, checked against the handlers that this one
+// names.
 func (c *Node) Own(own *operator.Node) error {
 	names := make([]string, len(c.prof.Deployment.Handlers))
 	for name, i := range c.prof.Handlers {
--- a/internal/cli/cli_test.go
+++ b/internal/cli/cli_test.go
@@ -24,7 +24,8 @@
 		panic(err)
 	}
 	program = filepath.Join(dir, "umberctl")
-	if out, err := exec.Command("go", "build", "-o", program, "umberwinch/cmd/umberctl").CombinedOutput(); err != nil {
+	if out, err := exec.Command("go", "build", "-o", program,
+		"umberwinch/cmd/umberctl").CombinedOutput(); err != nil {
 		fmt.Fprintf(os.Stderr, "%s\n", out)
 		os.Exit(1)
 	}
@@ -51,7 +52,8 @@
 	t.Helper()
 	out, errs, got := run(t, args...)
 	if got != code || !strings.Contains(out+errs, text) {
-		t.Fatalf("umberctl %s: status %d\n%s%s\nexpected %d and %q", strings.Join(args, " "), got, out, errs, code, text)
+		t.Fatalf("umberctl %s: status %d\n%s%s\nexpected %d and %q", strings.Join(args, " "), got, out, errs,
+			code, text)
 	}
 	return out
 }
@@ -188,7 +190,8 @@
 	dir := t.TempDir()
 	a, cmd := start(t, dir, "a", "new", 4)
 	for n := 1; n <= 5; n++ {
-		want(t, 0, "taken", "config", "put", file(t, dir, "c.ini", fmt.Sprintf("[tenant t]\nrate = %d\n", n)), "--at="+a)
+		want(t, 0, "taken", "config", "put", file(t, dir, "c.ini", fmt.Sprintf("[tenant t]\nrate = %d\n", n)),
+			"--at="+a)
 	}
 	cmd.Process.Kill()
 	cmd.Wait()
--- a/internal/cli/config.go
+++ b/internal/cli/config.go
@@ -28,7 +28,8 @@
 }
 
 // asked runs a command with a client.
-func asked(a *access, f func(context.Context, *client, []string, io.Writer) error) func(*cobra.Command, []string) error {
+func asked(a *access, f func(context.Context, *client, []string, io.Writer) error) func(*cobra.Command,
+	[]string) error {
 	return func(cmd *cobra.Command, args []string) error {
 		c, err := a.client()
 		if err != nil {
@@ -110,7 +111,8 @@
 			if err != nil {
 				return usage(err)
 			}
-			p := consensus.Put{Author: author, Reason: reason, Text: string(next.Canonical()), Base: uint64(max(0, base))}
+			p := consensus.Put{Author: author, Reason: reason, Text: string(next.Canonical()), Base: uint64(max(0,
+				base))}
 			if base < 0 {
 				v, err := c.current(ctx)
 				if err != nil {
@@ -284,7 +286,8 @@
 
 func newWatch(a *access) *cobra.Command {
 	var from uint64
-	c := &cobra.Command{Use: "watch", Short: "Follow versions as they come, without a gap or a double", Args: exact(0),
+	c := &cobra.Command{Use: "watch", Short: "Follow versions as they come, without a gap or a double",
+		Args: exact(0),
 		RunE: asked(a, func(ctx context.Context, c *client, _ []string, w io.Writer) error {
 			return c.watch(ctx, from, func(v *consensus.Version) error {
 				if c.json {
@@ -298,8 +301,8 @@
 	return c
 }
 
-// watch hands over versions in order from a number on. Where a connection ends it goes on at the next instance with
-// the number that is due.
+// watch hands over versions in order from a number on. Where a connection ends it goes on at the next
+// instance with the number that is due.
 func (c *client) watch(ctx context.Context, from uint64, take func(*consensus.Version) error) error {
 	for round := 0; ctx.Err() == nil; round++ {
 		path := "/v1/watch"
--- a/internal/cli/control.go
+++ b/internal/cli/control.go
@@ -169,7 +169,8 @@
 }
 
 func statusTable(rows []row, commit uint64) [][]string {
-	out := [][]string{{"NAME", "LISTEN", "ROLE", "TERM", "LOG", "APPLIED", "LAG", "VERSION", "DISK", "AWAY", "NOTE"}}
+	out := [][]string{{"NAME", "LISTEN", "ROLE", "TERM", "LOG", "APPLIED", "LAG", "VERSION", "DISK", "AWAY",
+		"NOTE"}}
 	for _, r := range rows {
 		if r.Report == nil {
 			out = append(out, []string{r.Name, r.Listen, "-", "-", "-", "-", "-", "-", "-", "-", "no answer"})
@@ -196,7 +197,8 @@
 
 func newMembers(a *access) *cobra.Command {
 	c := &cobra.Command{Use: "members", Short: "Add, promote, remove or replace instances; hand the lead over"}
-	change := func(use, short string, n int, make func(context.Context, *client, []string) (consensus.Change, error)) {
+	change := func(use, short string, n int, make func(context.Context, *client, []string) (consensus.Change,
+		error)) {
 		c.AddCommand(&cobra.Command{Use: use, Short: short, Args: exact(n),
 			RunE: func(cmd *cobra.Command, args []string) error {
 				c, err := a.client()
@@ -218,7 +220,8 @@
 			return c.adding(ctx, args[0])
 		})
 	for _, op := range []string{"promote", "remove"} {
-		change(op+" NAME", map[string]string{"promote": "Make a learner a voter", "remove": "Remove an instance"}[op], 1,
+		change(op+" NAME", map[string]string{"promote": "Make a learner a voter",
+			"remove": "Remove an instance"}[op], 1,
 			func(ctx context.Context, c *client, args []string) (consensus.Change, error) {
 				m, err := c.member(ctx, args[0])
 				return consensus.Change{Op: op, Member: m}, err
@@ -296,7 +299,8 @@
 
 func newSnapshot(a *access) *cobra.Command {
 	c := &cobra.Command{Use: "snapshot", Short: "Save a group's state to a file, or begin a new group from one"}
-	c.AddCommand(&cobra.Command{Use: "save FILE", Short: "Save the state, as new as any answer before", Args: exact(1),
+	c.AddCommand(&cobra.Command{Use: "save FILE", Short: "Save the state, as new as any answer before",
+		Args: exact(1),
 		RunE: func(cmd *cobra.Command, args []string) error {
 			c, err := a.client()
 			if err != nil {
@@ -311,13 +315,15 @@
 			if err != nil {
 				return err
 			}
-			fmt.Fprintf(cmd.OutOrStdout(), "saved version %s, %d bytes, to %s\n", res.Header.Get(consensus.HeadVersion),
+			fmt.Fprintf(cmd.OutOrStdout(), "saved version %s, %d bytes, to %s\n",
+				res.Header.Get(consensus.HeadVersion),
 				n, args[0])
 			return nil
 		}})
 	var file string
-	restore := &cobra.Command{Use: "restore FILE", Short: "Make an empty folder the first instance of a new group",
-		Args: exact(1), Long: `Writes the saved state into the folder of the operator's file, which has to be empty, as
+	restore := &cobra.Command{Use: "restore FILE",
+		Short: "Make an empty folder the first instance of a new group",
+		Args:  exact(1), Long: `Writes the saved state into the folder of the operator's file, which has to be empty, as
 the first instance of a new group with an id of its own. For when a majority of the old group is lost for good: what
 was agreed on after the save is lost, and what is left of the old group is refused by the new one.`,
 		RunE: func(cmd *cobra.Command, args []string) error {
--- a/internal/cli/root.go
+++ b/internal/cli/root.go
@@ -1,5 +1,5 @@
-// Package cli is umberctl's commands: what operators type, print and get as an exit status. It owns flags, tables and
-// exit statuses alike in all of them; it decides nothing about a group or a req.
+// Package cli is umberctl's commands: what operators type, print and get as an exit status. It owns flags,
+// tables and exit statuses alike in all of them; it decides nothing about a group or a req.
 package cli
 
 import (
@@ -67,7 +67,8 @@
 }
 
 func newRoot() *cobra.Command {
-	root := &cobra.Command{Use: "umberctl", Short: "Run, ask and change umberwinch's control service; its laboratory",
+	root := &cobra.Command{Use: "umberctl",
+		Short: "Run, ask and change umberwinch's control service; its laboratory",
 		Long: `umberctl runs an instance of umberwinch's control service, asks and changes a group of them, and holds the
 project's laboratory.
 
--- a/internal/conf/change.go
+++ b/internal/conf/change.go
@@ -5,8 +5,8 @@
 	"strings"
 )
 
-// Follows tells why d may not come after the version before it, all reasons at once; nil if it may. What is checked
-// is what reqs in flight were promised under the version before:
+// Follows tells why d may not come after the version before it, all reasons at once; nil if it may. What is
+// checked is what reqs in flight were promised under the version before:
 //
 //   - a class that is not retired stays, with its kind: reqs of it are open, and whether one may run again hangs on it;
 //   - a uniqued class's window never shrinks: a first try that ran is remembered for the window it came under, and
@@ -64,8 +64,8 @@
 	return fmt.Sprintf("~ [%s] %s = %s (was %s)", c.Section, c.Key, c.Is, c.Was)
 }
 
-// Diff gives what changes from one document to another, in the order of the later one's canonical form, with what was
-// removed at the end. Either may be nil.
+// Diff gives what changes from one document to another, in the order of the later one's canonical form, with
+// what was removed at the end. Either may be nil.
 func Diff(from, to *Document) []Change {
 	var was, is []Line
 	if from != nil {
--- a/internal/conf/conf.go
+++ b/internal/conf/conf.go
@@ -1,7 +1,8 @@
-// Package conf is the configuration of an installation: what a document says, its canonical form and hash, what is
-// wrong with it alone or after the version before, and how two differ. It owns the schema. It reads bytes and gives
-// answers, always the same ones for the same bytes, because the instances of the control service each check a
-// proposal for themselves and have to come to one result; it knows no clock, chance, disk or socket.
+// Package conf is the configuration of an installation: what a document says, its canonical form and hash,
+// what is wrong with it alone or after the version before, and how two differ. It owns the schema. It reads
+// bytes and gives answers, always the same ones for the same bytes, because the instances of the control
+// service each check a proposal for themselves and have to come to one result; it knows no clock, chance,
+// disk or socket.
 package conf
 
 import (
@@ -16,8 +17,8 @@
 	"umberwinch/internal/operator"
 )
 
-// Rules numbers what Parse and Follows find. It rises with each change of a finding, and a proposal carries the number
-// it was made under: an instance that does not know it must not judge it.
+// Rules numbers what Parse and Follows find. It rises with each change of a finding, and a proposal carries
+// the number it was made under: an instance that does not know it must not judge it.
 const Rules = 1
 
 // Bounds of a document.
@@ -89,7 +90,8 @@
 	Rollout Rollout
 }
 
-// Parse reads a document and checks all that needs nothing else. What is wrong comes as operator.Faults, all of it.
+// Parse reads a document and checks all that needs nothing else. What is wrong comes as operator.Faults, all
+// of it.
 func Parse(name string, raw []byte) (*Document, error) {
 	t := operator.Parse(name, raw)
 	d := &Document{}
@@ -251,8 +253,8 @@
 	}
 }
 
-// checkSheds holds a level to the rule that nothing is shed while a class of less value is still served, and to
-// shedding all that the level before does.
+// checkSheds holds a level to the rule that nothing is shed while a class of less value is still served, and
+// to shedding all that the level before does.
 func (d *Document) checkSheds(t *operator.Text, i int) {
 	l := d.Levels[i]
 	s := "level " + strconv.Itoa(l.Number)
--- a/internal/conf/conf_test.go
+++ b/internal/conf/conf_test.go
@@ -139,8 +139,8 @@
 // The same draws each time, so that a run has the same verdict as the one before.
 func init() { flag.Set("rapid.seed", "7") }
 
-// TestAnyTextHasOneAnswer feeds lines put together by chance: never a panic, the same answer twice, and what is taken
-// has a canonical form that is taken as the same document.
+// TestAnyTextHasOneAnswer feeds lines put together by chance: never a panic, the same answer twice, and what
+// is taken has a canonical form that is taken as the same document.
 func TestAnyTextHasOneAnswer(t *testing.T) {
 	pieces := strings.Split(filing, "\n")
 	pieces = append(pieces, "[", "=", "x", "[class]", "[class \x00]", "value = 1e9", "`", "a = \"", "sheds = ,",
--- a/internal/consensus/api.go
+++ b/internal/consensus/api.go
@@ -17,6 +17,7 @@
 	"github.com/sirupsen/logrus"
 	"go.etcd.io/raft/v3"
 	"golang.org/x/net/netutil"
+	"golang.org/x/sync/semaphore"
 
 	"umberwinch/internal/conf"
 	"umberwinch/internal/logs"
@@ -27,7 +28,8 @@
 	maxClients     = 512
 	maxWatchers    = 256
 	maxHead        = 8 << 10
-	maxBody        = 7 << 20 // a document of the largest size, as JSON escapes it at worst, and what goes with it
+	maxBodies      = 64 << 20 // of puts in hand together: what a client may still send counts from the start
+	maxBody        = 7 << 20  // a document of the largest size, as JSON escapes it at worst, and what goes with it
 	headWithin     = 2 * time.Second
 	bodyWithin     = 10 * time.Second
 	answerWithin   = 5 * time.Second // of a put or a read; a new leader is there before
@@ -76,12 +78,13 @@
 	Out    bool  `json:"out_of_touch"`
 }
 
-// API serves clients of a group over HTTP/1.1 with JSON. It owns bounds and the form of answers; what they say comes
-// from the group.
+// API serves clients of a group over HTTP/1.1 with JSON. It owns bounds and the form of answers; what they
+// say comes from the group.
 type API struct {
 	group    *Group
 	server   *http.Server
 	watchers atomic.Int64
+	bodies   *semaphore.Weighted
 	ending   context.Context
 	end      context.CancelFunc
 }
@@ -92,7 +95,7 @@
 	if err != nil {
 		return nil, err
 	}
-	a := &API{group: g}
+	a := &API{group: g, bodies: semaphore.NewWeighted(maxBodies)}
 	a.ending, a.end = context.WithCancel(context.Background())
 	mux := http.NewServeMux()
 	mux.HandleFunc("GET /v1/self", a.self)
@@ -216,7 +219,8 @@
 	a.answer(w, Report{v.Status, v.Away().Milliseconds(), v.Out(), v.Members})
 }
 
-// view gives the state a read is answered from: as new as any answer before it, or as it is here where that was asked.
+// view gives the state a read is answered from: as new as any answer before it, or as it is here where that
+// was asked.
 func (a *API) view(r *http.Request) (*View, error) {
 	switch read := r.URL.Query().Get("read"); read {
 	case "stale":
@@ -267,6 +271,15 @@
 }
 
 func (a *API) put(w http.ResponseWriter, r *http.Request) {
+	size := r.ContentLength
+	if size < 0 || size > maxBody {
+		size = maxBody
+	}
+	if !a.bodies.TryAcquire(size) {
+		a.fail(w, http.StatusServiceUnavailable, ErrBusy)
+		return
+	}
+	defer a.bodies.Release(size)
 	var p Put
 	d := json.NewDecoder(r.Body)
 	d.DisallowUnknownFields()
@@ -331,8 +344,8 @@
 	a.answer(w, out)
 }
 
-// watch streams versions in order, a line each, from a number on. A watcher that went away names the next number
-// wherever it comes back, so it misses none and gets none twice.
+// watch streams versions in order, a line each, from a number on. A watcher that went away names the next
+// number wherever it comes back, so it misses none and gets none twice.
 func (a *API) watch(w http.ResponseWriter, r *http.Request) {
 	v := a.group.View()
 	from, err := number(r, "from", v.Version+1)
@@ -341,7 +354,8 @@
 		return
 	}
 	if from == 0 || from < v.First {
-		a.fail(w, http.StatusGone, fmt.Errorf("from version %d, expected %d or later: older ones are not kept", from,
+		a.fail(w, http.StatusGone, fmt.Errorf("from version %d, expected %d or later: older ones are not kept",
+			from,
 			v.First))
 		return
 	}
--- a/internal/consensus/frames.go
+++ b/internal/consensus/frames.go
@@ -8,8 +8,8 @@
 	"io"
 )
 
-// A frame on a connection between instances: length u32 of what follows the sum | sum u32 | kind u8 | bytes. The sum,
-// Castagnoli's, takes in kind and bytes.
+// A frame on a connection between instances: length u32 of what follows the sum | sum u32 | kind u8 | bytes.
+// The sum, Castagnoli's, takes in kind and bytes.
 const (
 	frameHello   byte = 1 // first, by whoever dialled
 	frameWelcome byte = 2 // the answer, a hello in its turn
@@ -20,8 +20,8 @@
 	frameDone    byte = 7 // the answer to a whole snapshot
 
 	frameHead = 8
-	// maxFrame has room for one message of raft's: a batch up to its bound and an entry with the largest document,
-	// as JSON escapes it at worst.
+	// maxFrame has room for one message of raft's: a batch up to its bound and an entry with the largest
+	// document, as JSON escapes it at worst.
 	maxFrame = 16 << 20
 )
 
--- a/internal/consensus/group.go
+++ b/internal/consensus/group.go
@@ -47,8 +47,8 @@
 	tick  time.Duration
 }
 
-// Away gives for how long no leader was heard; Out tells whether that is past the operator's bound, so that what this
-// instance holds may be old.
+// Away gives for how long no leader was heard; Out tells whether that is past the operator's bound, so that
+// what this instance holds may be old.
 func (v *View) Away() time.Duration {
 	return time.Duration(v.Alone)*v.tick + max(0, time.Since(v.At)-v.tick)
 }
@@ -63,8 +63,8 @@
 	return v.Lines[number-v.First]
 }
 
-// Group is an instance at work: one goroutine owns the replica; all others hand it what they have and wait. It never
-// waits for a peer or a client, only for its own disk.
+// Group is an instance at work: one goroutine owns the replica; all others hand it what they have and wait.
+// It never waits for a peer or a client, only for its own disk.
 type Group struct {
 	control *operator.Control
 	log     *logrus.Logger
@@ -283,7 +283,8 @@
 	return err
 }
 
-// tick passes time on and asks again for what has waited for an election's time: a forwarded asking may be lost.
+// tick passes time on and asks again for what has waited for an election's time: a forwarded asking may be
+// lost.
 func (g *Group) tick() {
 	g.ticks++
 	g.rep.Tick()
--- a/internal/consensus/group_test.go
+++ b/internal/consensus/group_test.go
@@ -132,7 +132,8 @@
 	all := three(t, nil)
 	id := all[2].group.View().ID
 	var out []Member
-	if code, _ := all[0].ask(http.MethodPost, "/v1/members", Change{Op: "remove", Member: Member{ID: id}}, &out); code !=
+	if code, _ := all[0].ask(http.MethodPost, "/v1/members", Change{Op: "remove", Member: Member{ID: id}},
+		&out); code !=
 		200 || len(out) != 2 {
 		t.Fatalf("remove: %d, %+v", code, out)
 	}
@@ -156,7 +157,8 @@
 			continue
 		}
 		other := all[(n+1)%3]
-		if code, _ := other.ask(http.MethodPost, "/v1/members", Change{Op: "remove", Member: Member{ID: v.ID}}, nil); code !=
+		if code, _ := other.ask(http.MethodPost, "/v1/members", Change{Op: "remove", Member: Member{ID: v.ID}},
+			nil); code !=
 			200 {
 			t.Fatalf("remove: %d", code)
 		}
@@ -168,8 +170,8 @@
 	t.Fatal("no leader")
 }
 
-// TestSnapshotToALateOne: a group whose log was let go of takes in an instance by a snapshot, large enough for many
-// chunks, and goes on meanwhile.
+// TestSnapshotToALateOne: a group whose log was let go of takes in an instance by a snapshot, large enough
+// for many chunks, and goes on meanwhile.
 func TestSnapshotToALateOne(t *testing.T) {
 	a := boot(t, "a", "new", nil)
 	large := func(n int) string {
@@ -182,7 +184,8 @@
 	for n := uint64(1); n <= 12; n++ {
 		var end Answer
 		a.await("a leader", func(v *View) bool { return v.Leader != 0 })
-		if a.ask(http.MethodPut, "/v1/config", Put{Session: "s", Seq: n, Base: n - 1, Author: "x", Text: large(int(n))},
+		if a.ask(http.MethodPut, "/v1/config", Put{Session: "s", Seq: n, Base: n - 1, Author: "x",
+			Text: large(int(n))},
 			&end); end.End != Taken {
 			t.Fatalf("put %d: %+v", n, end)
 		}
@@ -320,7 +323,8 @@
 			t.Fatal(err)
 		}
 		c.SetDeadline(time.Now().Add(10 * time.Second))
-		writeJSON(c, frameHello, Hello{Identity: Identity{Cluster: own.Cluster, ID: 9, Starts: 1}, To: own.ID, Bulk: true})
+		writeJSON(c, frameHello, Hello{Identity: Identity{Cluster: own.Cluster, ID: 9, Starts: 1}, To: own.ID,
+			Bulk: true})
 		readFrame(c, 1000)
 		m, _ := proto.Marshal(&pb.Message{Type: pb.MessageType_MsgSnap.Enum(), From: proto.Uint64(9),
 			To: proto.Uint64(own.ID), Term: proto.Uint64(own.Term + 9),
@@ -333,7 +337,8 @@
 		io.Copy(io.Discard, c)
 		c.Close()
 	}
-	if v := a.group.View(); v.Term != own.Term || v.Applied < own.Applied || a.group.net.count.broken.Load() != 4 {
+	if v := a.group.View(); v.Term != own.Term || v.Applied < own.Applied ||
+		a.group.net.count.broken.Load() != 4 {
 		t.Fatalf("term %d, applied %d, %d broken of 4", v.Term, v.Applied, a.group.net.count.broken.Load())
 	}
 }
@@ -397,6 +402,54 @@
 	}
 }
 
+// TestBodiesAreBounded: clients that announce much and send nothing take the room there is for bodies; others
+// are told to come again, and once those are gone all goes on.
+func TestBodiesAreBounded(t *testing.T) {
+	a := boot(t, "a", "new", nil)
+	a.await("it leads", func(v *View) bool { return v.Role == "leader" })
+	var open []net.Conn
+	for i := 0; i < maxBodies/maxBody; i++ {
+		c, err := net.Dial("tcp", a.control.Listen)
+		if err != nil {
+			t.Fatal(err)
+		}
+		fmt.Fprintf(c, "PUT /v1/config HTTP/1.1\r\nHost: x\r\nExpect: 100-continue\r\nContent-Length: %d\r\n\r\n",
+			maxBody)
+		c.SetReadDeadline(time.Now().Add(5 * time.Second))
+		if line, err := bufio.NewReader(c).ReadString('\n'); err != nil || !strings.Contains(line, "100 Continue") {
+			t.Fatalf("body %d: %q, %v", i, line, err)
+		}
+		open = append(open, c)
+	}
+	put := Put{Session: "s", Seq: 1, Author: "x", Text: text(1) + strings.Repeat(";\n", 1<<19-100)}
+	if code, h := a.ask(http.MethodPut, "/v1/config", put, nil); code != 503 || h.Get("Retry-After") == "" {
+		t.Fatalf("a put beside full bodies: %d, expected 503 and a time to come back", code)
+	}
+	for _, c := range open {
+		c.Close()
+	}
+	if end := a.put("t", 1, 0); end.End != Taken {
+		t.Fatalf("a put after them: %+v", end)
+	}
+}
+
+// TestQueueOfAPeerIsBounded: what waits for a peer that takes nothing is bounded in bytes too.
+func TestQueueOfAPeerIsBounded(t *testing.T) {
+	p := &peer{queue: make(chan *pb.Message, maxQueued)}
+	m := &pb.Message{Entries: []*pb.Entry{{Data: make([]byte, 1<<20)}}}
+	n := 0
+	for p.put(m) {
+		n++
+	}
+	if n < 30 || n > 32 {
+		t.Fatalf("%d messages of 1 MiB queued, expected 31", n)
+	}
+	p.took(<-p.queue)
+	if !p.put(m) {
+		t.Fatal("no room after one left")
+	}
+}
+
 // certificates writes an authority and one certificate for some addresses.
 type authority struct {
 	key  *ecdsa.PrivateKey
@@ -452,7 +505,8 @@
 		ExtKeyUsage: []x509.ExtKeyUsage{x509.ExtKeyUsageServerAuth, x509.ExtKeyUsageClientAuth}}, key)
 }
 
-// TestTLS: instances and clients of one authority speak; others don't; a bad new certificate leaves the old one.
+// TestTLS: instances and clients of one authority speak; others don't; a bad new certificate leaves the old
+// one.
 func TestTLS(t *testing.T) {
 	ca := newAuthority(t)
 	with := func(c *operator.Control) {
--- a/internal/consensus/guard.go
+++ b/internal/consensus/guard.go
@@ -2,8 +2,8 @@
 
 import "fmt"
 
-// Guard is a set of guards that are taken out, for the laboratory alone: with one out, a promise of the design has to
-// break, or it is not checked. Every program that serves runs with none out.
+// Guard is a set of guards that are taken out, for the laboratory alone: with one out, a promise of the
+// design has to break, or it is not checked. Every program that serves runs with none out.
 type Guard uint
 
 // The guards that can be taken out.
--- a/internal/consensus/helper_test.go
+++ b/internal/consensus/helper_test.go
@@ -41,7 +41,8 @@
 func boot(t *testing.T, name, start string, change func(*operator.Control)) *instance {
 	t.Helper()
 	at := address()
-	c := &operator.Control{Name: name, Data: filepath.Join(t.TempDir(), name), Start: start, Peer: at + ":7101", Bind: at + ":7101",
+	c := &operator.Control{Name: name, Data: filepath.Join(t.TempDir(), name), Start: start, Peer: at +
+		":7101", Bind: at + ":7101",
 		Listen: at + ":7201", Tick: 10 * time.Millisecond, Elect: 10, DiskMB: 64, SnapMB: 1, RateMB: 64,
 		Touch: 500 * time.Millisecond}
 	if change != nil {
@@ -127,8 +128,9 @@
 	i.t.Helper()
 	for end := time.Now().Add(20 * time.Second); time.Now().Before(end); {
 		var a Answer
-		if code, _ := i.ask(http.MethodPut, "/v1/config", Put{Session: session, Seq: seq, Base: base, Author: "test",
-			Text: fmt.Sprintf("[tenant %s]\nrate = %d\n", session, seq)}, &a); code != http.StatusServiceUnavailable {
+		if code, _ := i.ask(http.MethodPut, "/v1/config", Put{Session: session, Seq: seq, Base: base,
+			Author: "test",
+			Text:   fmt.Sprintf("[tenant %s]\nrate = %d\n", session, seq)}, &a); code != http.StatusServiceUnavailable {
 			return a
 		}
 	}
--- a/internal/consensus/identity.go
+++ b/internal/consensus/identity.go
@@ -5,8 +5,8 @@
 	"fmt"
 )
 
-// Identity is who an instance is. Id and cluster are made once and kept in its log; the starts are counted there, so
-// that a copy of the folder shows.
+// Identity is who an instance is. Id and cluster are made once and kept in its log; the starts are counted
+// there, so that a copy of the folder shows.
 type Identity struct {
 	Cluster string `json:"cluster"` // empty until it was taken into a group
 	ID      uint64 `json:"id"`
@@ -38,10 +38,10 @@
 // Ends tells whether a refusal means that whoever was refused must take no further part.
 func Ends(reason string) bool { return reason == removedOnce || reason == oldCopy }
 
-// Acquaintance decides whom an instance speaks with, and finds out old copies of a folder by two things that never go
-// back: how often the other has started, kept durable, so that a copy from an earlier life shows for good; and what it
-// said it holds, kept in memory, so that one from the same life shows to whoever was up since. It does no I/O; whoever
-// asks it makes durable what it learnt before answering the other.
+// Acquaintance decides whom an instance speaks with, and finds out old copies of a folder by two things that
+// never go back: how often the other has started, kept durable, so that a copy from an earlier life shows for
+// good; and what it said it holds, kept in memory, so that one from the same life shows to whoever was up
+// since. It does no I/O; whoever asks it makes durable what it learnt before answering the other.
 type Acquaintance struct {
 	without Guard
 	own     Identity
@@ -50,9 +50,9 @@
 	removed func(id uint64) bool
 }
 
-// saying is the highest term another spoke in, and the last entry it said in that term to hold like its leader. Both
-// are on its disk before it says so. Within a term an entry held like the leader's is never dropped, so neither goes
-// back; entries of an earlier term may.
+// saying is the highest term another spoke in, and the last entry it said in that term to hold like its
+// leader. Both are on its disk before it says so. Within a term an entry held like the leader's is never
+// dropped, so neither goes back; entries of an earlier term may.
 type saying struct{ term, last uint64 }
 
 // Heard takes note of what another said.
@@ -73,7 +73,8 @@
 	Nonce  uint64 `json:"nonce"`
 }
 
-// maxSeen bounds the table; only members, past or present, get into it, and each takes a change by an operator.
+// maxSeen bounds the table; only members, past or present, get into it, and each takes a change by an
+// operator.
 const maxSeen = 1024
 
 // Meet judges a hello. learnt tells that own or seen changed and has to be kept before an answer goes out.
--- a/internal/consensus/machine.go
+++ b/internal/consensus/machine.go
@@ -6,6 +6,7 @@
 	"encoding/json"
 	"fmt"
 	"sort"
+	"strings"
 
 	"umberwinch/internal/conf"
 )
@@ -34,8 +35,8 @@
 	Text   string `json:"text,omitempty"`
 }
 
-// Put asks for a new version. Session and Seq name the asking: a client counts its puts from 1 and repeats one under
-// the same number until it has an answer.
+// Put asks for a new version. Session and Seq name the asking: a client counts its puts from 1 and repeats
+// one under the same number until it has an answer.
 type Put struct {
 	Session string `json:"session"`
 	Seq     uint64 `json:"seq"`
@@ -86,8 +87,9 @@
 	answer Answer
 }
 
-// Machine is the replicated state. It is told committed entries in order and nothing else, so it is the same at every
-// instance after the same entry. It never looks at a clock; a session's age is how many others were used since.
+// Machine is the replicated state. It is told committed entries in order and nothing else, so it is the same
+// at every instance after the same entry. It never looks at a clock; a session's age is how many others were
+// used since.
 type Machine struct {
 	without  Guard
 	cluster  string
@@ -112,7 +114,8 @@
 // last gives the number of the version in force, 0 before the first.
 func (m *Machine) last() uint64 { return m.first + uint64(len(m.lines)) - 1 }
 
-// valid says what is wrong with a put before it is proposed; what hangs on the state is judged when it is applied.
+// valid says what is wrong with a put before it is proposed; what hangs on the state is judged when it is
+// applied.
 func (p *Put) valid() error {
 	switch {
 	case p.Session == "" || len(p.Session) > maxWord:
@@ -164,7 +167,7 @@
 		err = next.Follows(m.current)
 	}
 	if err != nil {
-		return Answer{Refused, m.last(), err.Error()}
+		return Answer{Refused, m.last(), short(err.Error())}
 	}
 	text := next.Canonical()
 	if len(text) > conf.MaxBytes {
@@ -191,6 +194,18 @@
 	return Answer{Taken, v.Number, ""}
 }
 
+// short bounds a reason: it is kept with its session, and a document may have a fault on each of many lines.
+func short(reason string) string {
+	if len(reason) <= maxReason {
+		return reason
+	}
+	cut := strings.LastIndexByte(reason[:maxReason], '\n')
+	if cut <= 0 {
+		cut = maxReason
+	}
+	return fmt.Sprintf("%s\n%d more lines", reason[:cut], 1+strings.Count(reason[cut+1:], "\n"))
+}
+
 func (m *Machine) member(id uint64) *Member {
 	i := sort.Search(len(m.members), func(i int) bool { return m.members[i].ID >= id })
 	if i < len(m.members) && m.members[i].ID == id {
--- a/internal/consensus/machine_test.go
+++ b/internal/consensus/machine_test.go
@@ -85,6 +85,15 @@
 	}
 }
 
+func TestReasonsAreBounded(t *testing.T) {
+	m := newMachine("c", 0)
+	a := ask(m, "a", 1, 0, "[tenant t]\n"+strings.Repeat("nonsense\n", 50000))
+	if a.End != Refused || len(a.Reason) > maxReason+40 || !strings.HasSuffix(a.Reason, " more lines") ||
+		!strings.HasPrefix(a.Reason, "document:2: line: found") {
+		t.Fatalf("%s with %d bytes of reason: ...%.60q", a.End, len(a.Reason), a.Reason[max(0, len(a.Reason)-60):])
+	}
+}
+
 func TestTablesAreBounded(t *testing.T) {
 	m := newMachine("c", 0)
 	for i := 0; i < maxSessions+10; i++ {
@@ -144,8 +153,9 @@
 			said: map[uint64]saying{2: {term: 4, last: 30}}, removed: func(id uint64) bool { return id == 3 }}
 	}
 	hello := func(cluster string, id, starts, nonce, term, last, to uint64) Hello {
-		return Hello{Identity: Identity{Cluster: cluster, ID: id, Starts: starts, Nonce: nonce}, Term: term, Last: last,
-			To: to}
+		return Hello{Identity: Identity{Cluster: cluster, ID: id, Starts: starts, Nonce: nonce}, Term: term,
+			Last: last,
+			To:   to}
 	}
 	for _, c := range []struct {
 		name    string
--- a/internal/consensus/meters.go
+++ b/internal/consensus/meters.go
@@ -8,8 +8,8 @@
 	"umberwinch/internal/wal"
 )
 
-// meters are what Prometheus reads on the control address. They are looked at when asked for; only times and ends are
-// noted as they come.
+// meters are what Prometheus reads on the control address. They are looked at when asked for; only times and
+// ends are noted as they come.
 type meters struct {
 	group    *Group
 	registry *prometheus.Registry
@@ -42,7 +42,8 @@
 			prometheus.GaugeValue, of})
 	}
 	count := func(name, help string, of func(*View, *Group) float64) {
-		m.figures = append(m.figures, figure{prometheus.NewDesc("umberwinch_control_"+name+"_total", help, nil, nil),
+		m.figures = append(m.figures, figure{prometheus.NewDesc("umberwinch_control_"+name+"_total", help, nil,
+			nil),
 			prometheus.CounterValue, of})
 	}
 	gauge("term", "Of the group, as known here.", func(v *View, _ *Group) float64 { return float64(v.Term) })
@@ -61,8 +62,14 @@
 	gauge("commit_index", "Of the log.", func(v *View, _ *Group) float64 { return float64(v.Commit) })
 	gauge("last_index", "Of the log.", func(v *View, _ *Group) float64 { return float64(v.Last) })
 	gauge("disk_bytes", "Log and snapshots.", func(v *View, _ *Group) float64 { return float64(v.Disk) })
-	gauge("away_seconds", "Since a leader was heard.", func(v *View, _ *Group) float64 { return v.Away().Seconds() })
-	gauge("out_of_touch", "1 past the operator's bound.", func(v *View, _ *Group) float64 { return one(v.Out()) })
+	gauge("away_seconds", "Since a leader was heard.", func(v *View,
+		_ *Group) float64 {
+		return v.Away().Seconds()
+	})
+	gauge("out_of_touch", "1 past the operator's bound.", func(v *View,
+		_ *Group) float64 {
+		return one(v.Out())
+	})
 	gauge("barred", "1 where it takes no part.", func(v *View, _ *Group) float64 { return one(v.Barred != "") })
 	gauge("inbox", "Messages that wait.", func(_ *View, g *Group) float64 { return float64(len(g.inbox)) })
 	gauge("asked", "Askings that wait.", func(_ *View, g *Group) float64 { return float64(len(g.asks)) })
@@ -73,10 +80,12 @@
 	}
 	wire("messages_sent", "To peers.", func(t *traffic) uint64 { return t.sent.Load() })
 	wire("messages_received", "From peers.", func(t *traffic) uint64 { return t.received.Load() })
-	wire("messages_dropped", "For want of room or a connection.", func(t *traffic) uint64 { return t.dropped.Load() })
+	wire("messages_dropped", "For want of room or a connection.",
+		func(t *traffic) uint64 { return t.dropped.Load() })
 	wire("peers_refused", "Of another cluster, removed, old copies.",
 		func(t *traffic) uint64 { return t.refused.Load() })
-	wire("peers_broken", "Connections with what can't be read.", func(t *traffic) uint64 { return t.broken.Load() })
+	wire("peers_broken", "Connections with what can't be read.",
+		func(t *traffic) uint64 { return t.broken.Load() })
 	wire("snapshots_sent", "To peers.", func(t *traffic) uint64 { return t.snapsSent.Load() })
 	wire("snapshots_received", "From peers.", func(t *traffic) uint64 { return t.snapsReceived.Load() })
 	m.registry.MustRegister(m.commit, m.sync, m.ends, m)
--- a/internal/consensus/replica.go
+++ b/internal/consensus/replica.go
@@ -1,7 +1,7 @@
-// Package consensus is the replicated group that keeps an installation's configuration: etcd's raft core on our log,
-// with our state machine, members, identity, transport and clients' API. replica.go owns the core and is driven from
-// outside: told of ticks and messages, asked what to send. It knows no clock, socket or goroutine, so that a whole
-// group runs in one test; group.go drives one in earnest.
+// Package consensus is the replicated group that keeps an installation's configuration: etcd's raft core on
+// our log, with our state machine, members, identity, transport and clients' API. replica.go owns the core
+// and is driven from outside: told of ticks and messages, asked what to send. It knows no clock, socket or
+// goroutine, so that a whole group runs in one test; group.go drives one in earnest.
 package consensus
 
 import (
@@ -53,8 +53,8 @@
 // ErrBarred says that the instance takes no part any more.
 var ErrBarred = errors.New("this instance takes no part in the group any more")
 
-// Bounds on what raft holds: a message carries a large document or many small ones, and a slow follower has at most
-// this much on its way to it.
+// Bounds on what raft holds: a message carries a large document or many small ones, and a slow follower has
+// at most this much on its way to it.
 const (
 	maxMessage     = 1 << 20
 	maxOnTheWay    = 64
@@ -163,8 +163,8 @@
 	return nil
 }
 
-// begin makes an empty folder an instance's: its id, and where it founds a group, the group's first state. The
-// identity is written last, so that a crash on the way leaves a folder that counts as empty.
+// begin makes an empty folder an instance's: its id, and where it founds a group, the group's first state.
+// The identity is written last, so that a crash on the way leaves a folder that counts as empty.
 func (r *Replica) begin() error {
 	own := Identity{ID: r.plan.Draw() | 1, Name: r.plan.Name}
 	b := wal.Batch{}
@@ -204,8 +204,9 @@
 	return nil
 }
 
-// Restore makes an empty folder the first instance of a new group that has the state of a saved snapshot. The group is
-// another one: instances of the old one are refused, and what was agreed on after the snapshot is lost.
+// Restore makes an empty folder the first instance of a new group that has the state of a saved snapshot. The
+// group is another one: instances of the old one are refused, and what was agreed on after the snapshot is
+// lost.
 func Restore(fs wal.FS, plan Plan, raw []byte) (*Version, error) {
 	if body, _, ok := wal.Unwrap(raw); ok { // a file out of another folder
 		raw = body
@@ -315,8 +316,8 @@
 	r.timeout = r.plan.Elect + int(crc32.ChecksumIEEE(raw[:])%uint32(r.plan.Elect))
 }
 
-// Tick tells of one unit of time. Elections are timed here and not by the core, whose chance has no seed: it is told
-// of time passing without its timer, and to stand when ours is over.
+// Tick tells of one unit of time. Elections are timed here and not by the core, whose chance has no seed: it
+// is told of time passing without its timer, and to stand when ours is over.
 func (r *Replica) Tick() {
 	if r.who.own.Barred != "" {
 		return
@@ -343,8 +344,9 @@
 	}
 }
 
-// settled tells whether this life has made itself known: to all other voters, or to those that answered within an
-// election's time. Until then it says nothing, as one of them may know that its folder is an old copy.
+// settled tells whether this life has made itself known: to all other voters, or to those that answered
+// within an election's time. Until then it says nothing, as one of them may know that its folder is an old
+// copy.
 func (r *Replica) settled() bool {
 	if r.age >= r.plan.Elect || r.plan.Without.Has(MemberIdentity) {
 		return true
@@ -405,8 +407,8 @@
 	}
 }
 
-// Propose asks for a version. The answer comes as a Result of some later Work here, or never: whoever waits repeats
-// it under the same number.
+// Propose asks for a version. The answer comes as a Result of some later Work here, or never: whoever waits
+// repeats it under the same number.
 func (r *Replica) Propose(p *Put) error {
 	if r.who.own.Barred != "" {
 		return ErrBarred
@@ -463,9 +465,9 @@
 // caughtUp is how many entries a learner may lack when it becomes a voter: less than comes in a round trip.
 const caughtUp = 16
 
-// promote has the leader make voters of learners that have caught up, one at a time. What it asks for may come to
-// nothing, as while another change is under way; it asks again an election's time later. It looks at each tick all the
-// same: the core forgets at each of its checks for a quorum who was active lately.
+// promote has the leader make voters of learners that have caught up, one at a time. What it asks for may
+// come to nothing, as while another change is under way; it asks again an election's time later. It looks at
+// each tick all the same: the core forgets at each of its checks for a quorum who was active lately.
 func (r *Replica) promote() {
 	if r.age < r.asked+r.plan.Elect {
 		return
@@ -508,8 +510,8 @@
 	return nil
 }
 
-// Read asks for a point from which the state here is as new as any answer given before; its id comes back in an
-// Outcome once that is so, or never. An id is used once.
+// Read asks for a point from which the state here is as new as any answer given before; its id comes back in
+// an Outcome once that is so, or never. An id is used once.
 func (r *Replica) Read(id uint64) error {
 	if r.who.own.Barred != "" {
 		return ErrBarred
@@ -542,8 +544,8 @@
 	}
 }
 
-// Work does what raft has ready: makes it durable, then sends, then applies. An error means that the instance can't
-// go on: what it holds in memory is no longer what is on its disk.
+// Work does what raft has ready: makes it durable, then sends, then applies. An error means that the instance
+// can't go on: what it holds in memory is no longer what is on its disk.
 func (r *Replica) Work(send func([]*pb.Message)) (Outcome, error) {
 	var out Outcome
 	for r.node.HasReady() {
@@ -608,9 +610,9 @@
 	return r.keepMembers(rd.CommittedEntries)
 }
 
-// keepMembers makes it durable that a change of members is committed before the change counts here. A life that began
-// with an older commit index would count votes by the members of its snapshot: the founder alone, as seen on a few
-// schedules in a hundred.
+// keepMembers makes it durable that a change of members is committed before the change counts here. A life
+// that began with an older commit index would count votes by the members of its snapshot: the founder alone,
+// as seen on a few schedules in a hundred.
 func (r *Replica) keepMembers(committed []*pb.Entry) error {
 	if r.plan.Without.Has(MembersKept) {
 		return nil
@@ -805,5 +807,6 @@
 	return r.machine.members
 }
 
-// Lines gives the versions kept, each as a line of JSON, and the number of the first. Neither changes any more.
+// Lines gives the versions kept, each as a line of JSON, and the number of the first. Neither changes any
+// more.
 func (r *Replica) Lines() ([][]byte, uint64) { return r.machine.lines, r.machine.first }
--- a/internal/consensus/replica_test.go
+++ b/internal/consensus/replica_test.go
@@ -71,7 +71,8 @@
 	sent := false
 	out, err := r.Work(func([]*pb.Message) { sent = true })
 	if !errors.Is(err, wal.ErrBroken) || !errors.Is(err, syscall.EIO) || sent || len(out.Results) > 0 {
-		t.Fatalf("%v, sent %v, %d results; expected %v and nothing said", err, sent, len(out.Results), wal.ErrBroken)
+		t.Fatalf("%v, sent %v, %d results; expected %v and nothing said", err, sent, len(out.Results),
+			wal.ErrBroken)
 	}
 }
 
@@ -84,8 +85,8 @@
 	}
 }
 
-// TestSnapshotFallback: with the newest snapshot damaged, the older one and the log since give the same state; with
-// both damaged the start is refused.
+// TestSnapshotFallback: with the newest snapshot damaged, the older one and the log since give the same
+// state; with both damaged the start is refused.
 func TestSnapshotFallback(t *testing.T) {
 	disk := wal.NewMem()
 	r := single(t, disk)
@@ -113,8 +114,8 @@
 	}
 }
 
-// TestCutBetweenSnapshotAndLog: a crash between writing a snapshot got from the leader and cutting the log leaves
-// entries of another history behind it; the next start drops them.
+// TestCutBetweenSnapshotAndLog: a crash between writing a snapshot got from the leader and cutting the log
+// leaves entries of another history behind it; the next start drops them.
 func TestCutBetweenSnapshotAndLog(t *testing.T) {
 	disk := wal.NewMem()
 	r := single(t, disk)
@@ -152,8 +153,8 @@
 	}
 }
 
-// BenchmarkStart starts an instance of a group of one until it leads with all its versions applied, by the length of
-// its log, and from a snapshot. The ticks of its election are not waited for.
+// BenchmarkStart starts an instance of a group of one until it leads with all its versions applied, by the
+// length of its log, and from a snapshot. The ticks of its election are not waited for.
 func BenchmarkStart(b *testing.B) {
 	for _, c := range []struct {
 		name     string
--- a/internal/consensus/store.go
+++ b/internal/consensus/store.go
@@ -20,8 +20,9 @@
 	markSeen
 )
 
-// store keeps raft's entries and hard state on a log of ours and answers raft's questions about them. Entries since
-// the older of two snapshots are in memory too. It owns the log; only the replica's goroutine changes it.
+// store keeps raft's entries and hard state on a log of ours and answers raft's questions about them. Entries
+// since the older of two snapshots are in memory too. It owns the log; only the replica's goroutine changes
+// it.
 type store struct {
 	log     *wal.Log
 	hard    *pb.HardState
@@ -68,8 +69,8 @@
 	return nil, nil, errors.New("a snapshot without a head")
 }
 
-// openStore reads hard state, newest sound snapshot and the entries behind it. It gives the snapshot's state, nil if
-// there is none.
+// openStore reads hard state, newest sound snapshot and the entries behind it. It gives the snapshot's state,
+// nil if there is none.
 func openStore(log *wal.Log) (*store, []byte, error) {
 	s := &store{log: log, hard: &pb.HardState{}, snap: &pb.SnapshotMetadata{ConfState: &pb.ConfState{}}}
 	if raw := log.Mark(markHard); raw != nil {
@@ -114,9 +115,9 @@
 	return s, state, nil
 }
 
-// join makes the log go on from the snapshot. A crash may have come between writing a snapshot got from the leader
-// and cutting the log: then what is in the log is of another history, unless the entry at the snapshot's index has
-// the snapshot's term.
+// join makes the log go on from the snapshot. A crash may have come between writing a snapshot got from the
+// leader and cutting the log: then what is in the log is of another history, unless the entry at the
+// snapshot's index has the snapshot's term.
 func (s *store) join(at uint64) error {
 	if at == 0 || s.log.First() == at+1 {
 		return nil
@@ -283,8 +284,8 @@
 	return part[:len(part):len(part)], nil
 }
 
-// Snapshot gives the state as it is: one on disk may be from before whoever asks became a member, and such a one is
-// not taken.
+// Snapshot gives the state as it is: one on disk may be from before whoever asks became a member, and such a
+// one is not taken.
 func (s *store) Snapshot() (*pb.Snapshot, error) {
 	meta, state, err := s.state()
 	if err != nil {
--- a/internal/consensus/transport.go
+++ b/internal/consensus/transport.go
@@ -23,6 +23,7 @@
 // Bounds of the transport.
 const (
 	maxQueued     = 512             // messages that wait for one peer; the core sends again what is dropped
+	maxQueuedB    = 32 << 20        // and their bytes
 	maxLinks      = 64              // connections taken in at once
 	maxSnapBytes  = 160 << 20       // of a state: twice what the machine keeps of versions, and the rest of it
 	snapChunk     = 256 << 10       // of a state in one frame
@@ -34,7 +35,8 @@
 	refusedFrames = 4 << 10          // of a greeting
 )
 
-// owner is what the transport asks of whoever owns the replica. All but the counters run on the owner's goroutine.
+// owner is what the transport asks of whoever owns the replica. All but the counters run on the owner's
+// goroutine.
 type owner interface {
 	hello(to uint64) (Hello, error)
 	meet(h Hello) (reason string, err error)
@@ -49,9 +51,9 @@
 	sent, received, dropped, refused, broken, snapsSent, snapsReceived atomic.Uint64
 }
 
-// transport carries messages between instances: one connection a peer and direction for what is small, another for a
-// snapshot, so that a heartbeat never waits behind bulk. It owns connections and queues; it never decides whom to
-// speak with, and never waits for a peer on the owner's goroutine.
+// transport carries messages between instances: one connection a peer and direction for what is small,
+// another for a snapshot, so that a heartbeat never waits behind bulk. It owns connections and queues; it
+// never decides whom to speak with, and never waits for a peer on the owner's goroutine.
 type transport struct {
 	owner owner
 	trust *trust
@@ -72,10 +74,27 @@
 	id    uint64
 	addr  string
 	queue chan *pb.Message
+	bytes atomic.Int64 // of what is queued
 	stop  context.CancelFunc
 	snap  atomic.Bool
 }
 
+// put queues a message if there is room for it; took frees the room of one that left the queue.
+func (p *peer) put(m *pb.Message) bool {
+	n := int64(proto.Size(m))
+	if p.bytes.Add(n) <= maxQueuedB {
+		select {
+		case p.queue <- m:
+			return true
+		default:
+		}
+	}
+	p.bytes.Add(-n)
+	return false
+}
+
+func (p *peer) took(m *pb.Message) { p.bytes.Add(-int64(proto.Size(m))) }
+
 func newTransport(o owner, t *trust, log *logrus.Logger, rateMB int) *transport {
 	ctx, stop := context.WithCancel(context.Background())
 	return &transport{owner: o, trust: t, log: log, ctx: ctx, stop: stop, peers: map[uint64]*peer{},
@@ -253,8 +272,8 @@
 	writeFrame(c, frameDone, nil)
 }
 
-// know sets whom to speak with, by id and address. Connections of those that were removed close, so that they hear
-// of it when they come again.
+// know sets whom to speak with, by id and address. Connections of those that were removed close, so that they
+// hear of it when they come again.
 func (t *transport) know(members []Member, removed []uint64, own uint64) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
@@ -317,9 +336,7 @@
 				t.owner.snapped(p.id, err == nil)
 			}()
 		default:
-			select {
-			case p.queue <- m:
-			default:
+			if !p.put(m) {
 				t.count.dropped.Add(1)
 				t.owner.lost(p.id)
 			}
@@ -417,7 +434,8 @@
 func (t *transport) drop(p *peer) {
 	for {
 		select {
-		case <-p.queue:
+		case m := <-p.queue:
+			p.took(m)
 			t.count.dropped.Add(1)
 		default:
 			return
@@ -442,6 +460,7 @@
 		case m := <-p.queue:
 			c.SetWriteDeadline(time.Now().Add(writeWithin))
 			for m != nil {
+				p.took(m)
 				raw, err := proto.Marshal(m)
 				if err == nil {
 					err = writeFrame(w, frameMessage, raw)
--- a/internal/consensus/trust.go
+++ b/internal/consensus/trust.go
@@ -10,8 +10,9 @@
 	"time"
 )
 
-// trust holds this instance's certificate and the authority of all others. It owns what is shown and whom is believed
-// on every connection; without files there is none, which the operator's file allows on loopback addresses alone.
+// trust holds this instance's certificate and the authority of all others. It owns what is shown and whom is
+// believed on every connection; without files there is none, which the operator's file allows on loopback
+// addresses alone.
 type trust struct {
 	cert, key, ca string
 	now           atomic.Pointer[tls.Config]
--- a/internal/lab/cases_test.go
+++ b/internal/lab/cases_test.go
@@ -65,8 +65,8 @@
 	}
 }
 
-// TestThreeOfFive: with two down writes go on; with a third they stop, and nothing new is applied; with it back they
-// go on within the promise.
+// TestThreeOfFive: with two down writes go on; with a third they stop, and nothing new is applied; with it
+// back they go on within the promise.
 func TestThreeOfFive(t *testing.T) {
 	w := grown(t, 5)
 	var down []*host
@@ -107,8 +107,8 @@
 	whole(t, w)
 }
 
-// TestOldEntriesVanish: a leader cut off takes entries that no majority gets. Back again it has the others' instead,
-// it applied none of its own, and its term unseats nobody.
+// TestOldEntriesVanish: a leader cut off takes entries that no majority gets. Back again it has the others'
+// instead, it applied none of its own, and its term unseats nobody.
 func TestOldEntriesVanish(t *testing.T) {
 	w := grown(t, 3)
 	old := w.leader()
--- a/internal/lab/emulated.go
+++ b/internal/lab/emulated.go
@@ -10,9 +10,9 @@
 	"umberwinch/admission"
 )
 
-// emulated.go is one server in virtual time: cores shared by what runs, clients that ask whether or not they are
-// answered, and a decider between them, the module or a baseline. It goes from event to event, so an hour takes about
-// a second for each server's dozen reqs a second.
+// emulated.go is one server in virtual time: cores shared by what runs, clients that ask whether or not they
+// are answered, and a decider between them, the module or a baseline. It goes from event to event, so an hour
+// takes about a second for each server's dozen reqs a second.
 
 type vt = admission.Time
 
@@ -125,8 +125,9 @@
 const window = 3 * second
 
 func newServer(seed int64, d decider, cores int, classes []vclass, tenants int, span vt) *server {
-	s := &server{r: rand.New(rand.NewSource(seed)), d: d, now: second, cores: float64(cores), fall: 5, tenants: tenants,
-		open: map[uint32]*vreq{}, wake: -1}
+	s := &server{r: rand.New(rand.NewSource(seed)), d: d, now: second, cores: float64(cores), fall: 5,
+		tenants: tenants,
+		open:    map[uint32]*vreq{}, wake: -1}
 	s.classes = append(s.classes, classes...)
 	s.out = make([]tallies, len(classes))
 	for k := range s.out {
@@ -246,8 +247,9 @@
 	q.came = s.now
 	s.open[s.next] = &q
 	c := &s.classes[q.class]
-	s.round(&admission.Round{Arrived: []admission.Req{{ID: s.next, Handler: q.class, Tenant: q.tenant, Came: s.now,
-		Due: q.first + c.handler.Timeout, KB: 8, Again: q.try > 0, Caller: uint32(q.tenant)}}})
+	s.round(&admission.Round{Arrived: []admission.Req{{ID: s.next, Handler: q.class, Tenant: q.tenant,
+		Came: s.now,
+		Due:  q.first + c.handler.Timeout, KB: 8, Again: q.try > 0, Caller: uint32(q.tenant)}}})
 }
 
 func (s *server) ends() {
@@ -325,7 +327,8 @@
 func (s *server) IdleClose(admission.Time)        {}
 func (s *server) Log(string)                      {}
 
-// plain is the baseline: a pool of twice the cores and a queue that sheds what has waited a tenth of a second.
+// plain is the baseline: a pool of twice the cores and a queue that sheds what has waited a tenth of a
+// second.
 type plain struct {
 	slots, running int
 	queue          []admission.Req
--- a/internal/lab/faults.go
+++ b/internal/lab/faults.go
@@ -29,7 +29,8 @@
 		"loss", "slow", "stall", "copy", "back", "wipe", "transfer"}
 	var out []Fault
 	for at := int64(0); at < ms; at += 150 + int64(r.Intn(900)) {
-		out = append(out, Fault{at, kinds[r.Intn(len(kinds))], r.Intn(size), r.Intn(size), 200 + int64(r.Intn(2500)),
+		out = append(out, Fault{at, kinds[r.Intn(len(kinds))], r.Intn(size), r.Intn(size), 200 +
+			int64(r.Intn(2500)),
 			r.Intn(60)})
 	}
 	return out
@@ -96,8 +97,9 @@
 	}
 }
 
-// mayLose tells whether a disk may be lost now without a majority being lost for good: all are up, take part, reach
-// each other and have the same state. To lose a disk beside others that are down is to lose what was agreed on.
+// mayLose tells whether a disk may be lost now without a majority being lost for good: all are up, take part,
+// reach each other and have the same state. To lose a disk beside others that are down is to lose what was
+// agreed on.
 func (w *World) mayLose() bool {
 	if len(w.cut) > 0 || w.loss > 0 || w.voters() < w.target || !w.converged() {
 		return false
@@ -135,8 +137,8 @@
 	Broken string
 }
 
-// Play runs a schedule from its seed: growth, faults under load, rest, then scripted cases that every schedule ends
-// with. It is the same run each time.
+// Play runs a schedule from its seed: growth, faults under load, rest, then scripted cases that every
+// schedule ends with. It is the same run each time.
 func Play(seed int64, size int, faults []Fault, without consensus.Guard, trace func(string)) Result {
 	w := NewWorld(seed, size, without)
 	w.Trace = trace
@@ -263,8 +265,8 @@
 	return w.Broken == ""
 }
 
-// unsynced: with all but one follower away, the power goes at that one as it would keep an entry. What it did not
-// keep must not count.
+// unsynced: with all but one follower away, the power goes at that one as it would keep an entry. What it did
+// not keep must not count.
 func (w *World) unsynced() {
 	if !w.settle() {
 		return
@@ -289,8 +291,8 @@
 	return away
 }
 
-// oldDisk: what two of three agreed on while the third was away has to outlast one of the two coming back on a copy
-// of its disk from before, with the other then cut off.
+// oldDisk: what two of three agreed on while the third was away has to outlast one of the two coming back on
+// a copy of its disk from before, with the other then cut off.
 func (w *World) oldDisk() {
 	if !w.settle() {
 		return
@@ -316,7 +318,8 @@
 	}
 }
 
-// Cut makes a failing schedule shorter: it leaves out what is not needed for a failure, by halves, then one by one.
+// Cut makes a failing schedule shorter: it leaves out what is not needed for a failure, by halves, then one
+// by one.
 func Cut(seed int64, size int, faults []Fault, without consensus.Guard, runs int) []Fault {
 	for part := (len(faults) + 1) / 2; part > 0 && runs > 0; {
 		shorter := false
--- a/internal/lab/history.go
+++ b/internal/lab/history.go
@@ -10,8 +10,8 @@
 	"umberwinch/internal/consensus"
 )
 
-// client asks one thing at a time, as a program would: it repeats a put under its number at another instance until
-// it has an answer.
+// client asks one thing at a time, as a program would: it repeats a put under its number at another instance
+// until it has an answer.
 type client struct {
 	name    string
 	seq     uint64
@@ -53,7 +53,8 @@
 		k.put = &consensus.Put{Session: c.name, Seq: c.seq, Base: c.base, Author: c.name, At: w.net.Int63n(1 << 40),
 			Text: fmt.Sprintf("[tenant %s]\nrate = %d\n", c.name, c.seq)}
 	}
-	w.history = append(w.history, porcupine.Operation{ClientId: len(w.clients), Input: in, Call: w.now*1000 + 500,
+	w.history = append(w.history, porcupine.Operation{ClientId: len(w.clients), Input: in, Call: w.now*1000 +
+		500,
 		Return: math.MaxInt64})
 	c.open = k
 	w.ask(k)
--- a/internal/lab/ondemand.go
+++ b/internal/lab/ondemand.go
@@ -11,8 +11,9 @@
 	"umberwinch/internal/wal"
 )
 
-// faultEnv names what an instance does to itself once SIGUSR2 has told it to: a step of Work at which it kills itself
-// as kill -9 would, or a way in which its disk fails. Without it SIGUSR2 does what it does to any process.
+// faultEnv names what an instance does to itself once SIGUSR2 has told it to: a step of Work at which it
+// kills itself as kill -9 would, or a way in which its disk fails. Without it SIGUSR2 does what it does to
+// any process.
 const faultEnv = "UMBERWINCH_FAULT"
 
 // Ways in which a disk fails on demand.
--- a/internal/lab/pools.go
+++ b/internal/lab/pools.go
@@ -23,8 +23,8 @@
 //go:embed scenarios/*.txt
 var scenarioFiles embed.FS
 
-// Pools is a run of `umberctl lab pools`: each scenario in virtual time with pools, without, with fixed ones, and with
-// a plain pool before a short queue, from the same seed.
+// Pools is a run of `umberctl lab pools`: each scenario in virtual time with pools, without, with fixed ones,
+// and with a plain pool before a short queue, from the same seed.
 type Pools struct {
 	Seed    int64
 	Quick   bool
@@ -55,8 +55,8 @@
 //
 //	holds CLASS SHARE                   so much of it is done in time with pools
 //
-// share is the class's part of all reqs. cheapest names the class whose promise is checked, dearest the one that must
-// not lose by pools.
+// share is the class's part of all reqs. cheapest names the class whose promise is checked, dearest the one
+// that must not lose by pools.
 type scenario struct {
 	name              string
 	cores, tenants    int
@@ -169,7 +169,8 @@
 			}
 			return def
 		}
-		s.classes = append(s.classes, vclass{name: w[1], work: get("work", 10) * 10, tail: get("tail", 0), surge: -1,
+		s.classes = append(s.classes, vclass{name: w[1], work: get("work", 10) * 10, tail: get("tail", 0),
+			surge: -1,
 			tries: int(get("tries", 2)), handler: admission.Handler{Target: vt(get("target", 1000) * 10),
 				Timeout: vt(get("timeout", 5000) * 10), Value: get("value", 1)}})
 		s.shares = append(s.shares, get("share", 1))
@@ -221,7 +222,8 @@
 	if way == "plain" {
 		return &plain{slots: 2 * s.cores}, nil
 	}
-	d := &admission.Deployment{Start: second, Fleet: 1, Senders: 8, Granule: 10, Beyond: 0.05, Cores: s.cores, Fall: 5,
+	d := &admission.Deployment{Start: second, Fleet: 1, Senders: 8, Granule: 10, Beyond: 0.05, Cores: s.cores,
+		Fall:  5,
 		MemKB: 1 << 20, RunFactor: 2, KeyKB: 1, Stop: admission.StopNever, DrainGrace: second, MaxPause: 5 * second,
 		Idle: 30 * second}
 	p := pools.Plan{Reserve: way == "pools" && without != "reserve", Tenants: s.tenants}
--- a/internal/lab/pools_test.go
+++ b/internal/lab/pools_test.go
@@ -7,13 +7,16 @@
 	"testing"
 )
 
-// TestPoolScenarios plays each scenario on a few emulated servers: the promises hold, and break without each guard.
+// TestPoolScenarios plays each scenario on a few emulated servers: the promises hold, and break without each
+// guard.
 func TestPoolScenarios(t *testing.T) {
-	for _, c := range []struct{ without, want string }{{"", "pools: kept seed=1 "}, {"reserve", "pools: broken: "},
+	for _, c := range []struct{ without, want string }{{"", "pools: kept seed=1 "}, {"reserve",
+		"pools: broken: "},
 		{"limits", "pools: broken: "}} {
 		var out bytes.Buffer
 		dir := t.TempDir()
-		if _, err := (&Pools{Seed: 1, Quick: true, Without: c.without, Out: dir}).Run(context.Background(), &out); err != nil {
+		if _, err := (&Pools{Seed: 1, Quick: true, Without: c.without, Out: dir}).Run(context.Background(),
+			&out); err != nil {
 			t.Fatal(err)
 		}
 		lines := strings.Split(strings.TrimSpace(out.String()), "\n")
--- a/internal/lab/procs.go
+++ b/internal/lab/procs.go
@@ -46,8 +46,8 @@
 	board        *switchboard
 }
 
-// hosts numbers loopback addresses so that no two instances of a run share one. A port out of the range that outgoing
-// connections take theirs from could be gone when an instance is started again on it.
+// hosts numbers loopback addresses so that no two instances of a run share one. A port out of the range that
+// outgoing connections take theirs from could be gone when an instance is started again on it.
 var hosts atomic.Uint32
 
 func loopback(port int) string {
@@ -57,8 +57,9 @@
 
 // newCluster starts a group and waits until all are voters. extra stands at the end of each operator's file.
 func newCluster(ctx context.Context, program, dir string, size int, extra string) (*cluster, error) {
-	c := &cluster{program: program, dir: dir, board: newSwitchboard(), http: &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 128,
-		DialContext: (&net.Dialer{Timeout: 200 * time.Millisecond}).DialContext}}}
+	c := &cluster{program: program, dir: dir, board: newSwitchboard(),
+		http: &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 128,
+			DialContext: (&net.Dialer{Timeout: 200 * time.Millisecond}).DialContext}}}
 	var err error
 	if c.out, err = os.OpenFile(filepath.Join(dir, "instances.log"), os.O_CREATE|os.O_APPEND|os.O_WRONLY,
 		0o600); err != nil {
@@ -118,7 +119,8 @@
 	}
 	c.procs = append(c.procs, p)
 	return os.WriteFile(p.file, []byte(fmt.Sprintf("[instance]\nname = %s\ndata = %s\nstart = %s\npeer = %s\n"+
-		"bind = %s\nlisten = %s\n%s", name, filepath.Join(c.dir, name), start, p.peer, p.bind, p.listen, extra)), 0o600)
+		"bind = %s\nlisten = %s\n%s", name, filepath.Join(c.dir,
+		name), start, p.peer, p.bind, p.listen, extra)), 0o600)
 }
 
 func (c *cluster) start(p *proc, fault string) error {
@@ -150,7 +152,8 @@
 // cutOff is a fault of the lines between processes, beside those that a process brings on itself.
 const cutOff = "cut off"
 
-// strike does to a leader what it was started for, or parts it from the others. It tells whether the process ended.
+// strike does to a leader what it was started for, or parts it from the others. It tells whether the process
+// ended.
 func (c *cluster) strike(p *proc, cut bool) (ended bool) {
 	switch {
 	case cut:
@@ -316,8 +319,8 @@
 	}
 }
 
-// end stops the load and holds what clients were told against what the group has: each version told is there, once,
-// in order.
+// end stops the load and holds what clients were told against what the group has: each version told is there,
+// once, in order.
 func (l *load) end() error {
 	l.stop()
 	l.wg.Wait()
@@ -392,15 +395,16 @@
 	return r.timeouts(ctx, w, rep)
 }
 
-// timeouts shows what the election timeout costs and saves: time without writes after a kill on a calm machine, and
-// elections that nothing called for while four times as many threads as cores want to run.
+// timeouts shows what the election timeout costs and saves: time without writes after a kill on a calm
+// machine, and elections that nothing called for while four times as many threads as cores want to run.
 func (r *Raft) timeouts(ctx context.Context, w io.Writer, rep *Report) error {
 	plot := Plot{Title: "Election timeout: failover against false elections on a busy machine", X: "timeout, ms",
 		Y: "ms without writes; false elections x 100"}
 	calm, busy := Line{Name: "failover, median"}, Line{Name: "false elections in 10 s, x 100"}
 	for _, tick := range []int{5, 10, 25, 50, 100} {
 		sub := &Report{}
-		if err := r.killLeaders(ctx, w, sub, &Plot{}, 3, 8, fmt.Sprintf("[group]\ntick = %dms\n", tick)); err != nil {
+		if err := r.killLeaders(ctx, w, sub, &Plot{}, 3, 8, fmt.Sprintf("[group]\ntick = %dms\n",
+			tick)); err != nil {
 			return err
 		}
 		median, _ := strconv.Atoi(sub.find("kills3_median_ms"))
--- a/internal/lab/procs_test.go
+++ b/internal/lab/procs_test.go
@@ -14,7 +14,8 @@
 // TestKilledLeaders kills leaders of real processes; all that clients were told is there, once.
 func TestKilledLeaders(t *testing.T) {
 	program := filepath.Join(t.TempDir(), "umberctl")
-	if out, err := exec.Command("go", "build", "-o", program, "umberwinch/cmd/umberctl").CombinedOutput(); err != nil {
+	if out, err := exec.Command("go", "build", "-o", program,
+		"umberwinch/cmd/umberctl").CombinedOutput(); err != nil {
 		t.Fatalf("%s", out)
 	}
 	var out bytes.Buffer
@@ -37,7 +38,8 @@
 // TestBrokenIsSaid: the command's verdict follows what was found.
 func TestBrokenIsSaid(t *testing.T) {
 	var out bytes.Buffer
-	rep, err := (&Raft{Seed: 2, Quick: true, Mode: "virtual", Schedules: 20, Without: consensus.CompareAndSet}).Run(
+	rep, err := (&Raft{Seed: 2, Quick: true, Mode: "virtual", Schedules: 20,
+		Without: consensus.CompareAndSet}).Run(
 		context.Background(), &out)
 	if err != nil {
 		t.Fatal(err)
--- a/internal/lab/proxy.go
+++ b/internal/lab/proxy.go
@@ -9,8 +9,8 @@
 	"time"
 )
 
-// switchboard stands between instances of a group of processes: a forwarder in front of each peers' address, which
-// knows by the greeting who dialled, and can part any two, one way each.
+// switchboard stands between instances of a group of processes: a forwarder in front of each peers' address,
+// which knows by the greeting who dialled, and can part any two, one way each.
 type switchboard struct {
 	mu    sync.Mutex
 	cut   map[[2]string]bool // by names, from and to
@@ -40,7 +40,8 @@
 	}()
 }
 
-// forward reads the greeting to learn who dials, then copies both ways until either side ends or the two are parted.
+// forward reads the greeting to learn who dials, then copies both ways until either side ends or the two are
+// parted.
 func (s *switchboard) forward(c net.Conn, name, to string) {
 	defer c.Close()
 	c.SetReadDeadline(time.Now().Add(2 * time.Second))
--- a/internal/lab/raft.go
+++ b/internal/lab/raft.go
@@ -127,7 +127,8 @@
 	}
 	size := r.size(first.Seed)
 	short := Cut(first.Seed, size, Schedule(first.Seed, size, scheduleMS), r.Without, cutRuns)
-	rep.Notes = append(rep.Notes, fmt.Sprintf("seed %d of %d instances: %s\nwith these faults alone:\n%s", first.Seed,
+	rep.Notes = append(rep.Notes, fmt.Sprintf("seed %d of %d instances: %s\nwith these faults alone:\n%s",
+		first.Seed,
 		size, first.Broken, lines(short)))
 	rep.Break("seed %d: %s", first.Seed, first.Broken)
 }
--- a/internal/lab/report.go
+++ b/internal/lab/report.go
@@ -34,6 +34,9 @@
 	Value string `json:"value"`
 }
 
+// marked is up to how many points each is drawn as a mark too.
+const marked = 30
+
 // Plot is lines over a common axis.
 type Plot struct {
 	Title, X, Y string
@@ -137,7 +140,7 @@
 		return err
 	}
 	raw, err := json.MarshalIndent(map[string]any{"name": r.Name, "broken": r.Broken, "figures": r.Figures,
-		"head": r.Head, "rows": r.Rows, "plots": r.Plots}, "", " ")
+		"head": r.Head, "rows": r.Rows, "notes": r.Notes}, "", " ")
 	if err != nil {
 		return err
 	}
@@ -160,9 +163,14 @@
 			return "", err
 		}
 		line.Color, points.Color = colour(i), colour(i)
-		g.Add(line, points)
+		marks := []plot.Thumbnailer{line}
+		g.Add(line)
+		if len(xys) <= marked {
+			g.Add(points)
+			marks = append(marks, points)
+		}
 		if l.Name != "" {
-			g.Legend.Add(l.Name, line, points)
+			g.Legend.Add(l.Name, marks...)
 		}
 	}
 	w, err := g.WriterTo(16*vg.Centimeter, 9*vg.Centimeter, "svg")
--- a/internal/lab/world.go
+++ b/internal/lab/world.go
@@ -1,7 +1,7 @@
-// Package lab is the project's laboratory: worlds in which the real code meets failures, load, and reports of what
-// came of it. It owns stand-ins, faults and measurements. No program that serves imports it, and nothing in it
-// decides for one. world.go is the group of instances in virtual time: the real consensus and wal code on a network,
-// disks and a clock that one seed moves.
+// Package lab is the project's laboratory: worlds in which the real code meets failures, load, and reports of
+// what came of it. It owns stand-ins, faults and measurements. No program that serves imports it, and nothing
+// in it decides for one. world.go is the group of instances in virtual time: the real consensus and wal code
+// on a network, disks and a clock that one seed moves.
 package lab
 
 import (
@@ -173,7 +173,8 @@
 }
 
 func (w *World) plan(h *host, found bool) consensus.Plan {
-	return consensus.Plan{Name: fmt.Sprint("i", w.lives), Peer: fmt.Sprint("h", h.n), Listen: fmt.Sprint("h", h.n),
+	return consensus.Plan{Name: fmt.Sprint("i", w.lives), Peer: fmt.Sprint("h", h.n), Listen: fmt.Sprint("h",
+		h.n),
 		Found: found, Elect: electing, Snapshot: worldSnap, Without: w.without, Draw: w.net.Uint64,
 		Sizes: wal.Sizes{Segment: worldSegment, Bound: worldBound}, Logger: quiet{},
 		Point: func(name string) {
@@ -207,7 +208,8 @@
 	}
 }
 
-// greet has an instance that came up make itself known to whoever it reaches, again until all know it or it ends.
+// greet has an instance that came up make itself known to whoever it reaches, again until all know it or it
+// ends.
 func (w *World) greet(h *host, life int) {
 	if h.rep == nil || h.life != life {
 		return
@@ -226,7 +228,8 @@
 	}
 }
 
-// speak tells whether two instances speak with each other; they greet where both ways are open and neither stalls.
+// speak tells whether two instances speak with each other; they greet where both ways are open and neither
+// stalls.
 func (w *World) speak(a, b *host) bool {
 	key := [2]int{min(a.life, b.life), max(a.life, b.life)}
 	if ok, known := w.met[key]; known {
@@ -425,7 +428,8 @@
 	return best
 }
 
-// operate is the operator: it takes in instances that wait, promotes them, and removes those that take no part.
+// operate is the operator: it takes in instances that wait, promotes them, and removes those that take no
+// part.
 func (w *World) operate() {
 	w.after(200, w.operate)
 	for _, h := range w.hosts {
--- a/internal/operator/node.go
+++ b/internal/operator/node.go
@@ -5,8 +5,8 @@
 	"strings"
 )
 
-// Node is what the operator of a node says beside the platform's start-up file. Nothing in it is needed: without a
-// file a node is as the platform's settings have it.
+// Node is what the operator of a node says beside the platform's start-up file. Nothing in it is needed:
+// without a file a node is as the platform's settings have it.
 type Node struct {
 	LogForm string
 	LogFrom string
@@ -70,7 +70,8 @@
 	var faults Faults
 	for _, p := range n.Pools {
 		if !known[p.Handler] {
-			faults = append(faults, Fault{n.text.name, n.text.lines[place{"pool " + p.Handler, ""}], "pool " + p.Handler,
+			faults = append(faults, Fault{n.text.name, n.text.lines[place{"pool " + p.Handler, ""}], "pool " +
+				p.Handler,
 				"a handler that is not known", "one of " + strings.Join(handlers, ", ")})
 		}
 	}
--- a/internal/operator/operator_test.go
+++ b/internal/operator/operator_test.go
@@ -66,7 +66,8 @@
 }
 
 func TestOtherThanLoopbackNeedsTLS(t *testing.T) {
-	if got := faults(t, sound+"peer = 192.0.2.1:7101\n"); len(got) != 1 || !strings.Contains(got[0], "no [tls]") {
+	if got := faults(t, sound+"peer = 192.0.2.1:7101\n"); len(got) != 1 || !strings.Contains(got[0],
+		"no [tls]") {
 		t.Fatalf("got %q, expected one fault for the address without [tls]", got)
 	}
 	if got := faults(t, sound+"peer = 192.0.2.1:7101\n[tls]\ncertificate = c\nkey = k\nauthority = a\n"); got != nil {
@@ -99,8 +100,10 @@
 		return n, ""
 	}
 	for _, c := range []struct{ raw, want string }{
-		{"[pool view]\nfloor = 0.5\n[pool save]\nfloor = 0.6\n", "f:4: pool save.floor: found floors of 1.1 up to here"},
-		{"[pool view]\nfloor = 0.5\ncap = 0.4\n", "f:3: pool view.cap: found 0.4, expected no less than floor, 0.5"},
+		{"[pool view]\nfloor = 0.5\n[pool save]\nfloor = 0.6\n",
+			"f:4: pool save.floor: found floors of 1.1 up to here"},
+		{"[pool view]\nfloor = 0.5\ncap = 0.4\n",
+			"f:3: pool view.cap: found 0.4, expected no less than floor, 0.5"},
 		{"[pool load]\n", "f:1: pool load: found a handler that is not known, expected one of view, save"},
 		{"[pools]\nreserve = no\n", "f:1: pools: found no [pool HANDLER]"},
 		{"[pool view]\nlimit = often\n", `f:2: pool view.limit: found "often"`},
@@ -114,7 +117,8 @@
 	if got != "" || !n.Reserve || len(n.Pools) != 2 || n.Pools[1] != (Pool{"save", 0, 0.4, true}) {
 		t.Fatalf("%+v %q", n, got)
 	}
-	if n, err := readNode(Parse("f", []byte("[pool view]\n"))); err != nil || n.Against([]string{"view"}) == nil {
+	if n, err := readNode(Parse("f", []byte("[pool view]\n"))); err != nil ||
+		n.Against([]string{"view"}) == nil {
 		t.Fatal("a reserve with one handler was taken")
 	}
 }
--- a/internal/operator/text.go
+++ b/internal/operator/text.go
@@ -1,6 +1,6 @@
-// Package operator reads the files that operators write: INI text, typed, checked whole, with the line of every
-// fault. It owns the form of such files and how faults are told. It never acts on what it read, and no part of a
-// file with a fault counts.
+// Package operator reads the files that operators write: INI text, typed, checked whole, with the line of
+// every fault. It owns the form of such files and how faults are told. It never acts on what it read, and no
+// part of a file with a fault counts.
 package operator
 
 import (
@@ -92,8 +92,8 @@
 	return t
 }
 
-// scan notes on which line each key stands, since the library keeps none, and answers with the text less the lines
-// that are faults, so that one bad line does not hide the faults of the others.
+// scan notes on which line each key stands, since the library keeps none, and answers with the text less the
+// lines that are faults, so that one bad line does not hide the faults of the others.
 func (t *Text) scan(raw string) string {
 	section, out := "", make([]string, 0, 64)
 	seen := map[string]int{}
--- a/internal/pools/pools.go
+++ b/internal/pools/pools.go
@@ -1,7 +1,8 @@
-// Package pools sets run slots apart per class, so that costly work does not starve cheap calls: it decides whether the
-// next req of a class may take a slot now. It owns what each class costs, holds and is entitled to. It does no I/O, has
-// no clock and no chance: it is told the time, starts, ends and sheds, and answers. It never frees a slot, sheds a req or
-// looks at one: the module does, and its ceiling on runs stands above all pools. docs/design/pools.md says why.
+// Package pools sets run slots apart per class, so that costly work does not starve cheap calls: it decides
+// whether the next req of a class may take a slot now. It owns what each class costs, holds and is entitled
+// to. It does no I/O, has no clock and no chance: it is told the time, starts, ends and sheds, and answers.
+// It never frees a slot, sheds a req or looks at one: the module does, and its ceiling on runs stands above
+// all pools. docs/design/pools.md says why.
 package pools
 
 import (
@@ -16,33 +17,37 @@
 
 const Second = admission.Second
 
-// How the limits move. A look comes twice a second: a few dozen runs at a server's rate. A cut is larger than a growth,
-// so that two classes that press each other come to rest under what both want and not over it; growth by a tenth has a
-// class back at twice its limit within four seconds.
+// How the limits move. A look comes twice a second: a few dozen runs at a server's rate. A cut is larger than
+// a growth, so that two classes that press each other come to rest under what both want and not over it;
+// growth by a tenth has a class back at twice its limit within four seconds.
 const (
 	lookEvery = Second / 2
 	cutTo     = 0.85
 	growBy    = 0.1
-	// suffers is the share of a class's recent reqs that were shed or late from which it counts as suffering: one in
-	// twenty, what the reserve is to keep the cheapest class under.
+	// suffers is the share of a class's recent reqs that were shed or late from which it counts as suffering:
+	// one in twenty, what the reserve is to keep the cheapest class under.
 	suffers = 0.05
-	// underDue is how far a class has to be under its due for that: one that has its due suffers by its own excess.
+	// underDue is how far a class has to be under its due for that: one that has its due suffers by its own
+	// excess.
 	underDue = 0.1
-	// heavyTimes is how often its class's usual work a run has used when it counts as heavy. Five is past what a class
-	// with an even spread shows (an exponential one has under one in thirty), and short of the tenfold that hurts.
+	// heavyTimes is how often its class's usual work a run has used when it counts as heavy. Five is past what a
+	// class with an even spread shows (an exponential one has under one in thirty), and short of the tenfold
+	// that hurts.
 	heavyTimes = 5
 	enough     = 20 // runs of a class from which its usual work is known
-	// bunches is what a class needs over its mean: at three quarters of its slots in use few of its reqs wait long.
+	// bunches is what a class needs over its mean: at three quarters of its slots in use few of its reqs wait
+	// long.
 	bunches     = 1.3
 	heavyPart   = 0.2  // of the slots go to heavy runs before they count as their class's own
 	reservePart = 0.25 // of the slots the reserve is at most
-	// A class gets the reserve with under holdsOn of the work of the next, and loses it over letsGo: measured work
-	// differs by a few in 100 from look to look. Among classes alike there is none.
+	// A class gets the reserve with under holdsOn of the work of the next, and loses it over letsGo: measured
+	// work differs by a few in 100 from look to look. Among classes alike there is none.
 	holdsOn = 0.7
 	letsGo  = 0.85
 )
 
-// Class is what the operator says of one class, in shares of the run slots. The zero value has no floor and no cap.
+// Class is what the operator says of one class, in shares of the run slots. The zero value has no floor and
+// no cap.
 type Class struct {
 	Name  string
 	Floor float64 // never limited under it
@@ -156,7 +161,8 @@
 	return o
 }
 
-// Set moves what the operator says: limits change, what runs goes on. Classes stay as they are in number and order.
+// Set moves what the operator says: limits change, what runs goes on. Classes stay as they are in number and
+// order.
 func (o *Pools) Set(p Plan) {
 	p.Tenants = o.plan.Tenants
 	o.plan = p
@@ -204,9 +210,9 @@
 	s.shed++
 }
 
-// May tells whether the oldest held req of a class and tenant may take a slot now. It may while its class has room;
-// past that only where nobody with room waits. The reserve's class goes before all others while it waits and has less
-// than the reserve.
+// May tells whether the oldest held req of a class and tenant may take a slot now. It may while its class has
+// room; past that only where nobody with room waits. The reserve's class goes before all others while it
+// waits and has less than the reserve.
 func (o *Pools) May(class, tenant int) bool {
 	if o.plan.Off {
 		return true
@@ -238,8 +244,8 @@
 	return float64(s.running) < max(1, math.Floor(min(s.limit, o.most(s))+1e-9))
 }
 
-// crowds tells whether a tenant holds more than half of a limited class's slots while others of the class wait: what
-// is beyond its share goes last.
+// crowds tells whether a tenant holds more than half of a limited class's slots while others of the class
+// wait: what is beyond its share goes last.
 func (o *Pools) crowds(s *state, tenant int) bool {
 	if math.IsInf(s.limit, 1) || s.held == s.heldBy[tenant] {
 		return false
@@ -289,8 +295,8 @@
 	r.since, r.away = now, away
 }
 
-// Ended tells of a run's end: its slot is free. done tells whether it came to a result, inTime whether within the
-// response target.
+// Ended tells of a run's end: its slot is free. done tells whether it came to a result, inTime whether within
+// the response target.
 func (o *Pools) Ended(now Time, id uint32, done, inTime bool) {
 	r := o.runs[id]
 	if r == nil {
@@ -332,8 +338,8 @@
 	return r.used + now - r.since
 }
 
-// Tick looks at the time that has gone by: heavy runs move to their pool at each, limits twice a second. slots is how
-// many runs the module has room for.
+// Tick looks at the time that has gone by: heavy runs move to their pool at each, limits twice a second.
+// slots is how many runs the module has room for.
 func (o *Pools) Tick(now Time, slots int) {
 	o.slots = max(1, slots)
 	o.weigh(now)
@@ -353,8 +359,8 @@
 	o.keep(now)
 }
 
-// weigh moves runs that have used several times their class's usual work to the pool of the heavy, as far as that has
-// room; what it has no room for stays its class's own.
+// weigh moves runs that have used several times their class's usual work to the pool of the heavy, as far as
+// that has room; what it has no room for stays its class's own.
 func (o *Pools) weigh(now Time) {
 	room := max(1, int(heavyPart*float64(o.slots)))
 	for _, id := range o.order {
@@ -373,8 +379,8 @@
 // weight is what a class earns for its work: by it the slots are split where they don't do for all.
 func (s *state) weight() float64 { return s.Value / max(s.mean, 1) }
 
-// entitle splits the slots: each class gets what its recent work needs, and where that is more than there is, the
-// classes that need least for what they earn are filled first, none past its need.
+// entitle splits the slots: each class gets what its recent work needs, and where that is more than there is,
+// the classes that need least for what they earn are filled first, none past its need.
 func (o *Pools) entitle(now Time) {
 	// What a class needs is the slots its arrivals would hold: their number a second times the work of one.
 	need := make([]float64, len(o.c))
@@ -422,9 +428,9 @@
 	}
 }
 
-// move cuts the class that is furthest over its due while another suffers that has less than its own. A class that
-// needs no more than its due is never limited. Growth ends at the due while all want more than there is: to grow past it
-// and be cut again would have the others suffer each time.
+// move cuts the class that is furthest over its due while another suffers that has less than its own. A class
+// that needs no more than its due is never limited. Growth ends at the due while all want more than there is:
+// to grow past it and be cut again would have the others suffer each time.
 func (o *Pools) move(now Time) {
 	// Half a slot over, by the mean of four seconds: what runs at a moment swings by several.
 	suffer, worst, least, over := -1, -1, math.Inf(1), 0.5
@@ -509,7 +515,8 @@
 	o.reserve = max(1, min(int(math.Ceil(2*n*s.high/float64(Second))), int(reservePart*float64(o.slots))))
 }
 
-// Lap is how long a limited class's waiting is at the moment, by the last of it to start; 0 while it has no limit.
+// Lap is how long a limited class's waiting is at the moment, by the last of it to start; 0 while it has no
+// limit.
 func (o *Pools) Lap(class int) Time {
 	if o.plan.Off || math.IsInf(o.c[class].limit, 1) {
 		return 0
--- a/internal/pools/pools_test.go
+++ b/internal/pools/pools_test.go
@@ -10,8 +10,8 @@
 	"github.com/HdrHistogram/hdrhistogram-go"
 )
 
-// TestSketchError holds quantiles to the stated error against sorting all, over spreads even and with heavy tails, and
-// merged parts to the whole.
+// TestSketchError holds quantiles to the stated error against sorting all, over spreads even and with heavy
+// tails, and merged parts to the whole.
 func TestSketchError(t *testing.T) {
 	for name, draw := range map[string]func(*rand.Rand) float64{
 		"even":  func(r *rand.Rand) float64 { return 100 + 900*r.Float64() },
@@ -69,7 +69,8 @@
 
 func newBed(t *testing.T, slots int, p Plan) *bed {
 	n := len(p.Classes)
-	return &bed{t: t, o: New(p), slots: slots, runs: map[uint32]*bedRun{}, done: make([]int, n), late: make([]int, n),
+	return &bed{t: t, o: New(p), slots: slots, runs: map[uint32]*bedRun{}, done: make([]int, n),
+		late: make([]int, n),
 		shed: make([]int, n), waits: make([][]Time, n), r: rand.New(rand.NewSource(3))}
 }
 
@@ -79,7 +80,8 @@
 	b.since = append(b.since, b.now)
 }
 
-// step lets time go by: ends, sheds, then starts in arrival order as the module does. work gives a class's next run.
+// step lets time go by: ends, sheds, then starts in arrival order as the module does. work gives a class's
+// next run.
 func (b *bed) step(by Time, work func(class int) Time) {
 	b.now += by
 	for k := 0; k < len(b.order); k++ {
@@ -129,7 +131,8 @@
 		}
 	}
 	if running != len(b.order) || held != len(b.held) || b.o.running != running {
-		b.t.Fatalf("pools know of %d running and %d held, expected %d and %d", running, held, len(b.order), len(b.held))
+		b.t.Fatalf("pools know of %d running and %d held, expected %d and %d", running, held, len(b.order),
+			len(b.held))
 	}
 }
 
@@ -184,7 +187,8 @@
 			t.Errorf("view without pools: %.3f in time, expected the case to hurt it", b.good(0))
 		}
 		if with && (b.good(0) < 0.95 || longest > 450*10) {
-			t.Errorf("view: %.3f in time, %d ms at most, expected 0.95 and less than a run of load", b.good(0), longest/10)
+			t.Errorf("view: %.3f in time, %d ms at most, expected 0.95 and less than a run of load", b.good(0),
+				longest/10)
 		}
 		if dear := float64(b.done[1]) / 30; with && dear < 22 {
 			t.Errorf("load: %.1f a second done, expected most of the 27 there is room for", dear)
@@ -192,7 +196,8 @@
 	}
 }
 
-// TestDearIsCut: without a reserve too, what a dear class holds past its due goes to the one that suffers by it.
+// TestDearIsCut: without a reserve too, what a dear class holds past its due goes to the one that suffers by
+// it.
 func TestDearIsCut(t *testing.T) {
 	b := newBed(t, 12, Plan{Classes: []Class{{Name: "mid"}, {Name: "dear"}}, Tenants: 1})
 	work := fixed(100, 400)
@@ -247,7 +252,8 @@
 	}
 }
 
-// TestClassBecomesDear: once half of what the ring holds is new, the whole class counts as dear and none of it heavy.
+// TestClassBecomesDear: once half of what the ring holds is new, the whole class counts as dear and none of
+// it heavy.
 func TestClassBecomesDear(t *testing.T) {
 	dear := Time(1)
 	work := func(class int) Time { return []Time{20, 40 * dear}[class] * 10 }
@@ -264,9 +270,11 @@
 	}
 }
 
-// TestReserveIsBounded: the cheapest class at twenty times its rate holds no more than its due while others want more.
+// TestReserveIsBounded: the cheapest class at twenty times its rate holds no more than its due while others
+// want more.
 func TestReserveIsBounded(t *testing.T) {
-	b := newBed(t, 12, Plan{Classes: []Class{{Name: "view"}, {Name: "submit", Value: 40}}, Reserve: true, Tenants: 1})
+	b := newBed(t, 12, Plan{Classes: []Class{{Name: "view"}, {Name: "submit", Value: 40}}, Reserve: true,
+		Tenants: 1})
 	work := fixed(20, 200)
 	b.load(6, []float64{60, 25}, work)
 	b.load(20, []float64{1200, 25}, work)
@@ -295,7 +303,8 @@
 	}
 }
 
-// TestSwingingDemand: load that passes capacity every few seconds moves limits, but not to and fro at each look.
+// TestSwingingDemand: load that passes capacity every few seconds moves limits, but not to and fro at each
+// look.
 func TestSwingingDemand(t *testing.T) {
 	b := newBed(t, 12, cheapAndDear)
 	turns, was, up := 0, 0.0, false
--- a/internal/pools/sketch.go
+++ b/internal/pools/sketch.go
@@ -2,8 +2,9 @@
 
 import "math"
 
-// A sketch is a distribution of work in buckets whose bounds grow by a fixed factor, so that a quantile read from it
-// is off by at most half that factor: 1.1, 5 in 100. Two are merged by adding. It takes 0.3 KB, whatever comes in.
+// A sketch is a distribution of work in buckets whose bounds grow by a fixed factor, so that a quantile read
+// from it is off by at most half that factor: 1.1, 5 in 100. Two are merged by adding. It takes 0.3 KB,
+// whatever comes in.
 const (
 	factor  = 1.1
 	buckets = 152 // from a tenth of a ms to 165 s, past any client timeout; what is longer counts as that
@@ -58,8 +59,8 @@
 	ring [ringSteps]sketch
 }
 
-// Eight steps of half a second: four seconds hold dozens of runs of a common class, and a change of cost has moved the
-// median once half of them are new.
+// Eight steps of half a second: four seconds hold dozens of runs of a common class, and a change of cost has
+// moved the median once half of them are new.
 const (
 	ringSteps = 8
 	ringStep  = Second / 2
--- a/internal/wal/bench_test.go
+++ b/internal/wal/bench_test.go
@@ -9,8 +9,8 @@
 	"go.etcd.io/bbolt"
 )
 
-// BenchmarkBeside puts the log beside a plain file and beside bbolt: the same 200-byte records, each durable before
-// the next, and sixteen at once.
+// BenchmarkBeside puts the log beside a plain file and beside bbolt: the same 200-byte records, each durable
+// before the next, and sixteen at once.
 func BenchmarkBeside(b *testing.B) {
 	record := make([]byte, 200)
 	for _, batch := range []int{1, 16} {
@@ -58,7 +58,11 @@
 			}
 			defer db.Close()
 			bucket := []byte("log")
-			if err := db.Update(func(tx *bbolt.Tx) error { _, err := tx.CreateBucket(bucket); return err }); err != nil {
+			if err := db.Update(func(tx *bbolt.Tx) error {
+				_,
+					err := tx.CreateBucket(bucket)
+				return err
+			}); err != nil {
 				b.Fatal(err)
 			}
 			n := uint64(0)
--- a/internal/wal/fs.go
+++ b/internal/wal/fs.go
@@ -10,8 +10,8 @@
 	"syscall"
 )
 
-// FS is one folder, the only way by which a log reaches a disk. Nothing is durable before a Sync: of a file for what
-// is in it, of the folder for which names it has.
+// FS is one folder, the only way by which a log reaches a disk. Nothing is durable before a Sync: of a file
+// for what is in it, of the folder for which names it has.
 type FS interface {
 	List() ([]string, error)
 	Create(name string) (File, error) // empty, also where the name was there
--- a/internal/wal/mem.go
+++ b/internal/wal/mem.go
@@ -8,8 +8,9 @@
 	"syscall"
 )
 
-// Mem is a folder in memory that knows what was synced, so that a test or a simulated world can take the power away
-// at any moment and see what a disk may hold then. It stands in for a disk; no program writes to it in earnest.
+// Mem is a folder in memory that knows what was synced, so that a test or a simulated world can take the
+// power away at any moment and see what a disk may hold then. It stands in for a disk; no program writes to
+// it in earnest.
 type Mem struct {
 	mu      sync.Mutex
 	names   map[string]*memFile
@@ -18,8 +19,9 @@
 	locked  bool
 
 	Room int64 // bytes the folder takes, 0 for no end
-	// Hook hears of each step before it is done and can make it fail: create, open, rename, remove, write, truncate,
-	// sync, names (the folder's sync). What a failed write had put down already is for the hook to say, in bytes.
+	// Hook hears of each step before it is done and can make it fail: create, open, rename, remove, write,
+	// truncate, sync, names (the folder's sync). What a failed write had put down already is for the hook to
+	// say, in bytes.
 	Hook func(step, name string) (done int, err error)
 }
 
@@ -239,8 +241,8 @@
 	}
 }
 
-// Kill gives the folder as the next process finds it when this one was killed: all that was written is there, and
-// what was not synced still is not.
+// Kill gives the folder as the next process finds it when this one was killed: all that was written is there,
+// and what was not synced still is not.
 func (m *Mem) Kill() *Mem {
 	m.mu.Lock()
 	defer m.mu.Unlock()
@@ -254,8 +256,8 @@
 // Copy gives what someone who copied the folder would have, and later may put back.
 func (m *Mem) Copy() *Mem { return m.copy(func(f *memFile) []byte { return f.data }, m.names) }
 
-// Crash gives the folder as it may be found after the power went: what was synced, and of the rest, by chance, all,
-// nothing, a part from its start or any sectors of it. chance gives a number from 0 to n-1.
+// Crash gives the folder as it may be found after the power went: what was synced, and of the rest, by
+// chance, all, nothing, a part from its start or any sectors of it. chance gives a number from 0 to n-1.
 func (m *Mem) Crash(chance func(n int) int) *Mem {
 	m.mu.Lock()
 	names := map[string]*memFile{}
--- a/internal/wal/segment.go
+++ b/internal/wal/segment.go
@@ -79,7 +79,8 @@
 	}
 	n := binary.LittleEndian.Uint32(raw)
 	kind = raw[4]
-	if k := kind & kindBits; n > MaxRecord || k < kindEntry || k > kindCut || int(n) > len(raw)-headBytes-sumBytes {
+	if k := kind & kindBits; n > MaxRecord || k < kindEntry || k > kindCut ||
+		int(n) > len(raw)-headBytes-sumBytes {
 		return 0, 0, nil, false
 	}
 	end := headBytes + int(n)
@@ -89,8 +90,8 @@
 	return kind, binary.LittleEndian.Uint64(raw[5:]), raw[headBytes:end], true
 }
 
-// begun looks for the start of a flush anywhere behind from. One flush is synced before the next is written, so
-// where one is found whatever stands before it was durable once.
+// begun looks for the start of a flush anywhere behind from. One flush is synced before the next is written,
+// so where one is found whatever stands before it was durable once.
 func begun(raw []byte, from int) bool {
 	for q := from + 1; q+headBytes+sumBytes <= len(raw); q++ {
 		if raw[q+4]&firstOne == 0 {
@@ -103,8 +104,8 @@
 	return false
 }
 
-// Open reads a folder's log, or begins one in an empty folder. A torn tail is cut off and told of; damage is an
-// error of type *Damage and leaves the folder as it is.
+// Open reads a folder's log, or begins one in an empty folder. A torn tail is cut off and told of; damage is
+// an error of type *Damage and leaves the folder as it is.
 func Open(fs FS, sizes Sizes) (*Log, Found, error) {
 	unlock, err := fs.Lock()
 	if err != nil {
@@ -306,7 +307,8 @@
 	return l.settle(s, newest)
 }
 
-// settle makes what was read durable, names too: a process that was killed may have left it written but not synced.
+// settle makes what was read durable, names too: a process that was killed may have left it written but not
+// synced.
 func (l *Log) settle(s *segment, newest bool) error {
 	if !newest {
 		return nil
--- a/internal/wal/snapshot.go
+++ b/internal/wal/snapshot.go
@@ -45,8 +45,8 @@
 	return nil
 }
 
-// Save writes a snapshot that stands for all entries up to a number. It is there whole or not at all; the two newest
-// are kept. The log itself is let go of by Release. One save at a time; commits go on beside it.
+// Save writes a snapshot that stands for all entries up to a number. It is there whole or not at all; the two
+// newest are kept. The log itself is let go of by Release. One save at a time; commits go on beside it.
 func (l *Log) Save(number uint64, parts ...[]byte) error {
 	size := int64(snapHead)
 	head := make([]byte, snapHead)
--- a/internal/wal/wal.go
+++ b/internal/wal/wal.go
@@ -1,7 +1,8 @@
-// Package wal is a durable log: entries numbered without gaps, small marks of which the last of each kind counts,
-// and snapshots that let the front of the log go. It owns the files of one folder. What Commit returned without an
-// error is there after any crash; what it did not is there whole or not at all. It never repairs damage by guessing,
-// never writes over what was synced, and never goes on after a write or sync that failed.
+// Package wal is a durable log: entries numbered without gaps, small marks of which the last of each kind
+// counts, and snapshots that let the front of the log go. It owns the files of one folder. What Commit
+// returned without an error is there after any crash; what it did not is there whole or not at all. It never
+// repairs damage by guessing, never writes over what was synced, and never goes on after a write or sync that
+// failed.
 package wal
 
 import (
@@ -22,8 +23,8 @@
 //
 //	length u32 | kind u8 | number u64 | bytes | sum u32
 //
-// As the sum stands last, a reader can check a record from anywhere, with the four bytes before it as the sum before.
-// That tells a tail that was torn from damage with good records behind it.
+// As the sum stands last, a reader can check a record from anywhere, with the four bytes before it as the sum
+// before. That tells a tail that was torn from damage with good records behind it.
 const (
 	headBytes = 13
 	sumBytes  = 4
@@ -41,8 +42,8 @@
 // ErrFull says that the log would grow past its bound; nothing was written and the log goes on.
 var ErrFull = errors.New("the log is at its bound")
 
-// ErrBroken says that a write or sync failed: what is on disk is not known until the log is opened again, so the
-// process has to end.
+// ErrBroken says that a write or sync failed: what is on disk is not known until the log is opened again, so
+// the process has to end.
 var ErrBroken = errors.New("the log can't be relied on any more")
 
 // Sizes are a log's two figures.
@@ -98,8 +99,8 @@
 	wake  chan bool // true: done; false: flush what waits yourself
 }
 
-// Commit writes a batch and returns once it is durable, with the number of its first entry. Callers that come while
-// another's sync is under way share the next one.
+// Commit writes a batch and returns once it is durable, with the number of its first entry. Callers that come
+// while another's sync is under way share the next one.
 func (l *Log) Commit(b Batch) (uint64, error) {
 	for _, e := range b.Entries {
 		if len(e) > MaxRecord {
@@ -141,8 +142,8 @@
 	return w.first, w.err
 }
 
-// flush writes the batches of some callers with one write and one sync. It is entered and left with the lock held
-// and gives it up while the disk works; writing keeps every other writer out meanwhile.
+// flush writes the batches of some callers with one write and one sync. It is entered and left with the lock
+// held and gives it up while the disk works; writing keeps every other writer out meanwhile.
 func (l *Log) flush(took []*waiter) {
 	all := func(err error) {
 		for _, w := range took {
@@ -367,8 +368,8 @@
 
 func (l *Log) segment(seq uint64) *segment { return l.segs[seq-l.segs[0].seq] }
 
-// Release lets entries up to a number go. Whole segments leave the disk; what shares a segment with later entries
-// stays until they go too. The caller keeps a snapshot of what it lets go of.
+// Release lets entries up to a number go. Whole segments leave the disk; what shares a segment with later
+// entries stays until they go too. The caller keeps a snapshot of what it lets go of.
 func (l *Log) Release(upto uint64) error {
 	l.mu.Lock()
 	defer l.mu.Unlock()
--- a/internal/wal/wal_test.go
+++ b/internal/wal/wal_test.go
@@ -12,8 +12,8 @@
 
 var errPower = errors.New("the power went")
 
-// TestCrashAnywhere takes the power at a step drawn by chance, or kills the process there, opens what a disk may hold
-// then, and goes on: what was acknowledged is there, what was not is there whole or not at all.
+// TestCrashAnywhere takes the power at a step drawn by chance, or kills the process there, opens what a disk
+// may hold then, and goes on: what was acknowledged is there, what was not is there whole or not at all.
 func TestCrashAnywhere(t *testing.T) {
 	torn := 0
 	for seed := int64(0); seed < 400; seed++ {
@@ -84,8 +84,8 @@
 	}
 }
 
-// TestDamageInTheMiddle flips each byte in turn. Before the last flush that is damage, told with its place, and the
-// folder is left as it was; within the last flush it can't be told from a torn tail.
+// TestDamageInTheMiddle flips each byte in turn. Before the last flush that is damage, told with its place,
+// and the folder is left as it was; within the last flush it can't be told from a torn tail.
 func TestDamageInTheMiddle(t *testing.T) {
 	fill := func() (*Mem, int64) {
 		disk := NewMem()
@@ -390,8 +390,8 @@
 	}
 }
 
-// TestKilledThenPowerLost: what a killed process had written but not synced counts once it was read, so it has to
-// outlast the next loss of power too.
+// TestKilledThenPowerLost: what a killed process had written but not synced counts once it was read, so it
+// has to outlast the next loss of power too.
 func TestKilledThenPowerLost(t *testing.T) {
 	for seed := int64(0); seed < 40; seed++ {
 		disk := NewMem()
