--- a/internal/consensus/group_test.go
+++ b/internal/consensus/group_test.go
@@ -148,6 +148,34 @@
 	}
 }
 
+// TestReplaceInOneStep: a learner takes a voter's place by a joint change, and the one that left is told.
+func TestReplaceInOneStep(t *testing.T) {
+	all := three(t, nil)
+	fresh := boot(t, "d", "join", nil)
+	var s Self
+	fresh.ask(http.MethodGet, "/v1/self", nil, &s)
+	learner := Member{ID: s.ID, Name: s.Name, Peer: s.Peer, Listen: s.Listen}
+	if code, _ := all[0].ask(http.MethodPost, "/v1/members", Change{Op: "add", Member: learner}, nil); code != 200 {
+		t.Fatalf("add: %d", code)
+	}
+	fresh.await("it is a learner that has the state", func(v *View) bool { return v.Role == "learner" && v.Applied > 1 })
+	gone := all[2].group.View().ID
+	var out []Member
+	if code, _ := all[0].ask(http.MethodPost, "/v1/members", Change{Op: "replace", Member: learner, Gone: gone},
+		&out); code != 200 {
+		t.Fatalf("replace: %d", code)
+	}
+	for _, m := range out {
+		if m.ID == gone || !m.Voter {
+			t.Fatalf("members %+v, expected three voters without %x", out, gone)
+		}
+	}
+	all[2].await("barred", func(v *View) bool { return v.Barred != "" })
+	if a := fresh.put("s", 1, 0); a.End != Taken {
+		t.Fatalf("put at the new one: %+v", a)
+	}
+}
+
 // TestRemoveTheLeader: the lead goes over, then the change is made.
 func TestRemoveTheLeader(t *testing.T) {
 	all := three(t, nil)
