umberctl demo: a node, an emulated kernel and a load on loopback, with a live table

Need: a newcomer should see what the node does under load with one command, and pools should be seen on sockets.

--- /dev/null
+++ b/internal/lab/demo.go
@@ -0,0 +1,384 @@
+package lab
+
+import (
+	"bytes"
+	"context"
+	"crypto/rand"
+	"encoding/hex"
+	"encoding/json"
+	"fmt"
+	"io"
+	mrand "math/rand"
+	"net"
+	"net/http"
+	"os"
+	"path/filepath"
+	"strconv"
+	"sync"
+	"syscall"
+	"text/tabwriter"
+	"time"
+
+	"github.com/HdrHistogram/hdrhistogram-go"
+	"github.com/sirupsen/logrus"
+
+	"umberwinch/internal/backend"
+	"umberwinch/internal/logs"
+	"umberwinch/internal/operator"
+)
+
+// Demo is a node, an emulated kernel and a load on loopback, for a look and for measurements on sockets.
+type Demo struct {
+	Seed    int64
+	Load    float64 // share of capacity asked for
+	Pools   bool
+	Seconds int // 0: until it is interrupted
+	Keys    <-chan byte
+	Plain   bool // lines, not a table drawn over the last one
+}
+
+// demoClasses are the scenarios' own.
+const demoClasses = `cores 6
+tenants 4
+class view work=8 share=50 tail=0.5 target=300 timeout=3000 value=1
+class fill work=60 share=15 tail=0.7 target=1000 timeout=5000 value=2
+class save work=40 share=25 tail=0.6 target=800 timeout=5000 value=3
+class submit work=80 share=10 tail=0.4 target=2000 timeout=10000 value=20
+cheapest view
+dearest submit`
+
+// seen is what became of a class's reqs, in all and since the last table.
+type seen struct {
+	asked, done, inTime, shed, errored int
+	times                              *hdrhistogram.Histogram // tenths of a ms from the moment it was meant to be sent
+}
+
+func newSeen() *seen { return &seen{times: hdrhistogram.New(1, 1_000_000, 2)} }
+
+type demo struct {
+	*Demo
+	s      *scenario
+	kernel *Kernel
+	client *http.Client
+	addr   string
+	mu     sync.Mutex
+	all    []*seen
+	lately []*seen
+	surge  bool
+	heavy  bool
+	wg     sync.WaitGroup
+}
+
+// Result of a demo by class, for whoever measures by it.
+type DemoResult struct {
+	Class  string
+	Asked  int
+	InTime float64
+	Shed   float64
+	P95    float64 // ms
+}
+
+// Run starts all of it, shows what happens, and ends it clean.
+func (d *Demo) Run(ctx context.Context, w io.Writer) ([]DemoResult, error) {
+	s, err := readScenario("demo", demoClasses)
+	if err != nil {
+		return nil, err
+	}
+	o := &demo{Demo: d, s: s, client: &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 256,
+		IdleConnTimeout: 5 * time.Second}}}
+	for range s.classes {
+		o.all, o.lately = append(o.all, newSeen()), append(o.lately, newSeen())
+	}
+	if o.kernel, err = NewKernel(loopback(7400), d.Seed, float64(s.cores), s.classes); err != nil {
+		return nil, err
+	}
+	defer o.kernel.Close()
+	control, err := net.Listen("tcp", loopback(7500))
+	if err != nil {
+		return nil, err
+	}
+	defer control.Close()
+	go http.Serve(control, http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		io.Copy(io.Discard, r.Body)
+		w.WriteHeader(http.StatusNoContent)
+	}))
+	signals, ended, err := o.startNode(control.Addr().String())
+	if err != nil {
+		return nil, err
+	}
+	err = o.ready(ctx)
+	if err == nil {
+		o.play(ctx, w, signals)
+	}
+	select {
+	case signals <- syscall.SIGTERM:
+	default:
+	}
+	o.wg.Wait()
+	return o.results(), firstError(err, <-ended)
+}
+
+func firstError(errs ...error) error {
+	for _, err := range errs {
+		if err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// startNode runs the node in this process, as its program would.
+func (o *demo) startNode(control string) (chan os.Signal, <-chan error, error) {
+	dir, err := os.MkdirTemp("", "demo-")
+	if err != nil {
+		return nil, nil, err
+	}
+	defer os.RemoveAll(dir)
+	o.addr = loopback(8080)
+	var classes []map[string]any
+	for k := range o.s.classes {
+		c := &o.s.classes[k]
+		one := map[string]any{"name": c.name, "gain": c.handler.Value, "give_up": int(c.handler.Timeout) * 100,
+			"promise": int(c.handler.Target) * 100, "semantics": "idempotent"}
+		if k == o.s.dearest {
+			one["semantics"], one["window"] = "deduplicated", 20_000_000
+		}
+		classes = append(classes, one)
+	}
+	var customers []map[string]any
+	for i := 0; i < o.s.tenants; i++ {
+		customers = append(customers, map[string]any{"name": fmt.Sprint("t", i), "quota_per_s": 100})
+	}
+	raw, err := json.Marshal(map[string]any{"name": "demo", "listen": o.addr, "kernel": o.kernel.ln.Addr().String(),
+		"control": control, "seed": "1", "stop_ms": 2000,
+		"limits": map[string]any{"cores": 1, "memory_mb": 128, "sockets": 1024},
+		"settings": map[string]any{"classes": classes, "customers": customers, "fleet_size": 1, "granularity": 2000,
+			"family_info": map[string]any{"below": "tier", "cores": o.s.cores, "memory_kb": 500000, "run_factor": 2,
+				"key_kb": 1, "meters": []string{"core_use", "on_cores", "heap_share", "links"}, "preemption": "off",
+				"say": "off", "senders": 4, "idle": 30_000_000},
+			"invariants": map[string]any{"drain_grace": 500_000, "fall_multiple": 5},
+			"limits":     map[string]any{"retry_after": true, "max_retry_after": 5_000_000}}})
+	if err != nil {
+		return nil, nil, err
+	}
+	file := filepath.Join(dir, "config.json")
+	if err = os.WriteFile(file, raw, 0o600); err != nil {
+		return nil, nil, err
+	}
+	node, err := backend.ReadNode(file, "", "")
+	if err != nil {
+		return nil, nil, err
+	}
+	own := &operator.Node{Reserve: true}
+	if o.Pools {
+		own.Pools = []operator.Pool{{Handler: o.s.classes[o.s.cheapest].name, Cap: 1}}
+	}
+	if err = node.Own(own); err != nil {
+		return nil, nil, err
+	}
+	signals, ended := make(chan os.Signal, 4), make(chan error, 1)
+	log := logs.New(io.Discard, "text", "error")
+	log.SetLevel(logrus.ErrorLevel)
+	go func() {
+		ended <- backend.Run(node, log, signals, backend.Words{Drain: syscall.SIGTERM, Count: syscall.SIGUSR1,
+			Reload: syscall.SIGHUP, Read: func() (*backend.Node, error) { return node, nil }})
+	}()
+	return signals, ended, nil
+}
+
+// ready waits until the node takes reqs.
+func (o *demo) ready(ctx context.Context) error {
+	for end := time.Now().Add(10 * time.Second); ctx.Err() == nil; {
+		res, err := o.client.Get("http://" + o.addr + "/health")
+		if err == nil {
+			res.Body.Close()
+			if res.StatusCode == http.StatusOK {
+				return nil
+			}
+		}
+		if time.Now().After(end) {
+			return fmt.Errorf("the node is not ready after 10 s: %v", err)
+		}
+		time.Sleep(20 * time.Millisecond)
+	}
+	return ctx.Err()
+}
+
+// play sends load and shows a table a second, until the time is over, a key or a signal ends it.
+func (o *demo) play(ctx context.Context, w io.Writer, signals chan<- os.Signal) {
+	load, stop := context.WithCancel(ctx)
+	defer stop()
+	for k := range o.s.classes {
+		o.wg.Add(1)
+		go func() { defer o.wg.Done(); o.class(load, k) }()
+	}
+	tick := time.NewTicker(time.Second)
+	defer tick.Stop()
+	used, _ := o.kernel.Used()
+	for n := 1; ; n++ {
+		select {
+		case <-ctx.Done():
+			return
+		case key := <-o.Keys:
+			n--
+			if o.key(key, signals) {
+				return
+			}
+			continue
+		case <-tick.C:
+		}
+		now, runs := o.kernel.Used()
+		o.show(w, n, (now-used)/1000, runs)
+		used = now
+		if o.Seconds > 0 && n >= o.Seconds {
+			return
+		}
+	}
+}
+
+// key does what a key asks for; true ends the demo.
+func (o *demo) key(key byte, signals chan<- os.Signal) bool {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	switch key {
+	case '+':
+		o.Load += 0.1
+	case '-':
+		o.Load = max(0.1, o.Load-0.1)
+	case 's':
+		o.surge = !o.surge
+	case 'h':
+		o.heavy = !o.heavy
+		o.kernel.Set(func(classes map[string]*vclass, _ *float64) {
+			classes["save"].heavy, classes["save"].times = map[bool]float64{true: 0.05}[o.heavy], 10
+		})
+	case 'c':
+		o.kernel.Set(func(_ map[string]*vclass, cores *float64) {
+			*cores = map[bool]float64{true: 2, false: float64(o.s.cores)}[*cores > 2]
+		})
+	case 'd':
+		signals <- syscall.SIGTERM
+	case 'q', 3, 4: // Ctrl-C and Ctrl-D where the terminal hands them on
+		return true
+	}
+	return false
+}
+
+// class sends one class's reqs when they are due, whether or not earlier ones were answered.
+func (o *demo) class(ctx context.Context, k int) {
+	r := mrand.New(mrand.NewSource(o.Seed*100 + int64(k)))
+	next := time.Now()
+	var open sync.WaitGroup
+	defer open.Wait()
+	for {
+		o.mu.Lock()
+		rate := o.s.rates(o.Load)[k]
+		if o.surge && k == 1 {
+			rate *= 5
+		}
+		o.mu.Unlock()
+		next = next.Add(time.Duration(r.ExpFloat64() / rate * float64(time.Second)))
+		if wait := time.Until(next); wait > 0 {
+			select {
+			case <-ctx.Done():
+				return
+			case <-time.After(wait):
+			}
+		}
+		if ctx.Err() != nil {
+			return
+		}
+		due, tenant := next, r.Intn(o.s.tenants)
+		open.Add(1)
+		go func() { defer open.Done(); o.ask(k, tenant, due) }()
+	}
+}
+
+func (o *demo) ask(k, tenant int, due time.Time) {
+	c := &o.s.classes[k]
+	ctx, cancel := context.WithTimeout(context.Background(), time.Duration(c.handler.Timeout)*100*time.Microsecond)
+	defer cancel()
+	var id [24]byte
+	rand.Read(id[:])
+	req, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+o.addr+"/rpc/"+c.name,
+		bytes.NewReader([]byte("body")))
+	if err != nil {
+		return
+	}
+	for key, v := range map[string]string{"Request-Id": hex.EncodeToString(id[:8]), "Sent-By": strconv.Itoa(tenant),
+		"Received-At": strconv.FormatInt(time.Now().UnixMilli(), 10), "Account": fmt.Sprint("t", tenant),
+		"Footprint-Kb": "8.0", "Priority-Rank": "0.5000"} {
+		req.Header.Set(key, v)
+	}
+	if k == o.s.dearest {
+		req.Header.Set("Once-Key", hex.EncodeToString(id[8:]))
+	}
+	code := 0
+	res, err := o.client.Do(req)
+	if err == nil {
+		io.Copy(io.Discard, res.Body)
+		res.Body.Close()
+		code = res.StatusCode
+	}
+	took := time.Since(due)
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	for _, s := range []*seen{o.all[k], o.lately[k]} {
+		s.asked++
+		switch {
+		case code == http.StatusOK:
+			s.done++
+			s.times.RecordValue(took.Microseconds() / 100)
+			if took <= time.Duration(c.handler.Target)*100*time.Microsecond {
+				s.inTime++
+			}
+		case code == http.StatusServiceUnavailable || code == http.StatusTooManyRequests:
+			s.shed++
+		default:
+			s.errored++
+		}
+	}
+}
+
+// show prints a table of the last second.
+func (o *demo) show(w io.Writer, second int, cores float64, runs int) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	var b bytes.Buffer
+	if !o.Plain {
+		b.WriteString("\x1b[H\x1b[2J")
+	}
+	fmt.Fprintf(&b, "%4d s  load %.0f%%  cores used %.1f of %d  runs %d  pools %v%s%s\n", second, 100*o.Load, cores,
+		o.s.cores, runs, o.Pools, map[bool]string{true: "  surge of fill"}[o.surge],
+		map[bool]string{true: "  heavy saves"}[o.heavy])
+	t := tabwriter.NewWriter(&b, 0, 4, 2, ' ', 0)
+	fmt.Fprintln(t, "CLASS\tASKED\tDONE\tSHED\tERRORED\tMEDIAN\t95TH\tIN TIME SO FAR")
+	for k, s := range o.lately {
+		a := o.all[k]
+		fmt.Fprintf(t, "%s\t%d\t%d\t%d\t%d\t%.0f ms\t%.0f ms\t%.3f\n", o.s.classes[k].name, s.asked, s.done, s.shed,
+			s.errored, float64(s.times.ValueAtQuantile(50))/10, float64(s.times.ValueAtQuantile(95))/10,
+			float64(a.inTime)/float64(max(1, a.asked)))
+		o.lately[k] = newSeen()
+	}
+	t.Flush()
+	if o.Keys != nil {
+		b.WriteString("+ - load   s surge   h heavy saves   c two cores   d drain   q end\n")
+	}
+	out := b.Bytes()
+	if !o.Plain { // a raw terminal does not go back to the line's start by itself
+		out = bytes.ReplaceAll(out, []byte("\n"), []byte("\r\n"))
+	}
+	w.Write(out)
+}
+
+func (o *demo) results() []DemoResult {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	var out []DemoResult
+	for k, s := range o.all {
+		n := float64(max(1, s.asked))
+		out = append(out, DemoResult{o.s.classes[k].name, s.asked, float64(s.inTime) / n, float64(s.shed) / n,
+			float64(s.times.ValueAtQuantile(95)) / 10})
+	}
+	return out
+}
--- /dev/null
+++ b/internal/lab/demo_test.go
@@ -0,0 +1,77 @@
+package lab
+
+import (
+	"bufio"
+	"bytes"
+	"context"
+	"fmt"
+	"net"
+	"strings"
+	"testing"
+	"time"
+)
+
+// TestDemo runs the node, the emulated kernel and the load on sockets for a few seconds past capacity.
+func TestDemo(t *testing.T) {
+	var out bytes.Buffer
+	res, err := (&Demo{Seed: 1, Load: 1.2, Pools: true, Seconds: 3, Plain: true}).Run(context.Background(), &out)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if len(res) != 4 || strings.Count(out.String(), "IN TIME SO FAR") != 3 {
+		t.Fatalf("%+v\n%s", res, out.String())
+	}
+	for _, r := range res {
+		if r.Asked < 20 {
+			t.Errorf("%s: %d asked", r.Class, r.Asked)
+		}
+	}
+	if view := res[0]; view.InTime < 0.9 {
+		t.Errorf("view: %.3f in time, expected 0.9", view.InTime)
+	}
+}
+
+// TestEmulatedKernel speaks the platform's protocol: a run is told over, kept for a new link, and what it can't read
+// closes the link.
+func TestEmulatedKernel(t *testing.T) {
+	s, err := readScenario("demo", demoClasses)
+	if err != nil {
+		t.Fatal(err)
+	}
+	k, err := NewKernel(loopback(7400), 1, 2, s.classes)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer k.Close()
+	dial := func() (net.Conn, *bufio.Reader) {
+		c, err := net.Dial("tcp", k.ln.Addr().String())
+		if err != nil {
+			t.Fatal(err)
+		}
+		t.Cleanup(func() { c.Close() })
+		c.SetDeadline(time.Now().Add(5 * time.Second))
+		return c, bufio.NewReader(c)
+	}
+	hears := func(r *bufio.Reader, want string) {
+		t.Helper()
+		line, err := r.ReadString('\n')
+		if err != nil || !strings.HasPrefix(line, want) {
+			t.Fatalf("%q, %v; expected %s", line, err, want)
+		}
+	}
+	c, r := dial()
+	fmt.Fprintln(c, `{"verb":"OPEN","index":0}`)
+	hears(r, `{"verb":"BOOTED"`)
+	fmt.Fprintln(c, `{"verb":"SCHED","task":"00000000000000aa","handler":"fly"}`)
+	hears(r, `{"verb":"EINVAL"`)
+	fmt.Fprintln(c, `{"verb":"SCHED","task":"00000000000000aa","handler":"view"}`)
+	hears(r, `{"verb":"REAP","index":1,"task":"00000000000000aa","outcome":"OK"`)
+	c, r = dial() // the notice comes again to a link that has not handled it
+	fmt.Fprintln(c, `{"verb":"OPEN","index":0}`)
+	hears(r, `{"verb":"BOOTED"`)
+	hears(r, `{"verb":"REAP","index":1,`)
+	fmt.Fprintln(c, `noise`)
+	if _, err := r.ReadString('\n'); err == nil {
+		t.Fatal("a link with noise on it stays open")
+	}
+}
--- /dev/null
+++ b/internal/lab/kernel.go
@@ -0,0 +1,223 @@
+package lab
+
+import (
+	"bufio"
+	"encoding/json"
+	"fmt"
+	"math"
+	"math/rand"
+	"net"
+	"sync"
+	"time"
+)
+
+// Kernel is an emulated kernel on a socket: it speaks the platform's protocol to one node and shares a number of cores
+// among what runs. Work takes no real core: each run is told over once the service it would have had is its work.
+type Kernel struct {
+	mu      sync.Mutex
+	r       *rand.Rand
+	ln      net.Listener
+	link    net.Conn
+	classes map[string]*vclass
+	cores   float64
+	runs    map[string]*kernelRun
+	order   []string
+	notices [][]byte // the latest keptNotices
+	first   int      // number of notices[0]
+	busy    float64  // core time used, in ms
+	at      time.Time
+	stop    chan struct{}
+}
+
+type kernelRun struct {
+	left  float64 // ms of work
+	began time.Time
+}
+
+const (
+	keptNotices = 4000
+	kernelStep  = time.Millisecond
+)
+
+// NewKernel listens on an address.
+func NewKernel(addr string, seed int64, cores float64, classes []vclass) (*Kernel, error) {
+	ln, err := net.Listen("tcp", addr)
+	if err != nil {
+		return nil, err
+	}
+	k := &Kernel{r: rand.New(rand.NewSource(seed)), ln: ln, classes: map[string]*vclass{}, cores: cores,
+		runs: map[string]*kernelRun{}, first: 1, at: time.Now(), stop: make(chan struct{})}
+	for i := range classes {
+		c := classes[i]
+		k.classes[c.name] = &c
+	}
+	go k.accept()
+	go k.work()
+	return k, nil
+}
+
+// Close ends it.
+func (k *Kernel) Close() {
+	close(k.stop)
+	k.ln.Close()
+	k.mu.Lock()
+	if k.link != nil {
+		k.link.Close()
+	}
+	k.mu.Unlock()
+}
+
+// Set changes a class, or the cores, while it goes on.
+func (k *Kernel) Set(change func(classes map[string]*vclass, cores *float64)) {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	change(k.classes, &k.cores)
+}
+
+// Used gives the core time used so far, in ms, and how many runs there are.
+func (k *Kernel) Used() (float64, int) {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	return k.busy, len(k.runs)
+}
+
+func (k *Kernel) accept() {
+	for {
+		c, err := k.ln.Accept()
+		if err != nil {
+			return
+		}
+		k.mu.Lock()
+		if k.link != nil {
+			k.link.Close() // a new link takes the place of the one before
+		}
+		k.link = c
+		k.mu.Unlock()
+		go k.serve(c)
+	}
+}
+
+type command struct {
+	Verb, Task, Handler, Nonce string
+	Bytes                      []byte
+	Index                      int
+}
+
+func (k *Kernel) serve(c net.Conn) {
+	defer c.Close()
+	lines := bufio.NewReaderSize(c, 16<<10)
+	for {
+		line, err := lines.ReadBytes('\n')
+		if err != nil {
+			return
+		}
+		var m command
+		if json.Unmarshal(line, &m) != nil {
+			return
+		}
+		k.mu.Lock()
+		known := k.obey(c, &m)
+		k.mu.Unlock()
+		if !known {
+			return
+		}
+	}
+}
+
+// obey carries out one command; false closes the link.
+func (k *Kernel) obey(c net.Conn, m *command) bool {
+	switch m.Verb {
+	case "OPEN":
+		fmt.Fprintf(c, "{\"verb\":\"BOOTED\",\"outcome\":\"WARM\",\"spent\":60000}\n")
+		for i := max(m.Index+1-k.first, 0); i < len(k.notices); i++ {
+			c.Write(k.notices[i])
+		}
+	case "SYSINFO":
+		n := float64(len(k.runs))
+		fmt.Fprintf(c, "{\"verb\":\"INFO\",\"nonce\":%q,\"readings\":[%.3f,%.1f,0.1,10]}\n", m.Nonce, min(1, n/k.cores), n)
+	case "SCHED":
+		class := k.classes[m.Handler]
+		switch {
+		case class == nil || len(m.Task) != 16:
+			fmt.Fprintf(c, "{\"verb\":\"EINVAL\",\"outcome\":\"SCHED\",\"task\":%q}\n", m.Task)
+		case k.runs[m.Task] == nil:
+			k.runs[m.Task] = &kernelRun{k.draw(class), time.Now()}
+			k.order = append(k.order, m.Task)
+		}
+	case "PREEMPT":
+		if r := k.runs[m.Task]; r != nil {
+			k.over(m.Task, "STOPPED")
+		}
+	case "RESCHED", "IODONE", "NOIO":
+	default:
+		return false
+	}
+	return true
+}
+
+func (k *Kernel) draw(c *vclass) float64 {
+	work := c.work / 10
+	if c.tail > 0 {
+		work *= math.Exp(c.tail*k.r.NormFloat64() - c.tail*c.tail/2)
+	}
+	if k.r.Float64() < c.heavy {
+		work *= c.times
+	}
+	return work
+}
+
+// work lets all runs go on, each with its part of the cores.
+func (k *Kernel) work() {
+	tick := time.NewTicker(kernelStep)
+	defer tick.Stop()
+	for {
+		select {
+		case <-k.stop:
+			return
+		case <-tick.C:
+		}
+		k.mu.Lock()
+		now := time.Now()
+		dt := float64(now.Sub(k.at)) / float64(time.Millisecond)
+		k.at = now
+		if n := float64(len(k.runs)); n > 0 {
+			part := dt * min(1, k.cores/n)
+			k.busy += dt * min(n, k.cores)
+			for i := 0; i < len(k.order); i++ {
+				id := k.order[i]
+				if k.runs[id].left -= part; k.runs[id].left <= 0 {
+					k.over(id, "OK")
+					i--
+				}
+			}
+		}
+		k.mu.Unlock()
+	}
+}
+
+// over ends a run and tells of it.
+func (k *Kernel) over(id, how string) {
+	r := k.runs[id]
+	delete(k.runs, id)
+	for i, o := range k.order {
+		if o == id {
+			k.order = append(k.order[:i], k.order[i+1:]...)
+			break
+		}
+	}
+	body := ""
+	if how == "OK" {
+		body = "ZG9uZQ==" // "done"
+	}
+	line := []byte(fmt.Sprintf("{\"verb\":\"REAP\",\"index\":%d,\"task\":%q,\"outcome\":%q,\"spent\":%.1f,\"bytes\":%q}\n",
+		k.first+len(k.notices), id, how, float64(time.Since(r.began))/float64(time.Millisecond), body))
+	k.notices = append(k.notices, line)
+	if len(k.notices) > keptNotices {
+		k.notices = k.notices[1:]
+		k.first++
+	}
+	if k.link != nil {
+		k.link.SetWriteDeadline(time.Now().Add(time.Second))
+		k.link.Write(line)
+	}
+}
