One tenant's heavy runs take half of the heavy pool at most

Need: a surge of one channel's heavy reqs could fill the pool of the heavy for the others.

Change: half of it at most goes to one of several tenants; the rest of its heavy runs stay its class's own.

--- a/internal/pools/pools.go
+++ b/internal/pools/pools.go
@@ -141,6 +141,7 @@
 	slots   int
 	running int
 	heavy   int
+	heavyBy []int // by tenant
 	looked  Time
 	cheap   int // class that has the reserve, -1 for none
 	reserve int // slots it takes first
@@ -149,7 +150,7 @@
 
 // New readies pools.
 func New(p Plan) *Pools {
-	o := &Pools{plan: p, runs: map[uint32]*run{}, cheap: -1, slots: 1}
+	o := &Pools{plan: p, runs: map[uint32]*run{}, cheap: -1, slots: 1, heavyBy: make([]int, max(1, p.Tenants))}
 	for _, c := range p.Classes {
 		s := state{Class: c, limit: math.Inf(1), why: "room", byTenant: make([]int, max(1, p.Tenants)),
 			heldBy: make([]int, max(1, p.Tenants))}
@@ -316,6 +317,7 @@
 	if r.heavy {
 		s.heavy--
 		o.heavy--
+		o.heavyBy[r.tenant]--
 	} else {
 		s.running--
 	}
@@ -360,18 +362,26 @@
 }
 
 // weigh moves runs that have used several times their class's usual work to the pool of the heavy, as far as
-// that has room; what it has no room for stays its class's own.
+// that has room, and for one of several tenants up to half of it; what it has no room for stays its class's own.
 func (o *Pools) weigh(now Time) {
 	room := max(1, int(heavyPart*float64(o.slots)))
+	each := room
+	if len(o.heavyBy) > 1 {
+		each = max(1, room/2)
+	}
 	for _, id := range o.order {
 		r := o.runs[id]
 		s := &o.c[r.class]
 		if r.heavy || s.usual == 0 || o.heavy >= room || float64(o.used(now, r)) < heavyTimes*s.usual {
 			continue
 		}
+		if o.heavyBy[r.tenant] >= each {
+			continue
+		}
 		r.heavy = true
 		s.heavy++
 		o.heavy++
+		o.heavyBy[r.tenant]++
 		s.running--
 	}
 }
--- a/internal/pools/pools_test.go
+++ b/internal/pools/pools_test.go
@@ -252,6 +252,34 @@
 	}
 }
 
+// TestHeavyOfOneTenant: one tenant's heavy runs take half of the heavy pool at most; the rest stays its class's own.
+func TestHeavyOfOneTenant(t *testing.T) {
+	o := New(Plan{Classes: []Class{{Name: "a"}}, Tenants: 2})
+	now := Second
+	for id := uint32(1); id <= enough; id++ {
+		o.Arrived(now, 0, 0)
+		o.Started(now, id, 0, 0, 0)
+		o.Ended(now+100, id, true, true)
+	}
+	o.Tick(now+lookEvery, 20) // four heavy ones have room
+	now += Second
+	for id := uint32(100); id < 108; id++ {
+		tenant := int(id / 106) // six of one, two of the other
+		o.Arrived(now, 0, tenant)
+		o.Started(now, id, 0, tenant, 0)
+	}
+	o.Tick(now+2*Second, 20)
+	if o.heavyBy[0] != 2 || o.heavyBy[1] != 2 || o.c[0].running != 4 {
+		t.Fatalf("heavy by tenant %v, %d in the class's own slots; expected 2, 2 and 4", o.heavyBy, o.c[0].running)
+	}
+	for id := uint32(100); id < 108; id++ {
+		o.Ended(now+3*Second, id, true, true)
+	}
+	if o.heavy != 0 || o.heavyBy[0] != 0 || o.heavyBy[1] != 0 {
+		t.Fatalf("%d heavy left, by tenant %v", o.heavy, o.heavyBy)
+	}
+}
+
 // TestClassBecomesDear: once half of what the ring holds is new, the whole class counts as dear and none of
 // it heavy.
 func TestClassBecomesDear(t *testing.T) {
