One sender's surge too is held to half of a limited pool; pools know reqs by their id

Need: a surge may come from one sender of many tenants' reqs; pools were told tenants alone.

Scenarios of the module give the same decisions with pools that have room. Each guard taken out breaks a test.

--- a/admission/admission.go
+++ b/admission/admission.go
@@ -183,7 +183,7 @@
 		c.enter(&r.Arrived[k])
 	}
 	for k := range r.Arrived {
-		c.door(c.s.find(r.Arrived[k].ID), r.Arrived[k].Prior)
+		c.door(c.s.find(r.Arrived[k].ID), &r.Arrived[k])
 	}
 	for _, id := range r.Gone {
 		c.gone(c.s.find(id))
@@ -248,10 +248,10 @@
 func (c *Controller) cell(it *item) *cell { return &c.cells[int(it.h)*len(c.t)+int(it.t)] }
 
 // door settles a repeat, sheds what can't be afforded, and lets the rest join the tail.
-func (c *Controller) door(i int32, prior uint32) {
+func (c *Controller) door(i int32, q *Req) {
 	it := &c.s.at[i]
 	h := &c.h[it.h]
-	if prior != 0 && c.repeat(i, c.s.find(prior)) {
+	if q.Prior != 0 && c.repeat(i, c.s.find(q.Prior)) {
 		return
 	}
 	key := 0.0
@@ -271,7 +271,7 @@
 		c.hold.insertAfter(&c.s, i, c.hold.tail)
 		it.phase = held
 		if c.pools != nil {
-			c.pools.Arrived(c.now, int(it.h), int(it.t))
+			c.pools.Arrived(c.now, q)
 		}
 		if it.prior == none {
 			c.remember(i)
@@ -376,7 +376,7 @@
 	top := c.ceiling()
 	for i := c.hold.head; i != none && c.running < min(c.limit, top); {
 		it := &c.s.at[i]
-		if c.pools != nil && !c.pools.May(int(it.h), int(it.t)) {
+		if c.pools != nil && !c.pools.May(it.id) {
 			i = it.queue.next
 			continue
 		}
@@ -390,7 +390,7 @@
 		}
 		c.lap = c.now - it.came
 		if c.pools != nil {
-			c.pools.Started(c.now, it.id, int(it.h), int(it.t), c.lap)
+			c.pools.Started(c.now, it.id, c.lap)
 		}
 		c.hold.remove(&c.s, i)
 		it.phase, it.ran = running, true
@@ -753,8 +753,8 @@
 // outOfHold takes a req out of the hold that gets no run.
 func (c *Controller) outOfHold(i int32, shed bool) {
 	c.hold.remove(&c.s, i)
-	if it := &c.s.at[i]; c.pools != nil {
-		c.pools.Left(c.now, int(it.h), int(it.t), shed)
+	if c.pools != nil {
+		c.pools.Left(c.now, c.s.at[i].id, shed)
 	}
 }
 
--- a/admission/interface.go
+++ b/admission/interface.go
@@ -111,11 +111,11 @@
 
 // Pools sets run slots apart by handler. It is told all that touches a slot and asked before one is given.
 type Pools interface {
-	Arrived(now Time, handler, tenant int)         // joined the hold
-	Left(now Time, handler, tenant int, shed bool) // left it without a run
-	Refused(now Time, handler int)                 // was shed before it joined
-	May(handler, tenant int) bool                  // take a slot now
-	Started(now Time, id uint32, handler, tenant int, waited Time)
+	Arrived(now Time, q *Req)            // joined the hold
+	Left(now Time, id uint32, shed bool) // left it without a run
+	Refused(now Time, handler int)       // was shed before it joined
+	May(id uint32) bool                  // take a slot now
+	Started(now Time, id uint32, waited Time)
 	Away(now Time, id uint32, away bool) // stands at a call, or goes on
 	Ended(now Time, id uint32, done, inTime bool)
 	Tick(now Time, slots int)
--- a/admission/scenario_test.go
+++ b/admission/scenario_test.go
@@ -45,25 +45,37 @@
 
 // tally is pools with fixed slots; it holds the module to telling it of all that touches a slot.
 type tally struct {
-	t             *testing.T
-	slots         []int
-	held, running map[int]int
-	runs          map[uint32]int
-	away          map[uint32]bool
+	t           *testing.T
+	slots       []int
+	running     map[int]int
+	holds, runs map[uint32]int // id to handler
+	away        map[uint32]bool
 }
 
-func (p *tally) Arrived(_ Time, h, _ int) { p.held[h]++ }
-func (p *tally) Refused(Time, int)        {}
-func (p *tally) Left(_ Time, h, _ int, _ bool) {
-	p.held[h]--
+func (p *tally) Arrived(_ Time, q *Req) {
+	if _, twice := p.holds[q.ID]; twice {
+		p.t.Errorf("%d joined the hold twice", q.ID)
+	}
+	p.holds[q.ID] = q.Handler
+}
+func (p *tally) Refused(Time, int) {}
+func (p *tally) Left(_ Time, id uint32, _ bool) {
+	if _, held := p.holds[id]; !held {
+		p.t.Errorf("%d left the hold without being in it", id)
+	}
+	delete(p.holds, id)
+}
+func (p *tally) May(id uint32) bool {
+	h := p.holds[id]
+	return h >= len(p.slots) || p.running[h] < p.slots[h]
 }
-func (p *tally) May(h, _ int) bool { return h >= len(p.slots) || p.running[h] < p.slots[h] }
-func (p *tally) Started(_ Time, id uint32, h, _ int, _ Time) {
-	if p.held[h]--; !p.May(h, 0) {
-		p.t.Errorf("%d was started past the slots of handler %d", id, h)
+func (p *tally) Started(_ Time, id uint32, _ Time) {
+	if !p.May(id) {
+		p.t.Errorf("%d was started past the slots of handler %d", id, p.holds[id])
 	}
-	p.runs[id] = h
-	p.running[h]++
+	p.runs[id] = p.holds[id]
+	p.running[p.holds[id]]++
+	delete(p.holds, id)
 }
 func (p *tally) Away(_ Time, id uint32, away bool) {
 	if _, runs := p.runs[id]; !runs || p.away[id] == away {
@@ -84,14 +96,6 @@
 func (p *tally) Lap(int) Time   { return 0 }
 func (p *tally) Told() []string { return nil }
 
-// sums compares with what the module holds.
-func (p *tally) sums(c *Controller) (held, running int) {
-	for h := range c.h {
-		held += p.held[h]
-	}
-	return held, len(p.runs)
-}
-
 func (s *scene) note(f string, a ...any) { s.log = append(s.log, fmt.Sprintf(f, a...)) }
 
 func (s *scene) Run(id uint32)   { s.busy[id] = true; s.note("run %d", id) }
@@ -236,7 +240,7 @@
 	}
 	s.c.Decide(&r, s)
 	if s.pools != nil {
-		if held, running := s.pools.sums(s.c); held != s.c.hold.n || running != s.c.running {
+		if held, running := len(s.pools.holds), len(s.pools.runs); held != s.c.hold.n || running != s.c.running {
 			s.fatal("pools know of %d held and %d running, expected %d and %d", held, running, s.c.hold.n, s.c.running)
 		}
 	}
@@ -390,7 +394,7 @@
 				s.d = Deployment{Cores: 1, MemKB: 1000, RunFactor: 4, KeyKB: 5, Fall: 5, Fleet: 1, Senders: 1,
 					Granule: 10, Stop: StopPause, DrainGrace: Second, MaxPause: Second, Beyond: 0.05}
 				if with {
-					s.pools = &tally{t: t, held: map[int]int{}, running: map[int]int{}, runs: map[uint32]int{},
+					s.pools = &tally{t: t, running: map[int]int{}, holds: map[uint32]int{}, runs: map[uint32]int{},
 						away: map[uint32]bool{}}
 					s.d.Pools = s.pools
 				}
--- a/internal/lab/emulated.go
+++ b/internal/lab/emulated.go
@@ -57,6 +57,7 @@
 	start         vt
 	work          float64
 	hangs         bool
+	caller        uint32
 }
 
 // vrun is one run: it ends when the service that each run has had comes to its end.
@@ -238,7 +239,8 @@
 		o.fair++
 	}
 	o.came[min(int(s.now/second), len(o.came)-1)]++
-	s.ask(vreq{class: k, tenant: tenant, first: s.now, work: max(work, 1), hangs: hangs})
+	s.ask(vreq{class: k, tenant: tenant, first: s.now, work: max(work, 1), hangs: hangs,
+		caller: 1 + uint32(s.r.Intn(40))})
 	c.arrivals = s.now + s.gap(k)
 }
 
@@ -249,7 +251,7 @@
 	c := &s.classes[q.class]
 	s.round(&admission.Round{Arrived: []admission.Req{{ID: s.next, Handler: q.class, Tenant: q.tenant,
 		Came: s.now,
-		Due:  q.first + c.handler.Timeout, KB: 8, Again: q.try > 0, Caller: uint32(q.tenant)}}})
+		Due:  q.first + c.handler.Timeout, KB: 8, Again: q.try > 0, Caller: q.caller}}})
 }
 
 func (s *server) ends() {
--- a/internal/pools/pools.go
+++ b/internal/pools/pools.go
@@ -6,7 +6,9 @@
 package pools
 
 import (
+	"encoding/binary"
 	"fmt"
+	"hash/crc32"
 	"math"
 
 	"umberwinch/admission"
@@ -86,10 +88,28 @@
 	why      string
 	lap      Time // how long its last one to start had waited
 	shed     uint64
-	byTenant []int // running
-	heldBy   []int
+	tenants  parts
+	senders  parts
 }
 
+// parts count what each of some has running and held in a class.
+type parts struct{ running, held []int }
+
+func newParts(n int) parts { return parts{make([]int, n), make([]int, n)} }
+
+// senders are told apart by a sum of their number, since callers are many and come and go: two that share a bucket
+// share its part.
+const senders = 64
+
+func bucket(caller uint32) int {
+	var raw [4]byte
+	binary.LittleEndian.PutUint32(raw[:], caller)
+	return int(crc32.ChecksumIEEE(raw[:]) % senders)
+}
+
+// waiter is a held req.
+type waiter struct{ class, tenant, sender int }
+
 // counter sums over four seconds.
 type counter struct {
 	slot int64
@@ -124,17 +144,18 @@
 
 // run is one run slot in use.
 type run struct {
-	class, tenant int
-	since         Time // it went on, after its start or a call
-	used          Time
-	away          bool // at a call
-	heavy         bool
+	waiter
+	since Time // it went on, after its start or a call
+	used  Time
+	away  bool // at a call
+	heavy bool
 }
 
 // Pools decide for one server.
 type Pools struct {
 	plan    Plan
 	c       []state
+	held    map[uint32]waiter
 	runs    map[uint32]*run
 	free    []*run
 	order   []uint32 // ids of runs in the order of their starts: never ranged over by the map
@@ -150,10 +171,10 @@
 
 // New readies pools.
 func New(p Plan) *Pools {
-	o := &Pools{plan: p, runs: map[uint32]*run{}, cheap: -1, slots: 1, heavyBy: make([]int, max(1, p.Tenants))}
+	o := &Pools{plan: p, runs: map[uint32]*run{}, held: map[uint32]waiter{}, cheap: -1, slots: 1, heavyBy: make([]int, max(1, p.Tenants))}
 	for _, c := range p.Classes {
-		s := state{Class: c, limit: math.Inf(1), why: "room", byTenant: make([]int, max(1, p.Tenants)),
-			heldBy: make([]int, max(1, p.Tenants))}
+		s := state{Class: c, limit: math.Inf(1), why: "room", tenants: newParts(max(1, p.Tenants)),
+			senders: newParts(senders)}
 		if s.Value <= 0 {
 			s.Value = 1
 		}
@@ -185,24 +206,42 @@
 }
 
 // Arrived tells of a req that joins the hold.
-func (o *Pools) Arrived(now Time, class, tenant int) {
-	s := &o.c[class]
+func (o *Pools) Arrived(now Time, q *admission.Req) {
+	w := waiter{q.Handler, 0, bucket(q.Caller)}
+	s := &o.c[w.class]
+	if q.Tenant > 0 && q.Tenant < len(s.tenants.held) {
+		w.tenant = q.Tenant
+	}
+	o.held[q.ID] = w
 	s.held++
-	s.heldBy[tenant]++
+	s.tenants.held[w.tenant]++
+	s.senders.held[w.sender]++
 	s.came.add(now, 1)
 }
 
 // Left tells of a held req that leaves the hold without a run: shed, gone, or answered by another's result.
-func (o *Pools) Left(now Time, class, tenant int, shed bool) {
-	s := &o.c[class]
-	s.held--
-	s.heldBy[tenant]--
-	if shed {
+func (o *Pools) Left(now Time, id uint32, shed bool) {
+	s := o.unhold(id)
+	if s != nil && shed {
 		s.bad.add(now, 1)
 		s.shed++
 	}
 }
 
+// unhold takes a req out of what is held and gives its class.
+func (o *Pools) unhold(id uint32) *state {
+	w, ok := o.held[id]
+	if !ok {
+		return nil
+	}
+	delete(o.held, id)
+	s := &o.c[w.class]
+	s.held--
+	s.tenants.held[w.tenant]--
+	s.senders.held[w.sender]--
+	return s
+}
+
 // Refused tells of a req that was shed before it joined the hold.
 func (o *Pools) Refused(now Time, class int) {
 	s := &o.c[class]
@@ -214,17 +253,18 @@
 // May tells whether the oldest held req of a class and tenant may take a slot now. It may while its class has
 // room; past that only where nobody with room waits. The reserve's class goes before all others while it
 // waits and has less than the reserve.
-func (o *Pools) May(class, tenant int) bool {
-	if o.plan.Off {
+func (o *Pools) May(id uint32) bool {
+	w, ok := o.held[id]
+	if o.plan.Off || !ok {
 		return true
 	}
-	s := &o.c[class]
-	if o.cheap >= 0 && class != o.cheap {
+	s := &o.c[w.class]
+	if o.cheap >= 0 && w.class != o.cheap {
 		if r := &o.c[o.cheap]; r.held > 0 && r.running < o.reserve {
 			return false
 		}
 	}
-	if o.crowds(s, tenant) {
+	if o.crowds(s, w) {
 		return false
 	}
 	if o.room(s) {
@@ -245,13 +285,15 @@
 	return float64(s.running) < max(1, math.Floor(min(s.limit, o.most(s))+1e-9))
 }
 
-// crowds tells whether a tenant holds more than half of a limited class's slots while others of the class
-// wait: what is beyond its share goes last.
-func (o *Pools) crowds(s *state, tenant int) bool {
-	if math.IsInf(s.limit, 1) || s.held == s.heldBy[tenant] {
+// crowds tells whether a tenant, or a sender, holds more than half of a limited class's slots while others of the
+// class wait: what is beyond its share goes last.
+func (o *Pools) crowds(s *state, w waiter) bool {
+	if math.IsInf(s.limit, 1) {
 		return false
 	}
-	return float64(s.byTenant[tenant]) >= max(1, math.Floor(s.limit/2))
+	half := max(1, int(s.limit/2))
+	return s.tenants.running[w.tenant] >= half && s.held > s.tenants.held[w.tenant] ||
+		s.senders.running[w.sender] >= half && s.held > s.senders.held[w.sender]
 }
 
 func (o *Pools) most(s *state) float64 {
@@ -262,14 +304,17 @@
 }
 
 // Started tells of a held req that took a slot.
-func (o *Pools) Started(now Time, id uint32, class, tenant int, waited Time) {
-	s := &o.c[class]
+func (o *Pools) Started(now Time, id uint32, waited Time) {
+	w := o.held[id]
+	s := o.unhold(id)
+	if s == nil {
+		return
+	}
 	if !o.room(s) {
 		s.lent++
 	}
-	s.held--
-	s.heldBy[tenant]--
-	s.byTenant[tenant]++
+	s.tenants.running[w.tenant]++
+	s.senders.running[w.sender]++
 	s.running++
 	s.lap = waited
 	o.running++
@@ -279,7 +324,7 @@
 	} else {
 		r = new(run)
 	}
-	*r = run{class: class, tenant: tenant, since: now}
+	*r = run{waiter: w, since: now}
 	o.runs[id] = r
 	o.order = append(o.order, id)
 }
@@ -321,7 +366,8 @@
 	} else {
 		s.running--
 	}
-	s.byTenant[r.tenant]--
+	s.tenants.running[r.tenant]--
+	s.senders.running[r.sender]--
 	o.running--
 	delete(o.runs, id)
 	for k, other := range o.order {
--- a/internal/pools/pools_test.go
+++ b/internal/pools/pools_test.go
@@ -8,6 +8,8 @@
 	"testing"
 
 	"github.com/HdrHistogram/hdrhistogram-go"
+
+	"umberwinch/admission"
 )
 
 // TestSketchError holds quantiles to the stated error against sorting all, over spreads even and with heavy
@@ -48,7 +50,7 @@
 	now   Time
 	slots int
 	next  uint32
-	held  [][2]int // class and tenant, in arrival order
+	held  []held // in arrival order
 	since []Time
 	runs  map[uint32]*bedRun
 	order []uint32
@@ -59,6 +61,11 @@
 	r     *rand.Rand
 }
 
+type held struct {
+	id    uint32
+	class int
+}
+
 type bedRun struct {
 	class int
 	ends  Time
@@ -74,9 +81,12 @@
 		shed: make([]int, n), waits: make([][]Time, n), r: rand.New(rand.NewSource(3))}
 }
 
-func (b *bed) arrive(class, tenant int) {
-	b.o.Arrived(b.now, class, tenant)
-	b.held = append(b.held, [2]int{class, tenant})
+func (b *bed) arrive(class, tenant int) { b.from(class, tenant, b.r.Uint32()) }
+
+func (b *bed) from(class, tenant int, caller uint32) {
+	b.next++
+	b.o.Arrived(b.now, &admission.Req{ID: b.next, Handler: class, Tenant: tenant, Caller: caller})
+	b.held = append(b.held, held{b.next, class})
 	b.since = append(b.since, b.now)
 }
 
@@ -99,25 +109,24 @@
 	}
 	for k := 0; k < len(b.held); k++ {
 		if b.now-b.since[k] > bound {
-			b.o.Left(b.now, b.held[k][0], b.held[k][1], true)
-			b.shed[b.held[k][0]]++
+			b.o.Left(b.now, b.held[k].id, true)
+			b.shed[b.held[k].class]++
 			b.drop(k)
 			k--
 		}
 	}
 	b.o.Tick(b.now, b.slots)
 	for k := 0; k < len(b.held) && len(b.order) < b.slots; {
-		class, tenant := b.held[k][0], b.held[k][1]
-		if !b.o.May(class, tenant) {
+		id, class := b.held[k].id, b.held[k].class
+		if !b.o.May(id) {
 			k++
 			continue
 		}
-		b.next++
 		wait := b.now - b.since[k]
-		b.o.Started(b.now, b.next, class, tenant, wait)
+		b.o.Started(b.now, id, wait)
 		b.waits[class] = append(b.waits[class], wait)
-		b.runs[b.next] = &bedRun{class, b.now + work(class), b.since[k]}
-		b.order = append(b.order, b.next)
+		b.runs[id] = &bedRun{class, b.now + work(class), b.since[k]}
+		b.order = append(b.order, id)
 		b.drop(k)
 		k = 0
 	}
@@ -254,28 +263,28 @@
 
 // TestHeavyOfOneTenant: one tenant's heavy runs take half of the heavy pool at most; the rest stays its class's own.
 func TestHeavyOfOneTenant(t *testing.T) {
-	o := New(Plan{Classes: []Class{{Name: "a"}}, Tenants: 2})
+	o := New(Plan{Classes: []Class{{Name: "a"}}, Tenants: 3})
 	now := Second
 	for id := uint32(1); id <= enough; id++ {
-		o.Arrived(now, 0, 0)
-		o.Started(now, id, 0, 0, 0)
+		o.Arrived(now, &admission.Req{ID: id})
+		o.Started(now, id, 0)
 		o.Ended(now+100, id, true, true)
 	}
 	o.Tick(now+lookEvery, 20) // four heavy ones have room
 	now += Second
-	for id := uint32(100); id < 108; id++ {
-		tenant := int(id / 106) // six of one, two of the other
-		o.Arrived(now, 0, tenant)
-		o.Started(now, id, 0, tenant, 0)
+	for id := uint32(100); id < 110; id++ {
+		tenant := int(id-100) * 4 / 16 // four, four and two
+		o.Arrived(now, &admission.Req{ID: id, Tenant: tenant})
+		o.Started(now, id, 0)
 	}
 	o.Tick(now+2*Second, 20)
-	if o.heavyBy[0] != 2 || o.heavyBy[1] != 2 || o.c[0].running != 4 {
-		t.Fatalf("heavy by tenant %v, %d in the class's own slots; expected 2, 2 and 4", o.heavyBy, o.c[0].running)
+	if !slices.Equal(o.heavyBy, []int{2, 2, 0}) || o.c[0].running != 6 {
+		t.Fatalf("heavy by tenant %v, %d in the class's own slots; expected 2, 2, none and 6", o.heavyBy, o.c[0].running)
 	}
-	for id := uint32(100); id < 108; id++ {
+	for id := uint32(100); id < 110; id++ {
 		o.Ended(now+3*Second, id, true, true)
 	}
-	if o.heavy != 0 || o.heavyBy[0] != 0 || o.heavyBy[1] != 0 {
+	if o.heavy != 0 || !slices.Equal(o.heavyBy, []int{0, 0, 0}) {
 		t.Fatalf("%d heavy left, by tenant %v", o.heavy, o.heavyBy)
 	}
 }
@@ -356,19 +365,31 @@
 	}
 }
 
-// TestTenantBeyondItsShare: one tenant's surge in a limited class does not hold all of its slots.
-func TestTenantBeyondItsShare(t *testing.T) {
-	b := newBed(t, 8, Plan{Classes: []Class{{Name: "a", Cap: 0.5, Fixed: true}}, Tenants: 2})
-	b.o.Tick(Second, 8)
-	b.now = Second
-	for i := 0; i < 20; i++ {
-		b.arrive(0, 0)
-	}
-	b.arrive(0, 1)
-	b.step(1, fixed(1000))
-	if mine := b.o.c[0].byTenant; mine[0] != 3 || mine[1] != 1 || b.o.runs[3].tenant != 1 {
-		t.Errorf("slots by tenant %v, the third is %d's; expected half for the surge, then the other, then the rest",
-			mine, b.o.runs[3].tenant)
+// TestBeyondAShare: one tenant's surge in a limited class does not hold all of its slots, nor does one sender's.
+func TestBeyondAShare(t *testing.T) {
+	for _, by := range []string{"tenant", "sender"} {
+		b := newBed(t, 8, Plan{Classes: []Class{{Name: "a", Cap: 0.5, Fixed: true}}, Tenants: 2})
+		b.o.Tick(Second, 8)
+		b.now = Second
+		for i := 0; i < 20; i++ {
+			if by == "tenant" {
+				b.arrive(0, 0)
+			} else {
+				b.from(0, 0, 7)
+			}
+		}
+		if by == "tenant" {
+			b.arrive(0, 1)
+		} else {
+			b.from(0, 0, 8)
+		}
+		b.step(1, fixed(1000))
+		var started []uint32
+		started = append(started, b.order...)
+		if !slices.Equal(started, []uint32{1, 2, 21, 3}) {
+			t.Errorf("%s: %v were started in this order, expected half for the surge, the other, then the rest", by,
+				started)
+		}
 	}
 }
 
@@ -378,8 +399,8 @@
 	b.load(6, []float64{40, 10}, fixed(20, 200))
 	usual := b.o.c[1].usual
 	for id := uint32(1 << 20); id < 1<<20+2*enough; id++ {
-		b.o.Arrived(b.now, 1, 0)
-		b.o.Started(b.now, id, 1, 0, 0)
+		b.o.Arrived(b.now, &admission.Req{ID: id, Handler: 1})
+		b.o.Started(b.now, id, 0)
 	}
 	for i := 0; i < 40; i++ {
 		b.now += lookEvery
@@ -399,8 +420,8 @@
 	o := New(Plan{Classes: []Class{{Name: "a"}}, Tenants: 1})
 	now := Second
 	for id := uint32(1); id <= 60; id++ {
-		o.Arrived(now, 0, 0)
-		o.Started(now, id, 0, 0, 0)
+		o.Arrived(now, &admission.Req{ID: id})
+		o.Started(now, id, 0)
 		o.Away(now+50, id, true)
 		o.Tick(now+Second, 12)
 		o.Away(now+2*Second, id, false)
@@ -458,12 +479,13 @@
 			}
 			o := New(p)
 			b.ReportAllocs()
-			now := Second
+			now, q := Second, admission.Req{}
 			for i := 0; i < b.N; i++ {
 				id, class := uint32(i), i%n
-				o.Arrived(now, class, i%12)
-				if o.May(class, i%12) {
-					o.Started(now, id, class, i%12, 0)
+				q.ID, q.Handler, q.Tenant, q.Caller = id, class, i%12, id%40
+				o.Arrived(now, &q)
+				if o.May(id) {
+					o.Started(now, id, 0)
 					o.Ended(now+100, id, true, true)
 				}
 				now += 20
