--- a/internal/backend/pools.go
+++ b/internal/backend/pools.go
@@ -30,7 +30,7 @@
 	p := pools.Plan{Off: c.own == nil || len(c.own.Pools) == 0, Tenants: max(1, len(d.Tenants))}
 	p.Classes = make([]pools.Class, len(d.Handlers))
 	for name, i := range c.prof.Handlers {
-		p.Classes[i] = pools.Class{Name: name, Value: d.Handlers[i].Value, Late: d.Handlers[i].Target}
+		p.Classes[i] = pools.Class{Name: name, Value: d.Handlers[i].Value}
 	}
 	if p.Off {
 		return p
--- a/internal/consensus/group.go
+++ b/internal/consensus/group.go
@@ -385,6 +385,9 @@
 		case f := <-g.asks:
 			f()
 		case <-closing:
+			if g.rep.saving { // the folder is let go of once nobody writes to it
+				<-g.saves
+			}
 			if e := g.rep.Close(); e != nil && g.err == nil {
 				g.err = e
 			}
@@ -470,15 +473,9 @@
 // Change makes a change of members and waits until it shows, asking again where it was lost.
 func (g *Group) Change(ctx context.Context, c Change, shows func([]Member) bool) error {
 	for {
-		ended := make(chan error, 1)
-		if err := g.ask(func() { ended <- g.rep.Change(c) }); err != nil {
-			return err
-		}
-		var err error
-		select {
-		case err = <-ended:
-		case <-g.done:
-			return ErrGone
+		err, ended := answerOf(g, g.ask, func() error { return g.rep.Change(c) })
+		if ended != nil {
+			return ended
 		}
 		pause := time.NewTimer(time.Duration(g.control.Elect) * g.control.Tick)
 		for waiting := true; waiting; {
@@ -506,16 +503,8 @@
 
 // Transfer hands the lead to an instance; only the leader can.
 func (g *Group) Transfer(to uint64) error {
-	ended := make(chan error, 1)
-	if err := g.ask(func() { ended <- g.rep.Transfer(to) }); err != nil {
-		return err
-	}
-	select {
-	case err := <-ended:
-		return err
-	case <-g.done:
-		return ErrGone
-	}
+	err, ended := answerOf(g, g.ask, func() error { return g.rep.Transfer(to) })
+	return errors.Join(ended, err)
 }
 
 // SaveState gives a snapshot's bytes as `snapshot save` keeps them.
@@ -524,46 +513,44 @@
 		parts [][]byte
 		err   error
 	}
-	ended := make(chan end, 1)
-	if err := g.ask(func() {
+	e, ended := answerOf(g, g.ask, func() end {
 		meta, state, err := g.rep.state()
 		if err == nil {
 			state, err = snapshotParts(meta, state)
 		}
-		ended <- end{state, err}
-	}); err != nil {
-		return nil, err
+		return end{state, err}
+	})
+	return e.parts, errors.Join(ended, e.err)
+}
+
+// answerOf has something done on the replica's goroutine, by one of its queues, and waits for what came of it; the
+// error is the queue's or the group's end.
+func answerOf[T any](g *Group, queue func(func()) error, f func() T) (answer T, err error) {
+	got := make(chan T, 1)
+	if err = queue(func() { got <- f() }); err != nil {
+		return answer, err
 	}
 	select {
-	case e := <-ended:
-		return e.parts, e.err
+	case answer = <-got:
+		return answer, nil
 	case <-g.done:
-		return nil, ErrGone
+		return answer, ErrGone
 	}
 }
 
 // What the transport asks. Its askings wait their turn on the replica's goroutine.
 
-func (g *Group) note(f func()) bool {
+func (g *Group) note(f func()) error {
 	select {
 	case g.notes <- f:
-		return true
+		return nil
 	case <-g.done:
-		return false
+		return ErrGone
 	}
 }
 
 func (g *Group) hello(to uint64) (Hello, error) {
-	got := make(chan Hello, 1)
-	if !g.note(func() { got <- g.rep.Hello(to) }) {
-		return Hello{}, ErrGone
-	}
-	select {
-	case h := <-got:
-		return h, nil
-	case <-g.done:
-		return Hello{}, ErrGone
-	}
+	return answerOf(g, g.note, func() Hello { return g.rep.Hello(to) })
 }
 
 func (g *Group) meet(h Hello) (string, error) {
@@ -571,19 +558,11 @@
 		reason string
 		err    error
 	}
-	got := make(chan end, 1)
-	if !g.note(func() {
+	e, ended := answerOf(g, g.note, func() end {
 		reason, err := g.rep.Meet(h)
-		got <- end{reason, err}
-	}) {
-		return "", ErrGone
-	}
-	select {
-	case e := <-got:
-		return e.reason, e.err
-	case <-g.done:
-		return "", ErrGone
-	}
+		return end{reason, err}
+	})
+	return e.reason, errors.Join(ended, e.err)
 }
 
 func (g *Group) bar(reason string) {
--- a/internal/consensus/group_test.go
+++ b/internal/consensus/group_test.go
@@ -12,6 +12,7 @@
 	"crypto/x509/pkix"
 	"encoding/json"
 	"encoding/pem"
+	"errors"
 	"fmt"
 	"io"
 	"math/big"
@@ -478,6 +479,54 @@
 	}
 }
 
+// gatedFS holds a snapshot's making until its gate opens.
+type gatedFS struct {
+	wal.FS
+	entered, gate chan struct{}
+}
+
+func (f gatedFS) Create(name string) (wal.File, error) {
+	if strings.HasSuffix(name, ".snap.tmp") && !strings.HasPrefix(name, "0000000000000001.") {
+		close(f.entered)
+		<-f.gate
+	}
+	return f.FS.Create(name)
+}
+
+// TestFolderIsKeptWhileASnapshotIsWritten: an instance that ends lets its folder go once nobody writes to it.
+func TestFolderIsKeptWhileASnapshotIsWritten(t *testing.T) {
+	at := address()
+	c := &operator.Control{Name: "a", Data: t.TempDir(), Start: "new", Peer: at + ":7101", Bind: at + ":7101",
+		Listen: at + ":7201", Tick: 10 * time.Millisecond, Elect: 10, DiskMB: 64, SnapMB: 1, RateMB: 64,
+		Touch: time.Second}
+	entered, gate := make(chan struct{}), make(chan struct{})
+	g, err := Start(c, quietLogger(), Faults{Disk: func(fs wal.FS) wal.FS { return gatedFS{fs, entered, gate} }})
+	if err != nil {
+		t.Fatal(err)
+	}
+	for n := uint64(1); n <= 3; n++ {
+		ctx, cancel := context.WithTimeout(context.Background(), 20*time.Second)
+		end, err := g.Put(ctx, Put{Session: "s", Seq: n, Base: n - 1, Author: "x",
+			Text: text(int(n)) + strings.Repeat(";\n", 1<<18)})
+		cancel()
+		if err != nil || end.End != Taken {
+			t.Fatalf("put %d: %+v, %v", n, end, err)
+		}
+	}
+	<-entered
+	g.ended.Do(func() { close(g.quit) })
+	select {
+	case <-g.Done():
+		t.Fatal("it ended while its snapshot was being written")
+	case <-time.After(200 * time.Millisecond): // long past what an end takes
+	}
+	if _, _, err := wal.Open(wal.Dir(c.Data), PlanOf(c).Sizes); !errors.Is(err, wal.ErrLocked) {
+		t.Fatalf("the folder meanwhile: %v, expected %v", err, wal.ErrLocked)
+	}
+	close(gate)
+	<-g.Done()
+}
+
 // certificates writes an authority and one certificate for some addresses.
 type authority struct {
 	key  *ecdsa.PrivateKey
--- a/internal/lab/pools.go
+++ b/internal/lab/pools.go
@@ -234,7 +234,7 @@
 	for k := range s.classes {
 		c := &s.classes[k]
 		d.Handlers = append(d.Handlers, c.handler)
-		one := pools.Class{Name: c.name, Value: c.handler.Value, Late: c.handler.Target}
+		one := pools.Class{Name: c.name, Value: c.handler.Value}
 		if way == "fixed" { // what an operator would set from a calm day's shares, with room for half as much again
 			one.Cap, one.Fixed = min(1, max(0.1, 1.5*s.shares[k]*c.work/total)), true
 		} else if without == "limits" {
--- a/internal/pools/pools.go
+++ b/internal/pools/pools.go
@@ -56,7 +56,6 @@
 	Cap   float64 // never over it; 0 for none
 	Fixed bool    // its limit is its cap and does not move
 	Value float64 // what a req of it is worth: shares of what there is go by it
-	Late  Time    // its response target
 }
 
 // Plan is what the pools are made for.
@@ -160,7 +159,6 @@
 	free    []*run
 	order   []uint32 // ids of runs in the order of their starts: never ranged over by the map
 	slots   int
-	running int
 	heavy   int
 	heavyBy []int // by tenant
 	looked  Time
@@ -317,7 +315,6 @@
 	s.senders.running[w.sender]++
 	s.running++
 	s.lap = waited
-	o.running++
 	var r *run
 	if n := len(o.free); n > 0 {
 		r, o.free = o.free[n-1], o.free[:n-1]
@@ -368,7 +365,6 @@
 	}
 	s.tenants.running[r.tenant]--
 	s.senders.running[r.sender]--
-	o.running--
 	delete(o.runs, id)
 	for k, other := range o.order {
 		if other == id {
--- a/internal/pools/pools_test.go
+++ b/internal/pools/pools_test.go
@@ -139,7 +139,7 @@
 			b.t.Fatalf("class %d: %d running, %d heavy, %d held", k, s.running, s.heavy, s.held)
 		}
 	}
-	if running != len(b.order) || held != len(b.held) || b.o.running != running {
+	if running != len(b.order) || held != len(b.held) || len(b.o.runs) != running {
 		b.t.Fatalf("pools know of %d running and %d held, expected %d and %d", running, held, len(b.order),
 			len(b.held))
 	}
