Fleet, leases and changes of policy: the decisions, and a fleet in virtual time

A version of the configuration stopped at the group: no node knew of it.

The schedules found three faults on the way: an answer that came after its asking was given up passed for the next one's; a beat of an earlier leader passed for the one that was out; a lease shortened by a policy took back time that its holder still had.

--- a/internal/conf/conf.go
+++ b/internal/conf/conf.go
@@ -19,7 +19,10 @@
 
 // Rules numbers what Parse and Follows find. It rises with each change of a finding, and a proposal carries
 // the number it was made under: an instance that does not know it must not judge it.
-const Rules = 1
+//
+//	1: classes, tenants, pools, levels, rollout
+//	2: [fleet]
+const Rules = 2
 
 // Bounds of a document.
 const (
@@ -81,6 +84,13 @@
 	MaxLate float64
 }
 
+// Fleet is how nodes hold the version: until when without news of the group, and what then.
+type Fleet struct {
+	Lease time.Duration
+	Alone bool // when_alone = go-on
+	Given bool // the document has the section
+}
+
 // Document is one version's content.
 type Document struct {
 	Classes []Class
@@ -88,11 +98,16 @@
 	Pools   []Pool
 	Levels  []Level
 	Rollout Rollout
+	Fleet   Fleet
 }
 
 // Parse reads a document and checks all that needs nothing else. What is wrong comes as operator.Faults, all
 // of it.
-func Parse(name string, raw []byte) (*Document, error) {
+func Parse(name string, raw []byte) (*Document, error) { return ParseUnder(Rules, name, raw) }
+
+// ParseUnder reads a document as an older numbering of the rules does, so that all instances of a group on two
+// builds find the same.
+func ParseUnder(rules int, name string, raw []byte) (*Document, error) {
 	t := operator.Parse(name, raw)
 	d := &Document{}
 	for _, n := range names(t, "class", MaxClasses) {
@@ -143,6 +158,13 @@
 		d.Levels = append(d.Levels, l)
 	}
 	d.Rollout = rollout(t)
+	// Ten seconds outlast a group's failover several times. Going on is the default: a fleet must not stop because
+	// its control service did, unless somebody chose that.
+	d.Fleet = Fleet{Lease: 10 * time.Second, Alone: true}
+	if rules >= 2 && t.Has("fleet") {
+		d.Fleet = Fleet{t.Time("fleet", "lease", 10*time.Second, time.Second, 10*time.Minute),
+			t.Choice("fleet", "when_alone", "go-on", "fence", "go-on") == "go-on", true}
+	}
 	d.sort()
 	d.check(t)
 	if err := t.Done(); err != nil {
@@ -341,6 +363,10 @@
 	add("rollout", "hold", d.Rollout.Hold.String())
 	add("rollout", "max_shed", number(d.Rollout.MaxShed))
 	add("rollout", "max_late", number(d.Rollout.MaxLate))
+	if d.Fleet.Given { // a document without it has the canonical text that it had before there was one
+		add("fleet", "lease", d.Fleet.Lease.String())
+		add("fleet", "when_alone", map[bool]string{true: "go-on", false: "fence"}[d.Fleet.Alone])
+	}
 	return out
 }
 
--- /dev/null
+++ b/internal/fleet/fleet.go
@@ -0,0 +1,410 @@
+// Package fleet is the membership of nodes as the group of control instances holds it: who is in, since when,
+// and until when each may act on what it was last told. It owns names, incarnations and leases. It is told
+// committed beats in order and nothing else, so it is the same at every instance; time is the group's own, in
+// ms that leaders counted, and it never looks at a clock, a socket or chance. It must never count a lease as
+// run out that a node could still act on.
+package fleet
+
+import (
+	"encoding/json"
+	"fmt"
+	"sort"
+)
+
+// Bounds of the state.
+const (
+	MaxNodes  = 10000
+	maxWord   = 80 // bytes of an address or nonce
+	maxOld    = 8  // leases of earlier incarnations that may still be acted on, a node
+	maxStarts = 16
+)
+
+// Span is how long the group counts a lease of so many ms. A node counts from when it asked, by a clock that
+// may be slow; a leader counts from when the asking was committed, by one that may be fast. A hundredth covers
+// clocks that differ by twenty times what a disciplined one may, 100 ms two ticks of any group.
+func Span(leaseMS uint64) uint64 { return leaseMS + leaseMS/100 + 100 }
+
+// Grant is what a lease is given under: the version in force says how long it lasts, and whether its holder
+// may go on alone when it has run out.
+type Grant struct {
+	LeaseMS uint64
+	Alone   bool
+	Need    uint64 // the newest decided version: whoever doesn't promise it gets no more time
+}
+
+// Lease is one incarnation's leave to act on what it was told.
+type Lease struct {
+	ID    uint32 `json:"id"`
+	Nonce string `json:"nonce"`
+	Until uint64 `json:"until"` // by the group's time it has surely run out then
+	Floor uint64 `json:"floor"` // its holder promised to serve under nothing older
+	Alone bool   `json:"alone,omitempty"`
+}
+
+// Live tells whether its holder may still act on it.
+func (l *Lease) Live(clock uint64) bool { return l.ID != 0 && (l.Alone || clock < l.Until) }
+
+// Node is one name.
+type Node struct {
+	Name   string   `json:"name"`
+	Zone   string   `json:"zone"`
+	Addr   string   `json:"addr"`
+	Lease  Lease    `json:"lease"`
+	Since  uint64   `json:"since"` // its incarnation joined then
+	Seen   uint64   `json:"seen"`  // it was last heard then
+	Out    string   `json:"out,omitempty"`
+	OutAt  uint64   `json:"out_at,omitempty"`
+	Starts []uint64 `json:"starts,omitempty"` // when its last incarnations joined
+	Old    []Lease  `json:"old,omitempty"`    // earlier ones that may still be acted on
+}
+
+// Why a node is out.
+const (
+	Silent = "silent" // it was not heard for a lease's time
+	Left   = "left"   // it said so
+)
+
+// Join asks for a new incarnation.
+type Join struct {
+	Name  string `json:"name"`
+	Zone  string `json:"zone"`
+	Addr  string `json:"addr"`
+	Nonce string `json:"nonce"`
+}
+
+// Beat is one entry of the log: time that went by, and all that was heard meanwhile.
+type Beat struct {
+	Term   uint64   `json:"term"`  // of the leader that made it
+	No     uint64   `json:"no"`    // its beats in that term: with Term, whose beat it is
+	After  uint64   `json:"after"` // beats before it, as its leader knew them: else it counts for nothing
+	Span   uint64   `json:"ms"`    // since the beat before was applied at its leader
+	Floor  uint64   `json:"floor"` // what those under Renew promise
+	Renew  []uint32 `json:"renew,omitempty"`
+	Behind []uint32 `json:"behind,omitempty"` // heard, but they promise less
+	Join   []Join   `json:"join,omitempty"`
+	Bye    []uint32 `json:"bye,omitempty"`
+	Forget []string `json:"forget,omitempty"`
+}
+
+// Joined is the end of one asking to join.
+type Joined struct {
+	Nonce   string
+	Lease   uint32
+	Refused string
+	Wait    uint64 // ms after which to ask again
+}
+
+// Result is what came of a beat.
+type Result struct {
+	Counted  bool // false: another beat came between, and nothing of it counts
+	LeaseMS  uint64
+	Granted  map[uint32]bool // heard leases: true where it was extended
+	Joined   []Joined
+	Silenced []string // nodes counted out by it
+}
+
+// State is the fleet.
+type State struct {
+	Clock uint64 // ms
+	Beats uint64
+	Epoch uint64 // joins so far: a decision about all nodes names the one it was made in
+	Term  uint64
+	Heard uint64 // since when the leader of Term listens
+	next  uint32
+	nodes []*Node // by name
+	names map[string]*Node
+	lease map[uint32]*Node
+}
+
+// New gives an empty fleet.
+func New() *State { return &State{names: map[string]*Node{}, lease: map[uint32]*Node{}} }
+
+// Valid says what is wrong with a join before it is proposed.
+func (j *Join) Valid() error {
+	switch {
+	case !IsName(j.Name):
+		return fmt.Errorf("name: found %.50q, expected up to 40 letters, digits, '-', '_' and '.'", j.Name)
+	case !IsName(j.Zone):
+		return fmt.Errorf("zone: found %.50q, expected up to 40 letters, digits, '-', '_' and '.'", j.Zone)
+	case len(j.Addr) > maxWord:
+		return fmt.Errorf("addr: found %d bytes, expected at most %d", len(j.Addr), maxWord)
+	case len(j.Nonce) < 8 || len(j.Nonce) > maxWord:
+		return fmt.Errorf("nonce: found %d bytes, expected 8 to %d", len(j.Nonce), maxWord)
+	}
+	return nil
+}
+
+// IsName tells whether s can name a node or a zone.
+func IsName(s string) bool {
+	if s == "" || len(s) > 40 || s[0] == '-' || s[0] == '.' {
+		return false
+	}
+	for _, r := range s {
+		if !(r >= 'a' && r <= 'z' || r >= 'A' && r <= 'Z' || r >= '0' && r <= '9' || r == '-' || r == '_' || r == '.') {
+			return false
+		}
+	}
+	return true
+}
+
+// Apply plays one beat.
+func (s *State) Apply(b *Beat, term uint64, g Grant) Result {
+	r := Result{LeaseMS: g.LeaseMS, Granted: map[uint32]bool{}}
+	if b.After != s.Beats {
+		return r
+	}
+	r.Counted = true
+	s.Beats++
+	s.Clock += b.Span
+	if term != s.Term {
+		// A new leader has heard nobody yet: no silence from before it counts.
+		s.Term, s.Heard = term, s.Clock
+	}
+	for _, name := range b.Forget {
+		s.forget(name)
+	}
+	for _, id := range b.Renew {
+		if n := s.In(id); n != nil {
+			n.Seen = s.Clock
+			if b.Floor >= g.Need {
+				n.Lease.Floor = max(n.Lease.Floor, b.Floor)
+				n.Lease.Until, n.Lease.Alone = max(n.Lease.Until, s.Clock+Span(g.LeaseMS)), g.Alone
+				r.Granted[id] = true
+			} else {
+				r.Granted[id] = false
+			}
+		}
+	}
+	for _, id := range b.Behind {
+		if n := s.In(id); n != nil {
+			n.Seen = s.Clock
+			r.Granted[id] = false
+		}
+	}
+	for _, id := range b.Bye {
+		if n := s.lease[id]; n != nil {
+			s.out(n, Left)
+			n.Lease = Lease{Nonce: n.Lease.Nonce} // it serves no more, so nothing of it is left to wait for
+		}
+	}
+	for i := range b.Join {
+		j := s.join(&b.Join[i], g)
+		if j.Refused == "" {
+			r.Granted[j.Lease] = true
+		}
+		r.Joined = append(r.Joined, j)
+	}
+	s.age(&r, g)
+	return r
+}
+
+// In gives the node whose lease this is, if it is in; nil for an incarnation that was replaced or counted out.
+func (s *State) In(id uint32) *Node {
+	n := s.lease[id]
+	if n == nil || n.Out != "" || n.Lease.ID != id {
+		return nil
+	}
+	return n
+}
+
+func (s *State) out(n *Node, why string) {
+	if n.Out == "" {
+		n.Out, n.OutAt = why, s.Clock
+	}
+	delete(s.lease, n.Lease.ID)
+}
+
+// Flapping is answered with waits that grow: a name may join so often within flapSpan, then it waits for a
+// second, doubled each time, up to flapMost. Four covers a deploy and its rollback; half a minute lets a crash
+// loop cost the group two entries a minute.
+const (
+	flapFree = 4
+	flapSpan = 60_000
+	flapMost = 30_000
+)
+
+func (s *State) join(j *Join, g Grant) Joined {
+	n := s.names[j.Name]
+	if n != nil && n.Lease.Nonce == j.Nonce {
+		if n.Out != "" {
+			return Joined{Nonce: j.Nonce, Refused: "this incarnation was counted out; begin another"}
+		}
+		n.Seen = s.Clock // the same asking again: its answer was lost
+		if n.Lease.Floor >= g.Need {
+			n.Lease.Until, n.Lease.Alone = max(n.Lease.Until, s.Clock+Span(g.LeaseMS)), g.Alone
+		}
+		return Joined{Nonce: j.Nonce, Lease: n.Lease.ID}
+	}
+	if n == nil {
+		if len(s.nodes) >= MaxNodes && !s.drop() {
+			return Joined{Nonce: j.Nonce, Refused: fmt.Sprintf("%d nodes are known, expected at most %d",
+				len(s.nodes)+1, MaxNodes), Wait: flapMost}
+		}
+		n = &Node{Name: j.Name}
+		at := sort.Search(len(s.nodes), func(i int) bool { return s.nodes[i].Name >= j.Name })
+		s.nodes = append(s.nodes, nil)
+		copy(s.nodes[at+1:], s.nodes[at:])
+		s.nodes[at] = n
+		s.names[j.Name] = n
+	}
+	if wait := s.flaps(n); wait > 0 {
+		return Joined{Nonce: j.Nonce, Refused: fmt.Sprintf("%q began %d times within %d s", j.Name, len(n.Starts),
+			flapSpan/1000), Wait: wait}
+	}
+	if n.Lease.ID != 0 {
+		old := n.Lease
+		if old.Alone { // a new incarnation stands for its name: what went on alone under it has ended
+			old.Alone, old.Until = false, max(old.Until, s.Clock+Span(g.LeaseMS))
+		}
+		if old.Live(s.Clock) {
+			n.Old = append(n.Old, old)
+		}
+		delete(s.lease, n.Lease.ID)
+	}
+	for k := range n.Old {
+		if n.Old[k].Alone {
+			n.Old[k].Alone, n.Old[k].Until = false, max(n.Old[k].Until, s.Clock+Span(g.LeaseMS))
+		}
+	}
+	s.next++
+	s.Epoch++
+	n.Zone, n.Addr, n.Out, n.OutAt = j.Zone, j.Addr, "", 0
+	n.Lease = Lease{ID: s.next, Nonce: j.Nonce, Until: s.Clock + Span(g.LeaseMS), Floor: g.Need, Alone: g.Alone}
+	n.Since, n.Seen = s.Clock, s.Clock
+	n.Starts = append(n.Starts, s.Clock)
+	if len(n.Starts) > maxStarts {
+		n.Starts = n.Starts[1:]
+	}
+	s.lease[s.next] = n
+	return Joined{Nonce: j.Nonce, Lease: s.next}
+}
+
+// flaps gives how long a name has to wait before it may join again.
+func (s *State) flaps(n *Node) uint64 {
+	for len(n.Starts) > 0 && s.Clock-n.Starts[0] > flapSpan {
+		n.Starts = n.Starts[1:]
+	}
+	most := uint64(0)
+	if over := len(n.Starts) - flapFree; over >= 0 {
+		most = n.Starts[len(n.Starts)-1] + min(uint64(1000)<<over, flapMost)
+	}
+	if len(n.Old) >= maxOld {
+		most = max(most, n.Old[0].Until)
+	}
+	if most > s.Clock {
+		return most - s.Clock
+	}
+	return 0
+}
+
+// drop makes room for a name: of those that are out and owe nothing, the one out for longest.
+func (s *State) drop() bool {
+	var oldest *Node
+	for _, n := range s.nodes {
+		if n.Out != "" && len(n.Old) == 0 && !n.Lease.Live(s.Clock) && (oldest == nil || n.OutAt < oldest.OutAt) {
+			oldest = n
+		}
+	}
+	if oldest != nil {
+		s.forget(oldest.Name)
+	}
+	return oldest != nil
+}
+
+// forget takes a name off the list, with all that was waited for of it: an operator vouches that it is dead.
+func (s *State) forget(name string) {
+	n := s.names[name]
+	if n == nil {
+		return
+	}
+	delete(s.lease, n.Lease.ID)
+	delete(s.names, name)
+	at := sort.Search(len(s.nodes), func(i int) bool { return s.nodes[i].Name >= name })
+	s.nodes = append(s.nodes[:at], s.nodes[at+1:]...)
+}
+
+// age counts out who was not heard for a lease's time since the leader listens, and drops what has run out.
+func (s *State) age(r *Result, g Grant) {
+	for _, n := range s.nodes {
+		if n.Out == "" && s.Clock > max(n.Seen, s.Heard)+Span(g.LeaseMS) && s.Clock >= n.Lease.Until {
+			s.out(n, Silent)
+			r.Silenced = append(r.Silenced, n.Name)
+		}
+		kept := n.Old[:0]
+		for _, o := range n.Old {
+			if o.Live(s.Clock) {
+				kept = append(kept, o)
+			}
+		}
+		n.Old = kept
+	}
+}
+
+// Nodes gives all names, in order. They belong to the state: whoever looks must not keep or change them.
+func (s *State) Nodes() []*Node { return s.nodes }
+
+// Named finds one.
+func (s *State) Named(name string) *Node { return s.names[name] }
+
+// May tells whether any incarnation of a node may still serve under a version older than this.
+func (s *State) May(n *Node, version uint64) bool {
+	if n.Lease.Live(s.Clock) && n.Lease.Floor < version {
+		return true
+	}
+	for i := range n.Old {
+		if n.Old[i].Live(s.Clock) && n.Old[i].Floor < version {
+			return true
+		}
+	}
+	return false
+}
+
+// Under names the nodes of which some incarnation may still serve under a version older than this.
+func (s *State) Under(version uint64) (names []string) {
+	for _, n := range s.nodes {
+		if s.May(n, version) {
+			names = append(names, n.Name)
+		}
+	}
+	return names
+}
+
+// saved is the state as a snapshot keeps it.
+type saved struct {
+	Clock uint64  `json:"clock"`
+	Beats uint64  `json:"beats"`
+	Epoch uint64  `json:"epoch"`
+	Term  uint64  `json:"term"`
+	Heard uint64  `json:"heard"`
+	Next  uint32  `json:"next"`
+	Nodes []*Node `json:"nodes"`
+}
+
+// Save gives the state as JSON.
+func (s *State) Save() ([]byte, error) {
+	return json.Marshal(saved{s.Clock, s.Beats, s.Epoch, s.Term, s.Heard, s.next, s.nodes})
+}
+
+// Load reads what Save gave.
+func Load(raw []byte) (*State, error) {
+	var p saved
+	if err := json.Unmarshal(raw, &p); err != nil {
+		return nil, fmt.Errorf("a saved fleet: %w", err)
+	}
+	if len(p.Nodes) > MaxNodes {
+		return nil, fmt.Errorf("a saved fleet of %d nodes, expected at most %d", len(p.Nodes), MaxNodes)
+	}
+	s := New()
+	s.Clock, s.Beats, s.Epoch, s.Term, s.Heard, s.next = p.Clock, p.Beats, p.Epoch, p.Term, p.Heard, p.Next
+	for i, n := range p.Nodes {
+		if i > 0 && p.Nodes[i-1].Name >= n.Name {
+			return nil, fmt.Errorf("a saved fleet has %q after %q, expected them in order", n.Name, p.Nodes[i-1].Name)
+		}
+		s.nodes = append(s.nodes, n)
+		s.names[n.Name] = n
+		if n.Out == "" && n.Lease.ID != 0 {
+			s.lease[n.Lease.ID] = n
+		}
+	}
+	return s, nil
+}
--- /dev/null
+++ b/internal/fleet/wire.go
@@ -0,0 +1,41 @@
+package fleet
+
+// What nodes and the group say to each other, as JSON over HTTP/1.1. The types stand here because both sides
+// know them and this package drags nothing along.
+
+// Ask is what a node says. Without a lease it asks to join; with Renew it wants its lease extended, which goes
+// through the log; else it reports and is told what holds now.
+type Ask struct {
+	Join
+	Lease    uint32 `json:"lease,omitempty"`
+	Renew    bool   `json:"renew,omitempty"`
+	Bye      bool   `json:"bye,omitempty"`
+	Floor    uint64 `json:"floor"`  // it serves under nothing older, from the sending of this on
+	Serves   uint64 `json:"serves"` // the version taken over last
+	Fenced   string `json:"fenced,omitempty"`
+	Prepared uint64 `json:"prepared,omitempty"` // checked, tried, kept: can be taken over between two rounds
+	Refused  uint64 `json:"refused,omitempty"`  // a version it can't serve under
+	Why      string `json:"why,omitempty"`
+}
+
+// Named is a version and the hash of its text.
+type Named struct {
+	Version uint64 `json:"version"`
+	Hash    string `json:"hash,omitempty"`
+}
+
+// Told is the answer. All of it is as of entry Index of the log of Cluster.
+type Told struct {
+	Cluster string `json:"cluster"`
+	Term    uint64 `json:"term"`
+	Index   uint64 `json:"index"`
+	Lease   uint32 `json:"lease,omitempty"`
+	LeaseMS uint64 `json:"lease_ms,omitempty"` // above 0: extended, from the sending of the asking on
+	Alone   bool   `json:"alone,omitempty"`    // past the lease it may go on alone
+	Gone    string `json:"gone,omitempty"`     // the incarnation counts no more: begin another
+	Wait    uint64 `json:"wait_ms,omitempty"`  // it may not join yet
+	Need    uint64 `json:"need"`               // decided: nothing older may be served under
+	Force   Named  `json:"force"`              // in force: may be served under
+	Prepare Named  `json:"prepare"`            // being prepared; 0: none
+	Again   uint64 `json:"again_ms"`           // when to ask next
+}
--- /dev/null
+++ b/internal/lab/vfleet_test.go
@@ -0,0 +1,88 @@
+package lab
+
+import (
+	"fmt"
+	"os"
+	"strconv"
+	"testing"
+
+	"umberwinch/internal/policy"
+)
+
+// TestFleetSchedules plays schedules of troubles in virtual time and holds each to all promises.
+func TestFleetSchedules(t *testing.T) {
+	n := 60
+	if s := os.Getenv("UMBERWINCH_SCHEDULES"); s != "" {
+		n, _ = strconv.Atoi(s)
+	}
+	ends := map[string]int{}
+	for seed := 1; seed <= n; seed++ {
+		w := NewVFleet(FleetPlan{Seed: int64(seed), Nodes: 12, Ctl: 3, Changes: 5})
+		w.Play()
+		if w.Broken != "" {
+			t.Fatalf("seed %d: %s", seed, w.Broken)
+		}
+		for k, v := range w.Ends {
+			ends[k] += v
+		}
+	}
+	t.Log(fmt.Sprint(ends))
+	if ends["settled"] < n || ends["called off"] == 0 {
+		t.Errorf("%v: expected changes that settled and some that were called off", ends)
+	}
+}
+
+// TestFleetGuards takes each guard out: a promise has to break on some schedule, or it is not checked.
+func TestFleetGuards(t *testing.T) {
+	for _, name := range policy.GuardNames() {
+		g, err := policy.GuardNamed(name)
+		if err != nil {
+			t.Fatal(err)
+		}
+		broken := ""
+		for seed := int64(1); seed <= 60 && broken == ""; seed++ {
+			w := NewVFleet(FleetPlan{Seed: seed, Nodes: 12, Ctl: 3, Changes: 5, Without: g})
+			w.Play()
+			broken = w.Broken
+		}
+		if broken == "" {
+			t.Errorf("without %s no promise broke", name)
+		} else {
+			t.Logf("without %s: %s", name, broken)
+		}
+	}
+}
+
+// TestWrongHistories holds the checker to histories that are wrong on purpose.
+func TestWrongHistories(t *testing.T) {
+	good := []FleetEvent{{At: 0, Kind: "serves", Node: "a", Version: 1}, {At: 0, Kind: "serves", Node: "b", Version: 1},
+		{At: 100, Kind: "decided", Version: 2, From: 1}, {At: 100, Kind: "forced", Version: 2},
+		{At: 120, Kind: "serves", Node: "a", Version: 2}, {At: 150, Kind: "stops", Node: "b"},
+		{At: 160, Kind: "serves", Node: "b", Version: 2}, {At: 200, Kind: "settled", Version: 2},
+		{At: 300, Kind: "off", Version: 3, From: 2}}
+	first := []FleetEvent{{At: -10, Kind: "decided", Version: 1}, {At: -10, Kind: "forced", Version: 1}}
+	p := FleetPromises{Overlap: 50, Fences: true}
+	if broken, overlap := CheckFleet(append(first, good...), p); broken != "" || overlap != 30 {
+		t.Fatalf("the right history: %q, overlap %d", broken, overlap)
+	}
+	for what, more := range map[string][]FleetEvent{
+		"back to an older version":    {{At: 170, Kind: "serves", Node: "a", Version: 1}},
+		"before it was decided":       {{At: 50, Kind: "serves", Node: "c", Version: 2}},
+		"called off and served":       {{At: 310, Kind: "serves", Node: "c", Version: 3}},
+		"decided and called off":      {{At: 310, Kind: "off", Version: 2}},
+		"called off and decided":      {{At: 310, Kind: "decided", Version: 3, From: 2}},
+		"older after it was settled":  {{At: 90, Kind: "serves", Node: "c", Version: 1}, {At: 210, Kind: "stops", Node: "c"}},
+		"older for longer than bound": {{At: 90, Kind: "serves", Node: "c", Version: 1}, {At: 180, Kind: "stops", Node: "c"}},
+		"settled and never decided":   {{At: 320, Kind: "settled", Version: 4}},
+		"in a version nobody decided": {{At: 320, Kind: "serves", Node: "c", Version: 9}},
+		"overlap in an exclusive change": {{At: 400, Kind: "decided", Version: 5, From: 2, Excl: true},
+			{At: 400, Kind: "forced", Version: 5}, {At: 410, Kind: "serves", Node: "a", Version: 5},
+			{At: 420, Kind: "serves", Node: "b", Version: 5}},
+		"in force only later": {{At: 400, Kind: "decided", Version: 5, From: 2}, {At: 450, Kind: "forced", Version: 5},
+			{At: 410, Kind: "serves", Node: "a", Version: 5}},
+	} {
+		if broken, _ := CheckFleet(append(append(append([]FleetEvent{}, first...), good...), more...), p); broken == "" {
+			t.Errorf("%s: not found", what)
+		}
+	}
+}
--- /dev/null
+++ b/internal/member/member.go
@@ -0,0 +1,393 @@
+// Package member is a node's side of the fleet: the lease it holds, what it was told, the version it serves under
+// and the next one, and whether it may serve at all. It decides; whoever drives it has the clock, the sockets and
+// the disk. Now is always ms of a clock that goes on while the process is stopped and is not set by anybody.
+//
+// A node acts on what it was told only while it can prove that it still holds: its lease runs from the sending of
+// the asking that brought it. Without that it serves nothing (fenced), or goes on under what it serves where the
+// version in force says so (alone). It never goes back to an older version, and serves none that it was not told
+// is in force.
+package member
+
+import (
+	"encoding/binary"
+	"fmt"
+	"hash/crc32"
+
+	"umberwinch/internal/fleet"
+	"umberwinch/internal/policy"
+)
+
+// Times, in ms.
+const (
+	askLeast   = 50     // between two askings
+	askWithin  = 1500   // for an answer; a beat goes out each half second, and a commit takes some ms
+	askLittle  = 800    // the same under a short lease, so that one lost asking does not cost it
+	backFirst  = 100    // first wait before an address is tried again, which doubles
+	backMost   = 5000   // and its bound
+	lieBack    = 60_000 // for one that said what can't be
+	aloneAfter = 3000   // of nobody answering before a start goes on alone by its record
+)
+
+// Plan is what a node is told at its start.
+type Plan struct {
+	Name, Zone, Addr string
+	Control          []string // addresses of instances
+	Nonce            string   // drawn anew at each start
+	Seed             uint32   // of the jitter
+	Without          policy.Guard
+}
+
+// Record is what a node with a disk keeps.
+type Record struct {
+	Cluster  string `json:"cluster"`
+	Version  uint64 `json:"version"` // served under last
+	Hash     string `json:"hash"`
+	Text     string `json:"text"`
+	Alone    bool   `json:"alone"` // that version's rule
+	Floor    uint64 `json:"floor"`
+	Prepared uint64 `json:"prepared"`
+	Next     string `json:"next"` // text of the prepared one
+	NextHash string `json:"next_hash"`
+}
+
+// control is one address of the group.
+type control struct {
+	addr  string
+	wait  uint64
+	again uint64 // not before then
+}
+
+// Member is a node's state.
+type Member struct {
+	plan    Plan
+	at      int // address in use
+	ctl     []control
+	draws   uint32
+	starts  int // incarnations of this life
+	cluster string
+	term    uint64
+	index   uint64
+	lease   uint32
+	until   uint64 // it may act on the lease before then
+	length  uint64 // of the lease
+	floor   uint64 // nothing older may be served under
+	force   fleet.Named
+	next    fleet.Named // being prepared
+	cur     uint64      // served under
+	alone   bool        // cur's rule
+	due     uint64      // when to ask next
+	renewAt uint64
+	asking  bool
+	askNo   uint64 // counts askings: an answer names the one it is for
+	sent    uint64
+	renews  bool // the asking that is out wants more time
+	born    uint64
+	met     bool // the group was heard in this life
+	start   bool // may begin alone by its record
+	kept    fleet.Named
+
+	ready   map[uint64]string // versions that can be taken over, with their hashes; two at most
+	tried   uint64            // the version whose trial was begun last
+	refused uint64
+	why     string
+	bye     bool
+}
+
+// New begins a life. kept is what the disk held, nil without.
+func New(plan Plan, kept *Record, now uint64) *Member {
+	m := &Member{plan: plan, born: now, due: now, ready: map[uint64]string{}}
+	for _, a := range plan.Control {
+		m.ctl = append(m.ctl, control{addr: a})
+	}
+	m.at = int(m.draw() % uint32(max(1, len(m.ctl)))) // so that a fleet does not begin at one
+	if kept != nil {
+		m.cluster, m.floor = kept.Cluster, kept.Floor
+		if kept.Version > 0 {
+			m.kept = fleet.Named{Version: kept.Version, Hash: kept.Hash}
+			m.ready[kept.Version] = kept.Hash
+			m.start = kept.Alone
+		}
+		if kept.Prepared > kept.Version {
+			m.ready[kept.Prepared] = kept.NextHash
+		}
+	}
+	return m
+}
+
+// draw gives chance from the node's own seed.
+func (m *Member) draw() uint32 {
+	m.draws++
+	var raw [8]byte
+	binary.LittleEndian.PutUint32(raw[:], m.plan.Seed)
+	binary.LittleEndian.PutUint32(raw[4:], m.draws)
+	return crc32.ChecksumIEEE(raw[:])
+}
+
+// May tells whether the node may serve now, and if not why.
+func (m *Member) May(now uint64) (bool, string) {
+	switch {
+	case m.plan.Without.Has(policy.Fence) && m.lease != 0:
+		return true, ""
+	case m.cur < m.floor && !m.plan.Without.Has(policy.NoWayBack):
+		return false, fmt.Sprintf("version %d is decided and not taken over yet", m.floor)
+	case m.lease != 0 && now < m.until:
+		return true, ""
+	case m.alone && m.met || m.start && !m.met && m.cur > 0:
+		return true, ""
+	case m.lease == 0 && !m.met:
+		return false, "the group was not heard yet"
+	case m.lease == 0:
+		return false, "it has no lease"
+	}
+	return false, "its lease has run out"
+}
+
+// Alone tells whether it serves without a lease.
+func (m *Member) Alone(now uint64) bool {
+	ok, _ := m.May(now)
+	return ok && !(m.lease != 0 && now < m.until)
+}
+
+// Serves, Floor, Until and InForce show the state.
+func (m *Member) Serves() uint64  { return m.cur }
+func (m *Member) Floor() uint64   { return m.floor }
+func (m *Member) Until() uint64   { return m.until }
+func (m *Member) InForce() uint64 { return m.force.Version }
+func (m *Member) Lease() uint32   { return m.lease }
+func (m *Member) Cluster() string { return m.cluster }
+
+// Address gives the instance to speak with.
+func (m *Member) Address() string {
+	if len(m.ctl) == 0 {
+		return ""
+	}
+	return m.ctl[m.at].addr
+}
+
+// Due gives when Ask will have something to send.
+func (m *Member) Due() uint64 {
+	if m.asking {
+		return m.sent + m.Within()
+	}
+	return max(m.due, m.ctl[m.at].again)
+}
+
+// Within is how long an asking may take, in ms.
+func (m *Member) Within() uint64 {
+	if m.length == 0 {
+		return askWithin
+	}
+	return min(max(m.length/4, askLittle), askWithin)
+}
+
+// Ask gives what is to be sent now to Address, if anything is due, and its number.
+func (m *Member) Ask(now uint64) (a fleet.Ask, no uint64, due bool) {
+	if m.asking || len(m.ctl) == 0 || now < m.Due() {
+		return a, 0, false
+	}
+	m.asking, m.sent = true, now
+	m.askNo++
+	a = fleet.Ask{Join: fleet.Join{Name: m.plan.Name, Zone: m.plan.Zone, Addr: m.plan.Addr, Nonce: m.nonce()},
+		Lease: m.lease, Floor: m.floor, Serves: m.cur, Refused: m.refused, Why: m.why}
+	if _, ok := m.ready[m.next.Version]; ok && m.next.Version != 0 {
+		a.Prepared = m.next.Version
+	}
+	if ok, why := m.May(now); !ok {
+		a.Fenced = why
+	}
+	switch {
+	case m.bye:
+		a.Bye, a.Renew = true, false
+	case m.lease != 0 && now >= m.renewAt:
+		a.Renew = true
+	}
+	m.renews = a.Renew || m.lease == 0
+	return a, m.askNo, true
+}
+
+func (m *Member) nonce() string { return fmt.Sprintf("%s-%d", m.plan.Nonce, m.starts) }
+
+// Answered takes the answer to an asking. An error says why it was not believed. One that comes after its asking was
+// given up is not looked at: what it grants runs from a sending that is not the last one's.
+func (m *Member) Answered(now, no uint64, t fleet.Told) error {
+	if !m.asking || no != m.askNo {
+		return nil
+	}
+	m.asking = false
+	if err, lies := m.doubt(&t); err != nil {
+		m.leave(now, map[bool]uint64{true: lieBack}[lies])
+		return err
+	}
+	was := m.floor
+	m.ctl[m.at].wait, m.ctl[m.at].again = 0, 0
+	m.cluster, m.term, m.index, m.met = t.Cluster, t.Term, t.Index, true
+	if !m.plan.Without.Has(policy.NoWayBack) {
+		m.floor = max(m.floor, t.Need)
+	}
+	if t.Force.Version >= m.force.Version || m.plan.Without.Has(policy.NoWayBack) {
+		m.force = t.Force
+	}
+	if m.next != t.Prepare {
+		m.next = t.Prepare
+		if m.refused != t.Prepare.Version {
+			m.refused, m.why = 0, ""
+		}
+	}
+	if m.cur == m.force.Version {
+		m.alone = t.Alone
+	}
+	m.due = now + max(askLeast, t.Again) + uint64(m.draw())%max(1, t.Again/8)
+	switch {
+	case m.bye:
+		m.lease, m.until = 0, 0
+	case t.Gone != "":
+		// Begun anew: what this incarnation was told about time counts no more.
+		if m.lease != 0 || t.Wait == 0 {
+			m.starts++
+		}
+		m.lease, m.until = 0, 0
+		m.due = now + max(askLeast, t.Wait)
+	case t.LeaseMS > 0:
+		m.lease, m.length = t.Lease, t.LeaseMS
+		m.until = max(m.until, m.sent+t.LeaseMS)
+		m.renewAt = m.sent + t.LeaseMS/4
+	case t.Lease != 0 && m.lease == 0: // taken in, but without time: what it asks next brings some
+		m.lease = t.Lease
+	}
+	if m.lease != 0 {
+		if m.renewAt > now {
+			m.due = min(m.due, m.renewAt)
+		}
+		if m.renews && t.LeaseMS == 0 {
+			m.renewAt = now // its promise came too late; it makes a newer one now
+		}
+		if m.floor > was || m.renewAt <= now {
+			m.due = now + askLeast
+		}
+	}
+	m.prune()
+	return nil
+}
+
+// doubt tells what is wrong with an answer: from an instance that is behind what was seen, which may catch up, or
+// from another group or at odds with itself, which is a lie.
+func (m *Member) doubt(t *fleet.Told) (err error, lies bool) {
+	back := m.plan.Without.Has(policy.NoWayBack)
+	switch {
+	case t.Cluster == "":
+		return fmt.Errorf("an answer without a group"), true
+	case m.cluster != "" && t.Cluster != m.cluster:
+		return fmt.Errorf("an answer of group %.16s, expected %.16s", t.Cluster, m.cluster), true
+	case t.Force.Version > t.Need:
+		return fmt.Errorf("an answer with version %d in force and %d decided", t.Force.Version, t.Need), true
+	case t.Term < m.term || t.Index < m.index && !back:
+		return fmt.Errorf("an answer as of term %d and entry %d, expected %d and %d at least", t.Term, t.Index, m.term,
+			m.index), false
+	case t.Need < m.floor && !back:
+		return fmt.Errorf("an answer with version %d decided, expected %d at least", t.Need, m.floor), false
+	}
+	return nil, false
+}
+
+// Failed tells that an asking had no answer that could be read.
+func (m *Member) Failed(now, no uint64) {
+	if m.asking && no == m.askNo {
+		m.asking = false
+		m.leave(now, 0)
+	}
+}
+
+// leave turns to another instance: the one that may be asked soonest, the next in the list first.
+func (m *Member) leave(now, least uint64) {
+	c := &m.ctl[m.at]
+	c.wait = min(max(2*c.wait, backFirst), backMost)
+	back := max(c.wait, least)
+	c.again = now + back/2 + uint64(m.draw())%(back/2+1)
+	best := m.at
+	for k := 1; k <= len(m.ctl); k++ {
+		if o := (m.at + k) % len(m.ctl); m.ctl[o].again < m.ctl[best].again || k == 1 {
+			best = o
+		}
+	}
+	m.at = best
+	m.due = now
+}
+
+// Want gives the version whose text is needed now, with its hash; decided tells that it has to be taken whatever
+// its trial says.
+func (m *Member) Want() (v fleet.Named, decided, ok bool) {
+	if m.force.Version > m.cur && !m.has(m.force) && m.refused != m.force.Version {
+		return m.force, true, true
+	}
+	if m.next.Version > m.cur && !m.has(m.next) && m.refused != m.next.Version {
+		return m.next, false, true
+	}
+	return fleet.Named{}, false, false
+}
+
+func (m *Member) has(v fleet.Named) bool { return m.ready[v.Version] == v.Hash && v.Hash != "" }
+
+// Prepared tells that a version was checked, tried and kept.
+func (m *Member) Prepared(now uint64, v fleet.Named) {
+	m.ready[v.Version] = v.Hash
+	m.due = min(m.due, now)
+	m.prune()
+}
+
+// Refuse tells that the node can't serve under a version.
+func (m *Member) Refuse(now uint64, version uint64, why string) {
+	m.refused, m.why, m.due = version, why, min(m.due, now)
+}
+
+// Take gives the version to be taken over now, if there is one: in force, prepared, and newer than what is served.
+func (m *Member) Take(now uint64) (v fleet.Named, ok bool) {
+	if m.start && !m.met && m.cur == 0 && now >= m.born+aloneAfter && m.kept.Version >= m.floor {
+		return m.kept, true
+	}
+	if (m.force.Version > m.cur || m.plan.Without.Has(policy.NoWayBack) && m.force.Version != m.cur) && m.has(m.force) {
+		return m.force, true
+	}
+	return fleet.Named{}, false
+}
+
+// Took tells that the loop serves under a version from now on.
+func (m *Member) Took(now uint64, v fleet.Named, alone bool) {
+	m.cur, m.alone = v.Version, alone
+	m.floor = max(m.floor, v.Version)
+	m.due = min(m.due, now)
+	m.prune()
+}
+
+// prune keeps what can still be needed of the versions at hand.
+func (m *Member) prune() {
+	for n := range m.ready { // each is judged alone
+		if n != m.cur && n != m.force.Version && n != m.next.Version && m.met {
+			delete(m.ready, n)
+		}
+	}
+}
+
+// Leave says goodbye: the group need not wait for a lease that nobody acts on.
+func (m *Member) Leave(now uint64) {
+	if m.lease != 0 && !m.bye {
+		m.bye, m.due = true, now
+	}
+}
+
+// Forget tells that a version is not at hand after all: it is wanted again.
+func (m *Member) Forget(version uint64) {
+	delete(m.ready, version)
+	if m.kept.Version == version {
+		m.start = false
+	}
+}
+
+// Ready tells whether a version can be taken over.
+func (m *Member) Ready(version uint64) bool { _, ok := m.ready[version]; return ok }
+
+// TimedOut gives up an asking whose time is over, for whoever drives it without a deadline of its own.
+func (m *Member) TimedOut(now uint64) {
+	if m.asking && now >= m.sent+m.Within() {
+		m.Failed(now, m.askNo)
+	}
+}
--- /dev/null
+++ b/internal/operator/fleet.go
@@ -0,0 +1,61 @@
+package operator
+
+import (
+	"os"
+	"strconv"
+	"strings"
+)
+
+// Fleet is what a node is told of the fleet it serves in. Without a [fleet] section it serves alone, as ever.
+type Fleet struct {
+	Control []string // where instances of the control service listen for clients
+	Name    string   // empty: the platform's
+	Zone    string
+	Folder  string // kept there: the version served under and the one prepared; empty: nothing is
+	NoTrial bool   // for the laboratory alone, as is Without
+	Without []string
+}
+
+// withoutEnv names guards to be taken out, for the laboratory alone.
+const withoutEnv = "UMBERWINCH_WITHOUT"
+
+// maxControl bounds the list; a group has 15 members at most.
+const maxControl = 15
+
+func readFleet(t *Text) *Fleet {
+	if !t.Has("fleet") {
+		return nil
+	}
+	f := &Fleet{Control: t.List("fleet", "control"), Name: t.String("fleet", "name", ""),
+		Zone: t.Needed("fleet", "zone", "the zone this node is in"), Folder: t.String("fleet", "folder", "")}
+	if len(f.Control) == 0 || len(f.Control) > maxControl {
+		t.Note("fleet", "control", strconv.Itoa(len(f.Control))+" addresses", "1 to 15 of IP:PORT, parted by commas")
+	}
+	for _, a := range f.Control {
+		if !IsAddress(a) {
+			t.Note("fleet", "control", strconv.Quote(clip(a)), "IP:PORT")
+		} else if !Loopback(a) {
+			// The node speaks plain HTTP/1.1: beyond this machine a local forwarder has to carry it.
+			t.Note("fleet", "control", strconv.Quote(a), "a loopback address: a node's askings are not encrypted")
+		}
+	}
+	if f.Zone != "" && !IsName(f.Zone) {
+		t.Note("fleet", "zone", strconv.Quote(clip(f.Zone)), "up to 40 letters, digits, '-', '_' and '.'")
+	}
+	if f.Name != "" && !IsName(f.Name) {
+		t.Note("fleet", "name", strconv.Quote(clip(f.Name)), "up to 40 letters, digits, '-', '_' and '.'")
+	}
+	if f.Folder != "" {
+		if info, err := os.Stat(f.Folder); err != nil || !info.IsDir() {
+			t.Note("fleet", "folder", strconv.Quote(clip(f.Folder)), "a folder that is there")
+		}
+	}
+	for _, word := range strings.Split(os.Getenv(withoutEnv), ",") {
+		if word == "shadow" {
+			f.NoTrial = true
+		} else if word == "fence" || word == "no-way-back" {
+			f.Without = append(f.Without, word)
+		}
+	}
+	return f
+}
--- a/internal/operator/node.go
+++ b/internal/operator/node.go
@@ -12,6 +12,7 @@
 	LogFrom string
 	Pools   []Pool // none: no pools
 	Reserve bool   // the class with the least work takes a slot first while it waits
+	Fleet   *Fleet // nil: the node serves alone
 
 	text *Text
 }
@@ -36,7 +37,7 @@
 func readNode(t *Text) (*Node, error) {
 	n := &Node{LogForm: t.Choice("log", "form", "text", "text", "json"),
 		LogFrom: t.Choice("log", "from", "info", "debug", "info", "warning", "error"),
-		Reserve: t.Flag("pools", "reserve", true), text: t}
+		Reserve: t.Flag("pools", "reserve", true), Fleet: readFleet(t), text: t}
 	floors := 0.0
 	for _, name := range t.Names("pool") {
 		s := "pool " + name
