The group's log holds entries of kinds, risen to by level, and serves nodes of a fleet

A proposal under rules that an instance did not know stopped it, so a group on two builds fell over. Entries have a kind now, and no new kind or numbering of rules is proposed before each member has told that it knows it; the level is in the log and never goes down. On it stand the nodes' askings (POST /v1/nodes, handed on to the leader), changes of policy and their view.

--- a/internal/consensus/api.go
+++ b/internal/consensus/api.go
@@ -19,13 +19,13 @@
 	"golang.org/x/net/netutil"
 	"golang.org/x/sync/semaphore"
 
-	"umberwinch/internal/conf"
 	"umberwinch/internal/logs"
+	"umberwinch/internal/steward"
 )
 
 // Bounds of the clients' side.
 const (
-	maxClients     = 512
+	maxClients     = 6000 // a fleet's nodes keep a connection each; some ten KB each
 	maxWatchers    = 256
 	maxHead        = 8 << 10
 	maxBodies      = 64 << 20 // of puts in hand together: what a client may still send counts from the start
@@ -85,6 +85,7 @@
 	server   *http.Server
 	watchers atomic.Int64
 	bodies   *semaphore.Weighted
+	relay    *http.Client // to the leader, for what only it can answer
 	ending   context.Context
 	end      context.CancelFunc
 }
@@ -95,7 +96,7 @@
 	if err != nil {
 		return nil, err
 	}
-	a := &API{group: g, bodies: semaphore.NewWeighted(maxBodies)}
+	a := &API{group: g, bodies: semaphore.NewWeighted(maxBodies), relay: g.trust.client()}
 	a.ending, a.end = context.WithCancel(context.Background())
 	mux := http.NewServeMux()
 	mux.HandleFunc("GET /v1/self", a.self)
@@ -106,6 +107,7 @@
 	mux.HandleFunc("GET /v1/watch", a.watch)
 	mux.HandleFunc("POST /v1/members", a.mayChange(a.members))
 	mux.HandleFunc("GET /v1/snapshot", a.mayChange(a.snapshot))
+	a.nodesRoutes(mux)
 	mux.Handle("GET /metrics", promhttp.HandlerFor(g.meters.registry, promhttp.HandlerOpts{}))
 	a.server = &http.Server{Handler: a.headed(mux), ReadHeaderTimeout: headWithin, ReadTimeout: bodyWithin,
 		MaxHeaderBytes: maxHead, IdleTimeout: time.Minute,
@@ -199,7 +201,8 @@
 // failed gives an error of the group's its status.
 func (a *API) failed(w http.ResponseWriter, err error) {
 	switch {
-	case errors.Is(err, ErrBusy), errors.Is(err, ErrLate), errors.Is(err, ErrGone), errors.Is(err, ErrBarred),
+	case errors.Is(err, steward.ErrBusy), errors.Is(err, steward.ErrNoLead), errors.Is(err, ErrLevel),
+		errors.Is(err, ErrNoLeader), errors.Is(err, ErrBusy), errors.Is(err, ErrLate), errors.Is(err, ErrGone), errors.Is(err, ErrBarred),
 		errors.Is(err, raft.ErrProposalDropped):
 		a.fail(w, http.StatusServiceUnavailable, err)
 	case errors.Is(err, ErrRoom):
@@ -267,6 +270,7 @@
 		return
 	}
 	w.Header().Set("Content-Type", "application/json")
+	w.Header().Set("Content-Length", strconv.Itoa(len(line)+1)) // nodes read no chunks
 	w.Write(append(line[:len(line):len(line)], '\n'))
 }
 
@@ -293,7 +297,6 @@
 		return
 	}
 	p.At = time.Now().UnixMilli()
-	p.Rules = conf.Rules
 	ctx, cancel := context.WithTimeout(r.Context(), answerWithin)
 	defer cancel()
 	end, err := a.group.Put(ctx, p)
--- a/internal/consensus/group.go
+++ b/internal/consensus/group.go
@@ -16,6 +16,8 @@
 
 	"umberwinch/internal/logs"
 	"umberwinch/internal/operator"
+	"umberwinch/internal/policy"
+	"umberwinch/internal/steward"
 	"umberwinch/internal/wal"
 )
 
@@ -81,6 +83,8 @@
 	ended   sync.Once
 	err     error
 	meters  *meters
+	steward *steward.Steward
+	steerAt time.Time
 
 	puts    map[putKey][]*waiter
 	waiting int
@@ -129,6 +133,7 @@
 type Faults struct {
 	Point func(step string)   // hears of each step of Work
 	Disk  func(wal.FS) wal.FS // stands between the log and its folder
+	Fleet policy.Guard        // guards about nodes that are taken out
 }
 
 // Start opens the folder and begins to serve peers.
@@ -139,13 +144,14 @@
 	}
 	g := &Group{control: c, log: log, inbox: make(chan *pb.Message, maxInbox), asks: make(chan func(), maxAsked),
 		notes: make(chan func(), maxInbox), saves: make(chan saveEnd, 1), done: make(chan struct{}),
-		quit: make(chan struct{}), puts: map[putKey][]*waiter{}, reads: map[uint64][]*waiter{}}
+		quit: make(chan struct{}), puts: map[putKey][]*waiter{}, reads: map[uint64][]*waiter{},
+		steward: steward.New(faults.Fleet), steerAt: time.Now()}
 	g.meters = newMeters(g)
 	if g.trust, err = newTrust(c.Cert, c.Key, c.CA); err != nil {
 		return nil, err
 	}
 	plan := PlanOf(c)
-	plan.Logger, plan.Point = raftLog{log}, faults.Point
+	plan.Logger, plan.Point, plan.Guards = raftLog{log}, faults.Point, faults.Fleet
 	var disk wal.FS = dir
 	if faults.Disk != nil {
 		disk = faults.Disk(dir)
@@ -266,6 +272,7 @@
 		}
 		delete(g.puts, key)
 	}
+	g.told(out.Nodes)
 	if out.Applied || len(out.Reads) > 0 {
 		g.publish()
 	}
@@ -288,6 +295,7 @@
 func (g *Group) tick() {
 	g.ticks++
 	g.rep.Tick()
+	g.steer(g.passed())
 	again := uint64(g.control.Elect)
 	var late []*waiter
 	for id, ws := range g.reads {
--- a/internal/consensus/identity.go
+++ b/internal/consensus/identity.go
@@ -24,6 +24,8 @@
 	Last uint64 `json:"last"` // entry of its log
 	To   uint64 `json:"to"`   // who it is meant for, 0 where the opener does not know
 	Bulk bool   `json:"bulk,omitempty"`
+	// Level is what its program knows; one from before there were levels says nothing.
+	Level int `json:"level,omitempty"`
 }
 
 // Reasons to refuse a hello. Those about the other itself end its part in the group.
@@ -33,6 +35,7 @@
 	removedOnce  = "it was removed from the group"
 	oldCopy      = "its folder is an old copy, or is in use twice"
 	itIsBarred   = "it takes no part any more"
+	olderProgram = "its program is older than what the group's log holds"
 )
 
 // Ends tells whether a refusal means that whoever was refused must take no further part.
@@ -48,6 +51,8 @@
 	seen    map[uint64]start
 	said    map[uint64]saying
 	removed func(id uint64) bool
+	level   func() int     // the group's
+	levels  map[uint64]int // what others said they know, in this life
 }
 
 // saying is the highest term another spoke in, and the last entry it said in that term to hold like its
@@ -86,6 +91,11 @@
 		return otherCluster, false
 	case a.own.Cluster == "" && (h.Cluster == "" || h.To != a.own.ID):
 		return otherCluster, false // one that waits is taken in by whoever knows its id, and by nobody else
+	case max(h.Level, LevelVersions) < a.level():
+		return olderProgram, false
+	}
+	if len(a.levels) < maxSeen || a.levels[h.ID] > 0 {
+		a.levels[h.ID] = max(h.Level, LevelVersions)
 	}
 	if a.own.Cluster == "" {
 		a.own.Cluster, learnt = h.Cluster, true
@@ -124,7 +134,8 @@
 }
 
 func readAcquaintance(own, seen []byte) (*Acquaintance, error) {
-	a := &Acquaintance{seen: map[uint64]start{}, said: map[uint64]saying{}}
+	a := &Acquaintance{seen: map[uint64]start{}, said: map[uint64]saying{}, levels: map[uint64]int{},
+		level: func() int { return LevelVersions }}
 	if err := json.Unmarshal(own, &a.own); err != nil {
 		return nil, fmt.Errorf("this instance's identity: %w", err)
 	}
--- a/internal/consensus/machine.go
+++ b/internal/consensus/machine.go
@@ -9,6 +9,8 @@
 	"strings"
 
 	"umberwinch/internal/conf"
+	"umberwinch/internal/policy"
+	"umberwinch/internal/steward"
 )
 
 // Bounds of the replicated state, the same at every instance since what is let go of has to be the same.
@@ -32,6 +34,7 @@
 	At     int64  `json:"at_ms"` // the proposer's wall clock: for people, nothing hangs on it
 	Index  uint64 `json:"index"`
 	Term   uint64 `json:"term"`
+	Rules  int    `json:"rules,omitempty"` // it was judged by, 0 for the first
 	Text   string `json:"text,omitempty"`
 }
 
@@ -104,11 +107,39 @@
 	used     *list.List // of *session, the longest unused first
 	members  []Member   // by id
 	removed  []uint64   // oldest first
+	level    int        // of the program: what entries may be proposed
+	knows    int        // up to which level this instance's program can tell entries
+	nodes    *steward.Part
+}
+
+// Levels of the program. A group has the least of its members', raised by an entry once all have said what they know,
+// and never lowered.
+const (
+	LevelVersions = 1 // versions and members
+	LevelFleet    = 2 // nodes, changes of policy, documents with [fleet]
+	LevelKnown    = LevelFleet
+)
+
+// rulesAt is the numbering of a document's rules at a level.
+func rulesAt(level int) int { return min(level, conf.Rules) }
+
+// Last, Text are how the part about nodes sees versions.
+func (m *Machine) Last() uint64 { return m.last() }
+
+func (m *Machine) Text(number uint64) (text, hash string, ok bool) {
+	if number < m.first || number > m.last() {
+		return "", "", false
+	}
+	v, err := ReadVersion(m.lines[number-m.first])
+	if err != nil {
+		return "", "", false
+	}
+	return v.Text, v.Hash, true
 }
 
 func newMachine(cluster string, without Guard) *Machine {
 	return &Machine{without: without, cluster: cluster, first: 1, sessions: map[string]*list.Element{},
-		used: list.New()}
+		used: list.New(), level: LevelVersions, knows: LevelKnown, nodes: steward.NewPart(policy.Guard(0))}
 }
 
 // last gives the number of the version in force, 0 before the first.
@@ -162,7 +193,7 @@
 	if p.Base != m.last() && !m.without.Has(CompareAndSet) {
 		return Answer{Conflict, m.last(), fmt.Sprintf("made from version %d, expected %d", p.Base, m.last())}
 	}
-	next, err := conf.Parse("document", []byte(p.Text))
+	next, err := conf.ParseUnder(p.Rules, "document", []byte(p.Text))
 	if err == nil {
 		err = next.Follows(m.current)
 	}
@@ -178,7 +209,10 @@
 	if hash == m.hash {
 		return Answer{Unchanged, m.last(), ""}
 	}
-	v := Version{m.last() + 1, m.last(), hash, p.Author, p.Reason, p.At, index, term, string(text)}
+	v := Version{m.last() + 1, m.last(), hash, p.Author, p.Reason, p.At, index, term, 0, string(text)}
+	if p.Rules > 1 {
+		v.Rules = p.Rules
+	}
 	line, err := json.Marshal(&v)
 	if err != nil {
 		return Answer{Refused, m.last(), err.Error()}
@@ -326,6 +360,9 @@
 	Sessions int      `json:"sessions"`
 	Members  []Member `json:"members"`
 	Removed  []uint64 `json:"removed"`
+	Level    int      `json:"level,omitempty"`
+	// Nodes is the part about nodes, once there is one.
+	Nodes json.RawMessage `json:"nodes,omitempty"`
 }
 
 type savedSession struct {
@@ -338,8 +375,16 @@
 func (m *Machine) save() ([][]byte, error) {
 	var head bytes.Buffer
 	enc := json.NewEncoder(&head)
-	if err := enc.Encode(picture{m.cluster, m.applied, m.term, m.first, len(m.lines), m.used.Len(), m.members,
-		m.removed}); err != nil {
+	p := picture{Cluster: m.cluster, Applied: m.applied, Term: m.term, First: m.first, Versions: len(m.lines),
+		Sessions: m.used.Len(), Members: m.members, Removed: m.removed}
+	if m.level > LevelVersions {
+		raw, err := m.nodes.Save()
+		if err != nil {
+			return nil, err
+		}
+		p.Level, p.Nodes = m.level, raw
+	}
+	if err := enc.Encode(p); err != nil {
 		return nil, err
 	}
 	for e := m.used.Front(); e != nil; e = e.Next() {
@@ -371,6 +416,16 @@
 	}
 	m := newMachine(p.Cluster, without)
 	m.applied, m.term, m.first, m.members, m.removed = p.Applied, p.Term, p.First, p.Members, p.Removed
+	m.level = max(LevelVersions, p.Level)
+	if m.level > LevelKnown {
+		return nil, fmt.Errorf("saved state of level %d, expected at most %d: it needs the program that made it", m.level,
+			LevelKnown)
+	}
+	if p.Nodes != nil {
+		if err := m.nodes.Load(p.Nodes); err != nil {
+			return nil, err
+		}
+	}
 	if p.Versions < 0 || p.Versions > maxVersions || p.Sessions < 0 || p.Sessions > maxSessions || p.First == 0 {
 		return nil, fmt.Errorf("saved state of %d versions from %d and %d sessions, expected at most %d and %d",
 			p.Versions, p.First, p.Sessions, maxVersions, maxSessions)
@@ -395,7 +450,7 @@
 		if v.Number != m.last() {
 			return nil, fmt.Errorf("last version of a saved state is %d, expected %d", v.Number, m.last())
 		}
-		if m.current, err = conf.Parse("document", []byte(v.Text)); err != nil {
+		if m.current, err = conf.ParseUnder(max(1, v.Rules), "document", []byte(v.Text)); err != nil {
 			return nil, fmt.Errorf("version %d of a saved state: %w", v.Number, err)
 		}
 		m.hash = v.Hash
--- a/internal/consensus/machine_test.go
+++ b/internal/consensus/machine_test.go
@@ -150,7 +150,8 @@
 func TestWhoIsSpokenWith(t *testing.T) {
 	fresh := func() *Acquaintance {
 		return &Acquaintance{own: Identity{Cluster: "c", ID: 1}, seen: map[uint64]start{2: {5, 50}},
-			said: map[uint64]saying{2: {term: 4, last: 30}}, removed: func(id uint64) bool { return id == 3 }}
+			said: map[uint64]saying{2: {term: 4, last: 30}}, removed: func(id uint64) bool { return id == 3 },
+			level: func() int { return LevelVersions }, levels: map[uint64]int{}}
 	}
 	hello := func(cluster string, id, starts, nonce, term, last, to uint64) Hello {
 		return Hello{Identity: Identity{Cluster: cluster, ID: id, Starts: starts, Nonce: nonce}, Term: term,
--- a/internal/consensus/replica.go
+++ b/internal/consensus/replica.go
@@ -17,7 +17,7 @@
 	"go.etcd.io/raft/v3/tracker"
 	"google.golang.org/protobuf/proto"
 
-	"umberwinch/internal/conf"
+	"umberwinch/internal/policy"
 	"umberwinch/internal/wal"
 )
 
@@ -33,6 +33,8 @@
 	Draw     func() uint64 // chance for ids; never for decisions
 	Logger   raft.Logger
 	Without  Guard
+	Level    int               // what its program knows, for tests of a group on two builds; 0: all that this one does
+	Guards   policy.Guard      // taken out, for the laboratory
 	Point    func(name string) // hears of each step of Work, for crashes on purpose; may be nil
 }
 
@@ -80,6 +82,7 @@
 	age      int             // ticks of this life
 	contacts []Member        // who greeted it before it knew the members
 	asked    int             // at this age for a promotion
+	raised   int             // and for a higher level
 	silent   int             // ticks since a leader was heard
 	alone    int             // the same, but not begun anew by standing for election
 	timeout  int
@@ -106,6 +109,7 @@
 	Results []Result
 	Reads   []uint64 // ids of reads that may be answered from the state as it is now
 	Applied bool     // entries were applied, or a snapshot
+	Nodes   []any    // ends of entries about nodes
 }
 
 // Open starts a replica on a folder: its own from an earlier life, or an empty one.
@@ -134,6 +138,10 @@
 	}
 	r.who.without = r.plan.Without
 	r.who.removed = func(id uint64) bool { return r.machine.wasRemoved(id) }
+	r.who.level = func() int { return r.machine.level }
+	if r.plan.Level == 0 {
+		r.plan.Level = LevelKnown
+	}
 	// Counted before a word is said, so that a copy of the folder can't pass for it.
 	r.who.own.Starts++
 	r.who.own.Nonce = r.plan.Draw()
@@ -149,6 +157,7 @@
 	} else if r.machine, err = loadMachine(state, r.plan.Without); err != nil {
 		return err
 	}
+	r.fit()
 	r.conf = r.store.snap.GetConfState()
 	r.store.state = r.state
 	r.node, err = raft.NewRawNode(&raft.Config{ID: r.ID(), ElectionTick: r.plan.Elect, HeartbeatTick: 1,
@@ -163,6 +172,9 @@
 	return nil
 }
 
+// fit tells a state that was made or loaded what this instance is.
+func (r *Replica) fit() { r.machine.knows, r.machine.nodes.Without = r.plan.Level, r.plan.Guards }
+
 // begin makes an empty folder an instance's: its id, and where it founds a group, the group's first state.
 // The identity is written last, so that a crash on the way leaves a folder that counts as empty.
 func (r *Replica) begin() error {
@@ -273,7 +285,8 @@
 // Hello gives what this instance says of itself to another.
 func (r *Replica) Hello(to uint64) Hello {
 	_, last := r.Span()
-	return Hello{Identity: r.who.own, Peer: r.plan.Peer, Term: r.store.hard.GetTerm(), Last: last, To: to}
+	return Hello{Identity: r.who.own, Peer: r.plan.Peer, Term: r.store.hard.GetTerm(), Last: last, To: to,
+		Level: r.plan.Level}
 }
 
 // Meet judges another's hello; a refusal comes as its reason. What was learnt is durable on return.
@@ -327,6 +340,7 @@
 		r.node.Tick()
 		r.age++
 		r.promote()
+		r.rise()
 		return
 	}
 	r.age++
@@ -419,7 +433,7 @@
 	if r.log.Usage() > r.plan.Sizes.Bound/4*3 {
 		return ErrRoom
 	}
-	p.Rules = conf.Rules
+	p.Rules = rulesAt(r.machine.level)
 	raw, err := json.Marshal(p)
 	if err != nil {
 		return err
@@ -427,6 +441,58 @@
 	return r.node.Propose(raw)
 }
 
+// entry is what the log holds beside puts, whose entries have no kind.
+type entry struct {
+	Kind string          `json:"kind"`
+	Body json.RawMessage `json:"body"`
+}
+
+const kindLevel = "level"
+
+// ProposeEntry asks for an entry of a kind that came with a later level; whether it was made shows in what it does.
+func (r *Replica) ProposeEntry(kind string, body []byte) error {
+	switch {
+	case r.who.own.Barred != "":
+		return ErrBarred
+	case r.machine.level < LevelFleet && kind != kindLevel:
+		return ErrLevel
+	case r.log.Usage() > r.plan.Sizes.Bound/8*7: // past where changes of the configuration are refused
+		return ErrRoom
+	}
+	raw, err := json.Marshal(entry{kind, body})
+	if err != nil {
+		return err
+	}
+	return r.node.Propose(raw)
+}
+
+// Levels gives what members know, as they told this instance in this life; one that has not is not in it.
+func (r *Replica) Levels() map[string]int {
+	out := map[string]int{}
+	for _, m := range r.machine.members {
+		if m.ID == r.ID() {
+			out[m.Name] = r.plan.Level
+		} else if l := r.who.levels[m.ID]; l > 0 {
+			out[m.Name] = l
+		}
+	}
+	return out
+}
+
+// rise has the leader raise the group's level once every member has told that it knows the next one.
+func (r *Replica) rise() {
+	if r.machine.level >= r.plan.Level || r.age < r.raised+r.plan.Elect || len(r.machine.members) == 0 {
+		return
+	}
+	for _, m := range r.machine.members {
+		if m.ID != r.ID() && r.who.levels[m.ID] <= r.machine.level {
+			return
+		}
+	}
+	r.raised = r.age
+	r.ProposeEntry(kindLevel, []byte(fmt.Sprint(r.machine.level+1)))
+}
+
 // Change asks for a change of members; that it was made shows in Members, that it was not shows nowhere.
 func (r *Replica) Change(c Change) error {
 	if r.who.own.Barred != "" {
@@ -568,6 +634,7 @@
 				return out, err
 			}
 			r.machine, r.conf, out.Applied = m, rd.Snapshot.GetMetadata().GetConfState(), true
+			r.fit()
 		}
 		for _, e := range rd.CommittedEntries {
 			if err := r.apply(e, &out); err != nil {
@@ -632,15 +699,9 @@
 	switch e.GetType() {
 	case pb.EntryType_EntryNormal:
 		if len(e.GetData()) > 0 {
-			var p Put
-			if err := json.Unmarshal(e.GetData(), &p); err != nil {
-				return fmt.Errorf("not a put: %w", err)
-			}
-			if p.Rules != conf.Rules {
-				return fmt.Errorf("made under rules %d, expected %d: this instance needs the program that made it",
-					p.Rules, conf.Rules)
+			if err := r.applyData(e, out); err != nil {
+				return err
 			}
-			out.Results = append(out.Results, Result{p.Session, p.Seq, m.put(&p, e.GetIndex(), e.GetTerm())})
 		}
 	case pb.EntryType_EntryConfChangeV2:
 		cc := &pb.ConfChangeV2{}
@@ -665,6 +726,43 @@
 	return nil
 }
 
+// applyData plays an entry with something in it: a put, or one of a kind.
+func (r *Replica) applyData(e *pb.Entry, out *Outcome) error {
+	m := r.machine
+	var k entry
+	if err := json.Unmarshal(e.GetData(), &k); err != nil {
+		return fmt.Errorf("not an entry: %w", err)
+	}
+	switch {
+	case k.Kind == "":
+		var p Put
+		if err := json.Unmarshal(e.GetData(), &p); err != nil {
+			return fmt.Errorf("not a put: %w", err)
+		}
+		if p.Rules < 1 || p.Rules > rulesAt(m.knows) {
+			return fmt.Errorf("made under rules %d, expected %d at most: this instance needs the program that made it",
+				p.Rules, rulesAt(m.knows))
+		}
+		out.Results = append(out.Results, Result{p.Session, p.Seq, m.put(&p, e.GetIndex(), e.GetTerm())})
+	case m.knows < LevelFleet:
+		return fmt.Errorf("of kind %q, expected a put: this instance needs the program that made it", k.Kind)
+	case k.Kind == kindLevel:
+		var level int
+		if err := json.Unmarshal(k.Body, &level); err != nil || level > m.knows {
+			return fmt.Errorf("a rise to level %s, expected %d at most: this instance needs the program that made it", k.Body,
+				m.knows)
+		}
+		m.level = max(m.level, level)
+	default:
+		end, err := m.nodes.Apply(k.Kind, k.Body, e.GetIndex(), e.GetTerm(), m)
+		if err != nil {
+			return err
+		}
+		out.Nodes = append(out.Nodes, end)
+	}
+	return nil
+}
+
 // Save is a snapshot under way: Write may run beside the replica, Saved takes note of its end.
 type Save struct {
 	meta  *pb.SnapshotMetadata
@@ -746,6 +844,7 @@
 	Alone    int    `json:"alone_ticks"` // since a leader was heard
 	Stood    uint64 `json:"elections"`   // it stood for
 	Barred   string `json:"barred,omitempty"`
+	Level    int    `json:"level"` // of the group, as applied here
 	Peers    []Peer `json:"peers,omitempty"`
 }
 
@@ -757,7 +856,7 @@
 		Term: b.HardState.GetTerm(), Vote: b.HardState.GetVote(), First: r.store.offset + 1, Last: last,
 		Commit: b.HardState.GetCommit(), Applied: r.machine.applied, Snapshot: r.store.snap.GetIndex(),
 		Disk: r.log.Usage(), Syncs: r.log.Flushes(), Version: r.machine.last(), Alone: r.alone, Stood: r.Campaigns,
-		Barred: r.who.own.Barred}
+		Barred: r.who.own.Barred, Level: r.machine.level}
 	switch b.RaftState {
 	case raft.StateLeader:
 		s.Role = "leader"
--- a/internal/consensus/trust.go
+++ b/internal/consensus/trust.go
@@ -1,10 +1,12 @@
 package consensus
 
 import (
+	"context"
 	"crypto/tls"
 	"crypto/x509"
 	"fmt"
 	"net"
+	"net/http"
 	"os"
 	"sync/atomic"
 	"time"
@@ -76,3 +78,17 @@
 	}
 	return c, nil
 }
+
+// scheme and client are for calls to another instance's clients' address.
+func (t *trust) scheme() string {
+	if t.on() {
+		return "https"
+	}
+	return "http"
+}
+
+func (t *trust) client() *http.Client {
+	return &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 64, IdleConnTimeout: time.Minute,
+		DialContext:    func(_ context.Context, _, addr string) (net.Conn, error) { return t.dial(addr, time.Second) },
+		DialTLSContext: func(_ context.Context, _, addr string) (net.Conn, error) { return t.dial(addr, time.Second) }}}
+}
