The node holds a lease, tries a version in a shadow and takes it over between two rounds

Off unless deploy/node.ini has a [fleet] section. The loop asks internal/member before each round and never waits: askings, texts, trials and the record on disk go on beside it.

--- a/admission/admission.go
+++ b/admission/admission.go
@@ -130,25 +130,17 @@
 	// The pace aims at half of what it survives (a quarter lost where a server's calls are few, all of it even),
 	// and never are more than nine tenths in hand, so that no mean over the span can come to the whole.
 	c.allowed, c.most = d.CallsOut/2, d.CallsOut*0.9
-	most := 0.0
 	for _, h := range d.Handlers {
-		needs := h.Value * (1 - h.LeanValue)
-		most = max(most, needs)
 		// Four seconds of runs: dozens at a server's rate, and soon past a change of its speed.
-		c.h = append(c.h, handler{target: h.Target, timeout: h.Timeout, window: h.Window, value: h.Value,
-			late: h.LateValue > 0, skips: h.LeanValue > 0, needs: needs, uniq: h.Repeat == Uniqued,
+		c.h = append(c.h, handler{late: h.LateValue > 0, skips: h.LeanValue > 0, uniq: h.Repeat == Uniqued,
 			once: h.Repeat != Replayable, laps: newRing(8, Second/2), work: newRing(8, Second/2),
 			met: newRing(8, Second), unit: 1, own: float64(h.Target) / 8})
 	}
-	for k := range c.h {
-		c.h[k].needs /= max(most, 1e-9)
-	}
-	for _, t := range d.Tenants {
+	for range d.Tenants {
 		// Five seconds of arrivals: some dozens at a server's rate, and shorter than a surge lasts.
-		came := newRing(10, Second/2)
-		c.t = append(c.t, tenant{came: came, full: 1,
-			fair: t.Quota / float64(d.Fleet) * float64(came.span()) / float64(Second)})
+		c.t = append(c.t, tenant{came: newRing(10, Second/2), full: 1})
 	}
+	c.Adopt(d)
 	if len(c.t) == 0 {
 		c.t = append(c.t, tenant{came: newRing(1, Second), full: 1, fair: math.Inf(1)})
 	}
@@ -160,6 +152,23 @@
 	return c
 }
 
+// Adopt goes on under other values, targets, timeouts, windows and quotas of the same handlers and tenants. What is
+// held, runs or is known by key stays, with the due times under which it came, and so does what was measured.
+func (c *Controller) Adopt(d *Deployment) {
+	most := 1e-9
+	for _, h := range d.Handlers {
+		most = max(most, h.Value*(1-h.LeanValue))
+	}
+	for k, h := range d.Handlers {
+		o := &c.h[k]
+		o.target, o.timeout, o.window, o.value = h.Target, h.Timeout, h.Window, h.Value
+		o.needs = h.Value * (1 - h.LeanValue) / most
+	}
+	for k, t := range d.Tenants {
+		c.t[k].fair = t.Quota / float64(d.Fleet) * float64(c.t[k].came.span()) / float64(Second)
+	}
+}
+
 // Handlers is the number of handlers known.
 func (c *Controller) Handlers() int { return len(c.h) }
 
--- a/internal/backend/counters.go
+++ b/internal/backend/counters.go
@@ -20,6 +20,7 @@
 	Silent, Evicted                        uint64 // connections closed: said nothing whole in time; for room
 	Resent, Refused                        uint64 // kernel commands sent again, and not carried out
 	Reports, ReportsLost                   uint64
+	Versions, Fenced, FenceShed, FleetLost uint64 // taken over; times fenced, reqs shed then; askings in vain
 	Rounds, Wakes, Ungauged, Slow          uint64 // Slow: rounds that began over 10 ms after their time
 }
 
@@ -35,7 +36,7 @@
 			calls++
 		}
 	}
-	return logrus.Fields{"in_hand": l.reqs.n, "running": runs, "calls_out": calls, "conns_open": l.conns.n,
+	out := logrus.Fields{"in_hand": l.reqs.n, "running": runs, "calls_out": calls, "conns_open": l.conns.n,
 		"wires_open": l.store.wires.n, "keys": l.keys.tab.n, "report_age_ms": inMS(l.now - l.control.last),
 		"conns": c.Conns, "reqs": c.Reqs, "checks": c.Checks, "bad": c.Bad, "again": c.Again,
 		"done": c.Done, "shed": c.Shed, "errored": c.Errored, "shared": c.Shared, "gone": c.Gone, "late": c.Late,
@@ -46,4 +47,10 @@
 		"evicted": c.Evicted, "resent": c.Resent, "refused": c.Refused, "reports": c.Reports,
 		"reports_lost": c.ReportsLost,
 		"rounds":       c.Rounds, "wakes": c.Wakes, "ungauged": c.Ungauged, "slow": c.Slow}
+	if f := l.fleet; f != nil {
+		out["version"], out["fenced"], out["alone"] = f.m.Serves(), f.fenced, f.alone
+		out["versions"], out["times_fenced"], out["fence_shed"], out["fleet_lost"] = c.Versions, c.Fenced, c.FenceShed,
+			c.FleetLost
+	}
+	return out
 }
--- a/internal/backend/deadlines.go
+++ b/internal/backend/deadlines.go
@@ -19,6 +19,7 @@
 	dueSweep
 	dueKey
 	dueLeave
+	dueFleet
 )
 
 // deadline names what is due, and for which slot.
--- /dev/null
+++ b/internal/backend/fleet.go
@@ -0,0 +1,437 @@
+// Fleet: this node as one of many that serve under one policy. The decisions are internal/member's; this file feeds it
+// the time, carries its askings to the agent and what came of them back, tries versions off the loop, and takes one over
+// between two rounds. While the member says no, what comes is shed before the module hears of it, what is held is shed,
+// and what runs ends. Without [fleet] in the operator's file none of it exists. The loop never waits here.
+package backend
+
+import (
+	"crypto/rand"
+	"crypto/sha256"
+	"encoding/hex"
+	"encoding/json"
+	"fmt"
+	"hash/crc32"
+	"net/http"
+	"time"
+
+	"golang.org/x/sys/unix"
+
+	"umberwinch/admission"
+	"umberwinch/internal/adopt"
+	"umberwinch/internal/conf"
+	"umberwinch/internal/fleet"
+	"umberwinch/internal/member"
+	"umberwinch/internal/operator"
+	"umberwinch/internal/policy"
+	"umberwinch/internal/proto"
+	"umberwinch/internal/shadow"
+)
+
+type fleetJob uint8
+
+const (
+	jobAsk fleetJob = iota
+	jobFetch
+	jobTry
+	jobKeep
+)
+
+// fleetPart is the node's part in a fleet.
+type fleetPart struct {
+	m       *member.Member
+	own     *operator.Fleet
+	ask     *agent
+	fetch   *agent
+	rec     *shadow.Recording
+	kept    member.Record
+	base    *admission.Deployment  // the platform's
+	plans   map[uint64]*adopt.Plan // of versions at hand, two or three
+	texts   map[uint64]string
+	getting fleet.Named // being fetched, tried or kept; 0: none
+	decided bool
+	again   uint64 // a fetch that failed is tried again then
+	keeps   bool   // the record is being written
+	owes    bool   // and has to be written again
+	fenced  bool
+	retired []bool
+	armed   uint64 // a deadline is set for then
+	alone   bool
+	spread  uint32 // counts the times to come back that were told
+}
+
+// tried is a version after check and trial.
+type tried struct {
+	v    fleet.Named
+	text string
+	plan *adopt.Plan
+	took time.Duration
+	reqs int
+}
+
+// steadyMS is ms of a clock that nobody sets and that goes on while the process is stopped or the machine sleeps.
+func steadyMS() uint64 {
+	var t unix.Timespec
+	if unix.ClockGettime(unix.CLOCK_BOOTTIME, &t) != nil {
+		unix.ClockGettime(unix.CLOCK_MONOTONIC, &t)
+	}
+	return uint64(t.Sec)*1000 + uint64(t.Nsec)/1e6
+}
+
+// joinFleet readies the part, if the operator's file has one.
+func (l *loop) joinFleet() error {
+	if l.told.own == nil || l.told.own.Fleet == nil {
+		return nil
+	}
+	o := l.told.own.Fleet
+	f := &fleetPart{own: o, base: l.prof.Deployment, plans: map[uint64]*adopt.Plan{}, texts: map[uint64]string{},
+		rec: shadow.NewRecording(len(l.prof.Deployment.Handlers)), retired: make([]bool, len(l.prof.Deployment.Handlers))}
+	var nonce [12]byte
+	rand.Read(nonce[:]) // never fails
+	plan := member.Plan{Name: o.Name, Zone: o.Zone, Addr: l.told.Listen, Control: o.Control,
+		Nonce: hex.EncodeToString(nonce[:]), Seed: crc32.ChecksumIEEE(append(nonce[:], o.Name...))}
+	if plan.Name == "" {
+		plan.Name = l.told.Name
+	}
+	if !fleet.IsName(plan.Name) {
+		return fmt.Errorf("fleet.name: found %.50q, expected up to 40 letters, digits, '-', '_' and '.'", plan.Name)
+	}
+	for _, name := range o.Without {
+		g, err := policy.GuardNamed(name)
+		if err != nil {
+			return err
+		}
+		plan.Without |= g
+	}
+	var kept *member.Record
+	if o.Folder != "" {
+		there, err := readRecord(o.Folder, &f.kept)
+		if err != nil {
+			return err
+		}
+		if there {
+			kept = &f.kept
+		}
+	}
+	f.m = member.New(plan, kept, steadyMS())
+	for _, at := range []struct {
+		v    fleet.Named
+		text string
+	}{{fleet.Named{Version: f.kept.Version, Hash: f.kept.Hash}, f.kept.Text},
+		{fleet.Named{Version: f.kept.Prepared, Hash: f.kept.NextHash}, f.kept.Next}} {
+		if at.v.Version == 0 || at.text == "" {
+			continue
+		}
+		p, err := l.checkVersion(at.v, at.text)
+		if err != nil { // the platform's settings are others now
+			l.log.Warnf("policy version %d of the folder can't be used: %v", at.v.Version, err)
+			f.m.Forget(at.v.Version)
+			continue
+		}
+		f.plans[at.v.Version], f.texts[at.v.Version] = p, at.text
+	}
+	end := func(e jobEnd) { l.put(event{kind: newsFleet, job: &e}) }
+	f.ask, f.fetch = newAgent(end), newAgent(end)
+	l.fleet = f
+	f.fenced = true
+	l.log.Infof("fleet: node %s of zone %s, control at %v", plan.Name, plan.Zone, o.Control)
+	return nil
+}
+
+// checkVersion reads a text and checks it against the platform's settings.
+func (l *loop) checkVersion(v fleet.Named, text string) (*adopt.Plan, error) {
+	sum := sha256.Sum256([]byte(text))
+	if hex.EncodeToString(sum[:]) != v.Hash {
+		return nil, fmt.Errorf("version %d: found a text of another hash than was told", v.Version)
+	}
+	doc, err := conf.Parse(fmt.Sprintf("version %d", v.Version), []byte(text))
+	if err != nil {
+		return nil, err
+	}
+	return adopt.Make(v.Version, l.prof, doc, l.pools != nil || len(l.told.own.Pools) > 0)
+}
+
+// steer lets the member look at the time and at what came: it is called at the begin of each round and before its
+// decisions, so that nothing is decided on a lease that has run out.
+func (l *loop) steer() {
+	f := l.fleet
+	if f == nil {
+		return
+	}
+	now := steadyMS()
+	if v, ok := f.m.Take(now); ok {
+		l.takeOver(now, v)
+	}
+	ok, why := f.m.May(now)
+	if l.drains {
+		f.m.Leave(now)
+	}
+	switch {
+	case !ok && !f.fenced:
+		l.fence(why)
+	case ok && f.fenced:
+		f.fenced = false
+		l.log.Infof("fleet: serves under version %d", f.m.Serves())
+		l.Health(l.health)
+	}
+	if alone := ok && f.m.Alone(now); alone != f.alone {
+		if f.alone = alone; alone {
+			l.log.Warnf("fleet: goes on alone under version %d, without the group", f.m.Serves())
+		}
+	}
+	if a, no, due := f.m.Ask(now); due {
+		body, err := json.Marshal(&a)
+		if err == nil {
+			f.ask.jobs <- &job{what: jobAsk, addr: f.m.Address(), method: http.MethodPost, path: "/v1/nodes", body: body,
+				about: no, within: time.Duration(f.m.Within()) * time.Millisecond} // the member has one out at a time: there is room
+		}
+	}
+	if v, decided, ok := f.m.Want(); ok && f.getting.Version == 0 && now >= f.again {
+		f.getting, f.decided = v, decided
+		f.fetch.jobs <- &job{what: jobFetch, addr: f.m.Address(), method: http.MethodGet, about: v,
+			path: fmt.Sprintf("/v1/config?version=%d&read=stale", v.Version), within: 10 * time.Second}
+	}
+	at := f.m.Due()
+	if until := f.m.Until(); until > now {
+		at = min(at, until)
+	}
+	if f.again > now {
+		at = min(at, f.again)
+	}
+	if at = max(at, now+1); f.armed <= now || at < f.armed {
+		f.armed = at
+		l.due.set(l.now+admission.Time(at-now)*10, dueFleet, 0)
+	}
+}
+
+// fence stops taking reqs: what is held and never ran is shed at once, and the module hears that it is gone.
+func (l *loop) fence(why string) {
+	f := l.fleet
+	f.fenced = true
+	l.count.Fenced++
+	l.log.Warnf("fleet: fenced: %s", why)
+	l.Health(l.health)
+	for h, i := l.reqs.next(0); h != 0; h, i = l.reqs.next(i) {
+		r := l.reqs.get(h)
+		if r.answered || r.gone || r.run != runNot || r.paused {
+			continue
+		}
+		if e := l.keys.find(r.key); r.waits && e != nil && e.fate == fateRuns {
+			continue // the run whose result it takes goes on
+		}
+		r.waits = false
+		l.next().Gone = append(l.next().Gone, uint32(h))
+		l.answer(h, r, proto.Answer{Status: 503, BackOff: f.comeBack(l.prof.MaxPause)})
+	}
+}
+
+// comeBack is when a caller that is turned away may try again, in ms: within the bound of the settings, spread so that
+// they don't all come at once. Two seconds are some renewals: by then the node serves or its health has told.
+func (f *fleetPart) comeBack(most admission.Time) int64 {
+	if most <= 0 {
+		return 0
+	}
+	f.spread++
+	ms := min(int64(most)/10, 2000)
+	return ms/2 + int64(f.spread*2654435761%1024)*(ms/2)/1024
+}
+
+// takeOver has the module go on under another version. It is between two rounds here.
+func (l *loop) takeOver(now uint64, v fleet.Named) {
+	f := l.fleet
+	p := f.plans[v.Version]
+	if p == nil {
+		f.m.Forget(v.Version) // it was dropped: it is fetched again
+		return
+	}
+	d := *p.Deployment
+	d.Pools, d.Start = l.prof.Deployment.Pools, l.prof.Deployment.Start
+	d.Cold = l.prof.Deployment.Cold
+	l.prof.Deployment = &d
+	if l.ctl != nil {
+		l.ctl.Adopt(&d)
+	}
+	if l.pools != nil && p.Pools != nil {
+		plan := l.told.poolPlan()
+		copy(plan.Classes, p.Pools)
+		l.pools.Set(plan)
+	}
+	f.retired = p.Retired
+	f.m.Took(now, v, p.Doc.Fleet.Alone)
+	l.count.Versions++
+	l.log.Infof("fleet: version %d taken over", v.Version)
+	for n := range f.plans { // each is judged alone
+		if n < v.Version {
+			delete(f.plans, n)
+			delete(f.texts, n)
+		}
+	}
+	l.keepFleet()
+}
+
+// keepFleet has the record written, if there is a folder.
+func (l *loop) keepFleet() {
+	f := l.fleet
+	if f.own.Folder == "" {
+		return
+	}
+	if f.keeps {
+		f.owes = true
+		return
+	}
+	f.kept.Cluster, f.kept.Floor = f.m.Cluster(), f.m.Floor()
+	if n := f.m.Serves(); n != f.kept.Version {
+		if p := f.plans[n]; p != nil {
+			f.kept.Version, f.kept.Text, f.kept.Alone = n, f.texts[n], p.Doc.Fleet.Alone
+			f.kept.Hash = conf.Hash([]byte(f.texts[n]))
+		}
+	}
+	if f.kept.Prepared <= f.kept.Version {
+		f.kept.Prepared, f.kept.Next, f.kept.NextHash = 0, "", ""
+	}
+	f.keeps, f.owes = true, false
+	r, folder := f.kept, f.own.Folder
+	go func() {
+		err := keepRecord(folder, &r)
+		l.put(event{kind: newsFleet, job: &jobEnd{job: &job{what: jobKeep, about: r}, err: err}})
+	}()
+}
+
+// fleetNews takes what came of a job.
+func (l *loop) fleetNews(e *jobEnd) {
+	f := l.fleet
+	now := steadyMS()
+	switch e.what {
+	case jobAsk:
+		var t fleet.Told
+		err := e.err
+		if err == nil && e.status != http.StatusOK {
+			err = fmt.Errorf("%d: %.200s", e.status, e.answer)
+		}
+		if err == nil {
+			err = json.Unmarshal(e.answer, &t)
+		}
+		if err != nil {
+			l.count.FleetLost++
+			l.logf("fleet: control at %s: %v", e.addr, err)
+			f.m.Failed(now, e.about.(uint64))
+			return
+		}
+		floor := f.m.Floor()
+		if err = f.m.Answered(now, e.about.(uint64), t); err != nil {
+			l.count.FleetLost++
+			l.log.Warnf("fleet: control at %s is not believed: %v", e.addr, err)
+			return
+		}
+		if t.Gone != "" {
+			l.logf("fleet: begins anew: %s", t.Gone)
+		}
+		if f.m.Floor() > floor {
+			l.keepFleet()
+		}
+	case jobFetch:
+		l.fetched(now, e)
+	case jobTry:
+		l.wasTried(now, e)
+	case jobKeep:
+		f.keeps = false
+		if e.err != nil {
+			l.log.Errorf("fleet: the record could not be kept: %v", e.err)
+			f.owes, f.again = true, now+1000
+		} else if r := e.about.(member.Record); r.Prepared != 0 && r.Prepared == f.getting.Version && r.Prepared > f.m.Serves() {
+			f.m.Prepared(now, f.getting)
+			f.getting = fleet.Named{}
+		}
+		if f.owes {
+			l.keepFleet()
+		}
+	}
+}
+
+// fetched takes a version's text and has it checked and tried, off the loop.
+func (l *loop) fetched(now uint64, e *jobEnd) {
+	f := l.fleet
+	v := e.about.(fleet.Named)
+	var answer struct {
+		Version uint64 `json:"version"`
+		Text    string `json:"text"`
+	}
+	err := e.err
+	if err == nil && e.status != http.StatusOK {
+		err = fmt.Errorf("%d: %.200s", e.status, e.answer)
+	}
+	if err == nil {
+		if err = json.Unmarshal(e.answer, &answer); err == nil && answer.Version != v.Version {
+			err = fmt.Errorf("found version %d", answer.Version)
+		}
+	}
+	var plan *adopt.Plan
+	if err == nil {
+		if plan, err = l.checkVersion(v, answer.Text); err != nil {
+			l.log.Warnf("fleet: version %d can't be served under: %v", v.Version, err)
+			f.m.Refuse(now, v.Version, err.Error())
+			f.getting = fleet.Named{}
+			return
+		}
+	}
+	if err != nil {
+		l.logf("fleet: version %d from %s: %v", v.Version, e.addr, err)
+		f.getting, f.again = fleet.Named{}, now+250
+		return
+	}
+	t := tried{v: v, text: answer.Text, plan: plan}
+	done := func(why error) {
+		l.put(event{kind: newsFleet, job: &jobEnd{job: &job{what: jobTry, about: t}, err: why}})
+	}
+	if f.decided || f.own.NoTrial {
+		go done(nil)
+		return
+	}
+	base, rec, bounds := *l.prof.Deployment, f.rec.Copy(), shadow.Bounds{MaxShed: plan.Doc.Rollout.MaxShed,
+		MaxLate: plan.Doc.Rollout.MaxLate}
+	go func() {
+		started := time.Now()
+		verdict := shadow.Trial(&base, plan.Deployment, rec, bounds)
+		t.took, t.reqs = time.Since(started), verdict.Reqs
+		if verdict.Why != "" {
+			done(fmt.Errorf("%s", verdict.Why))
+			return
+		}
+		done(nil)
+	}()
+}
+
+// wasTried takes a trial's end: what passed is kept, and then reported.
+func (l *loop) wasTried(now uint64, e *jobEnd) {
+	f := l.fleet
+	t := e.about.(tried)
+	if e.err != nil {
+		l.log.Warnf("fleet: version %d failed its trial: %v", t.v.Version, e.err)
+		f.m.Refuse(now, t.v.Version, e.err.Error())
+		f.getting = fleet.Named{}
+		return
+	}
+	l.log.Infof("fleet: version %d passed its trial over %d reqs in %v", t.v.Version, t.reqs, t.took.Round(time.Microsecond))
+	f.plans[t.v.Version], f.texts[t.v.Version] = t.plan, t.text
+	if f.own.Folder == "" {
+		f.m.Prepared(now, t.v)
+		f.getting = fleet.Named{}
+		return
+	}
+	f.kept.Prepared, f.kept.Next, f.kept.NextHash = t.v.Version, t.text, t.v.Hash
+	l.keepFleet()
+}
+
+// refuses turns a handler's req away before the module hears of it, with a status other than 0 and what goes with it.
+func (l *loop) refuses(handler int, a *proto.Answer) int {
+	f := l.fleet
+	switch {
+	case f.fenced:
+		l.count.FenceShed++
+		a.BackOff = f.comeBack(l.prof.MaxPause)
+		return 503
+	case f.retired[handler]:
+		a.Final = true
+		return 503
+	}
+	return 0
+}
--- a/internal/backend/front.go
+++ b/internal/backend/front.go
@@ -316,7 +316,7 @@
 			a.Status = 503
 		}
 	case len(path) > 5 && path[:5] == "/rpc/" && method == "POST":
-		if a.Status = l.take(c, e, path[5:]); a.Status != 400 {
+		if a.Status = l.take(c, e, path[5:], &a); a.Status != 400 {
 			c.said = saidReq
 		}
 		if a.Status == 0 {
--- a/internal/backend/loop.go
+++ b/internal/backend/loop.go
@@ -38,6 +38,7 @@
 	newsDrain
 	newsCount
 	newsReload
+	newsFleet
 )
 
 var errAhead = errors.New("too many requests ahead of their answers")
@@ -55,10 +56,12 @@
 	reply  proto.Reply
 	status proto.Response
 	node   *Node
+	job    *jobEnd
 }
 
 type loop struct {
 	pools *pools.Pools // nil: none
+	fleet *fleetPart   // nil: the node serves alone
 	lim   Limits
 	log   *logrus.Logger
 	in    chan event
@@ -88,7 +91,8 @@
 	out     []byte   // what is being written
 	relink  bool
 
-	good   bool
+	good   bool    // health checks are told
+	health bool    // the module's word
 	hint   float64 // the value that answers carry, once the module has said one
 	says   bool
 	idle   admission.Time
@@ -158,6 +162,9 @@
 		c.Limits.Cores, lim.MemoryMB, c.Limits.Sockets, lim.Conns, lim.Wires)
 	l := newLoop(c, lim, log)
 	l.crew = crew
+	if err := l.joinFleet(); err != nil {
+		return err
+	}
 	d, err := newDoor(c.Listen, lim.Conns)
 	if err != nil {
 		return fmt.Errorf("listen on %s: %w", c.Listen, err)
@@ -191,7 +198,7 @@
 		told: c, prof: prof,
 		names: make([]string, len(prof.Deployment.Handlers)),
 		conns: newTable[conn](lim.Conns + 8), reqs: newTable[req](lim.Reqs), tasks: map[string]handle{},
-		keys: newKeys(lim.Entries, lim.Results, late), good: true,
+		keys: newKeys(lim.Entries, lim.Results, late), good: true, health: true,
 		// Sidecars close idle connections by themselves; until the module says more this only ends dead ones.
 		idle: 2 * max(prof.Idle, 30*admission.Second), stop: admission.Time(c.StopMS) * 10, now: clock()}
 	for name, i := range prof.Handlers {
@@ -235,6 +242,7 @@
 		select {
 		case e := <-l.in:
 			l.now = max(l.now, clock())
+			l.steer()
 			l.handle(e)
 		case <-l.timer.C:
 			l.now = max(l.now, clock())
@@ -243,6 +251,7 @@
 			l.handle(<-l.in)
 		}
 		l.fire()
+		l.steer()
 		l.decide()
 	}
 	l.log.WithFields(l.fields()).Info("counters")
@@ -269,6 +278,8 @@
 		l.showPools()
 	case newsReload:
 		l.reload(e.node, e.err)
+	case newsFleet:
+		l.fleetNews(e.job)
 	default:
 		l.lined(e)
 	}
@@ -315,6 +326,7 @@
 			}
 		case dueLeave:
 			l.leave()
+		case dueFleet: // whatever has come is seen by steer
 		}
 	}
 }
--- a/internal/backend/req.go
+++ b/internal/backend/req.go
@@ -63,8 +63,8 @@
 	wires                 []handle // that carried a call of it
 }
 
-// take brings a new req before the module; a status other than 0 answers it here.
-func (l *loop) take(c *conn, e event, name string) int {
+// take brings a new req before the module; a status other than 0 answers it here, with what a says beside it.
+func (l *loop) take(c *conn, e event, name string, a *proto.Answer) int {
 	q := &e.req
 	i, known := l.prof.Handlers[name]
 	hasKey := !known || l.prof.Deployment.Handlers[i].Repeat != admission.Uniqued || len(q.OnceKey) > 0
@@ -82,6 +82,11 @@
 	case l.ctl == nil:
 		return 503 // the kernel is not up: nothing can run
 	}
+	if l.fleet != nil {
+		if s := l.refuses(i, a); s != 0 {
+			return s
+		}
+	}
 	hd := &l.prof.Deployment.Handlers[i]
 	key := ""
 	switch {
@@ -127,6 +132,9 @@
 	l.next().Arrived = append(l.next().Arrived, admission.Req{ID: uint32(h), Handler: i,
 		Tenant: tenant, Came: came, Due: due, Hint: admission.Time(q.Estimate * 10),
 		KB: q.KB, Again: q.Again, Caller: q.SentBy})
+	if l.fleet != nil {
+		l.fleet.rec.Came(l.now, &l.next().Arrived[len(l.next().Arrived)-1])
+	}
 	return 0
 }
 
@@ -202,6 +210,9 @@
 	wait := l.keys.ended(r.key, uint32(h), how == admission.OK, result)
 	l.next().Ended = append(l.next().Ended,
 		admission.End{ID: uint32(h), How: how, Ran: admission.Time(ms * 10)})
+	if l.fleet != nil && how == admission.OK {
+		l.fleet.rec.Ran(uint32(h), admission.Time(ms*10))
+	}
 	switch {
 	case how == admission.OK:
 		l.answer(h, r, proto.Answer{Status: 200, Body: result})
@@ -337,7 +348,9 @@
 
 // Health has checks and the control plane told.
 func (l *loop) Health(good bool) {
-	l.good, l.control.ready = good, good
+	l.health = good
+	l.good = good && (l.fleet == nil || !l.fleet.fenced)
+	l.control.ready = l.good
 	l.report()
 }
 
