--- a/internal/backend/fleet.go
+++ b/internal/backend/fleet.go
@@ -11,7 +11,6 @@
 	"encoding/json"
 	"fmt"
 	"hash/crc32"
-	"net/http"
 	"time"
 
 	"golang.org/x/sys/unix"
@@ -181,13 +180,13 @@
 	if a, no, due := f.m.Ask(now); due {
 		body, err := json.Marshal(&a)
 		if err == nil {
-			f.ask.jobs <- &job{what: jobAsk, addr: f.m.Address(), method: http.MethodPost, path: "/v1/nodes", body: body,
+			f.ask.jobs <- &job{what: jobAsk, addr: f.m.Address(), method: "POST", path: "/v1/nodes", body: body,
 				about: no, within: time.Duration(f.m.Within()) * time.Millisecond} // the member has one out at a time: there is room
 		}
 	}
 	if v, decided, ok := f.m.Want(); ok && f.getting.Version == 0 && now >= f.again {
 		f.getting, f.decided = v, decided
-		f.fetch.jobs <- &job{what: jobFetch, addr: f.m.Address(), method: http.MethodGet, about: v,
+		f.fetch.jobs <- &job{what: jobFetch, addr: f.m.Address(), method: "GET", about: v,
 			path: fmt.Sprintf("/v1/config?version=%d&read=stale", v.Version), within: 10 * time.Second}
 	}
 	at := f.m.Due()
@@ -304,7 +303,7 @@
 	case jobAsk:
 		var t fleet.Told
 		err := e.err
-		if err == nil && e.status != http.StatusOK {
+		if err == nil && e.status != 200 {
 			err = fmt.Errorf("%d: %.200s", e.status, e.answer)
 		}
 		if err == nil {
@@ -356,7 +355,7 @@
 		Text    string `json:"text"`
 	}
 	err := e.err
-	if err == nil && e.status != http.StatusOK {
+	if err == nil && e.status != 200 {
 		err = fmt.Errorf("%d: %.200s", e.status, e.answer)
 	}
 	if err == nil {
