--- a/internal/backend/fleet.go
+++ b/internal/backend/fleet.go
@@ -37,25 +37,26 @@
 
 // fleetPart is the node's part in a fleet.
 type fleetPart struct {
-	m       *member.Member
-	own     *operator.Fleet
-	ask     *agent
-	fetch   *agent
-	rec     *shadow.Recording
-	kept    member.Record
-	base    *admission.Deployment  // the platform's
-	plans   map[uint64]*adopt.Plan // of versions at hand, two or three
-	texts   map[uint64]string
-	getting fleet.Named // being fetched, tried or kept; 0: none
-	decided bool
-	again   uint64 // a fetch that failed is tried again then
-	keeps   bool   // the record is being written
-	owes    bool   // and has to be written again
-	fenced  bool
-	retired []bool
-	armed   uint64 // a deadline is set for then
-	alone   bool
-	spread  uint32 // counts the times to come back that were told
+	m        *member.Member
+	own      *operator.Fleet
+	ask      *agent
+	fetch    *agent
+	rec      *shadow.Recording
+	kept     member.Record
+	base     *admission.Deployment  // the platform's
+	plans    map[uint64]*adopt.Plan // of versions at hand, two or three
+	texts    map[uint64]string
+	getting  fleet.Named // being fetched, tried or kept; 0: none
+	decided  bool
+	patience time.Duration // of a fetch; doubled by each that had no end
+	again    uint64        // a fetch that failed is tried again then
+	keeps    bool          // the record is being written
+	owes     bool          // and has to be written again
+	fenced   bool
+	retired  []bool
+	armed    uint64 // a deadline is set for then
+	alone    bool
+	spread   uint32 // counts the times to come back that were told
 }
 
 // tried is a version after check and trial.
@@ -67,6 +68,9 @@
 	reqs int
 }
 
+// A text of a few KB takes some ms; one of the largest size over a poor line may take the most.
+const fetchLeast, fetchMost = 2 * time.Second, 20 * time.Second
+
 // steadyMS is ms of a clock that nobody sets and that goes on while the process is stopped or the machine sleeps.
 func steadyMS() uint64 {
 	var t unix.Timespec
@@ -128,6 +132,7 @@
 		}
 		f.plans[at.v.Version], f.texts[at.v.Version] = p, at.text
 	}
+	f.patience = fetchLeast
 	end := func(e jobEnd) { l.put(event{kind: newsFleet, job: &e}) }
 	f.ask, f.fetch = newAgent(end), newAgent(end)
 	l.fleet = f
@@ -187,7 +192,7 @@
 	if v, decided, ok := f.m.Want(); ok && f.getting.Version == 0 && now >= f.again {
 		f.getting, f.decided = v, decided
 		f.fetch.jobs <- &job{what: jobFetch, addr: f.m.Address(), method: "GET", about: v,
-			path: fmt.Sprintf("/v1/config?version=%d&read=stale", v.Version), within: 10 * time.Second}
+			path: fmt.Sprintf("/v1/config?version=%d&read=stale", v.Version), within: f.patience}
 	}
 	at := f.m.Due()
 	if until := f.m.Until(); until > now {
@@ -196,7 +201,7 @@
 	if f.again > now {
 		at = min(at, f.again)
 	}
-	if at = max(at, now+1); f.armed <= now || at < f.armed {
+	if at = min(max(at, now+1), now+1000); f.armed <= now || at < f.armed {
 		f.armed = at
 		l.due.set(l.now+admission.Time(at-now)*10, dueFleet, 0)
 	}
@@ -367,7 +372,7 @@
 	if err == nil {
 		if plan, err = l.checkVersion(v, answer.Text); err != nil {
 			l.log.Warnf("fleet: version %d can't be served under: %v", v.Version, err)
-			f.m.Refuse(now, v.Version, err.Error())
+			f.m.Refuse(now, v.Version, err.Error(), true)
 			f.getting = fleet.Named{}
 			return
 		}
@@ -375,8 +380,10 @@
 	if err != nil {
 		l.logf("fleet: version %d from %s: %v", v.Version, e.addr, err)
 		f.getting, f.again = fleet.Named{}, now+250
+		f.patience = min(2*f.patience, fetchMost)
 		return
 	}
+	f.patience = fetchLeast
 	t := tried{v: v, text: answer.Text, plan: plan}
 	done := func(why error) {
 		l.put(event{kind: newsFleet, job: &jobEnd{job: &job{what: jobTry, about: t}, err: why}})
@@ -389,7 +396,7 @@
 		MaxLate: plan.Doc.Rollout.MaxLate}
 	go func() {
 		started := time.Now()
-		verdict := shadow.Trial(&base, plan.Deployment, rec, bounds)
+		verdict := shadow.Trial(&base, plan.Deployment, plan.Retired, rec, bounds)
 		t.took, t.reqs = time.Since(started), verdict.Reqs
 		if verdict.Why != "" {
 			done(fmt.Errorf("%s", verdict.Why))
@@ -405,7 +412,7 @@
 	t := e.about.(tried)
 	if e.err != nil {
 		l.log.Warnf("fleet: version %d failed its trial: %v", t.v.Version, e.err)
-		f.m.Refuse(now, t.v.Version, e.err.Error())
+		f.m.Refuse(now, t.v.Version, e.err.Error(), false)
 		f.getting = fleet.Named{}
 		return
 	}
--- a/internal/backend/node.go
+++ b/internal/backend/node.go
@@ -69,6 +69,25 @@
 	return &c, nil
 }
 
+// ReadBoth reads the start-up file and the operator's, if the environment names one, and checks them together.
+func ReadBoth(getenv func(string) string) (*Node, error) {
+	own := &operator.Node{LogForm: "text", LogFrom: "info"}
+	var err error
+	if path := getenv("UMBERWINCH_FILE"); path != "" {
+		if own, err = operator.ReadNode(path); err != nil {
+			return nil, err
+		}
+	}
+	c, err := ReadNode(getenv("NODE_CONFIG"), getenv("NODE_NAME"), getenv("NODE_LISTEN"))
+	if err != nil {
+		return nil, err
+	}
+	return c, c.Own(own)
+}
+
+// Logs gives the form and level of the log.
+func (c *Node) Logs() (form, from string) { return c.own.LogForm, c.own.LogFrom }
+
 func address(s string) bool {
 	_, port, err := net.SplitHostPort(s)
 	return err == nil && port != ""
--- a/internal/cli/control.go
+++ b/internal/cli/control.go
@@ -374,7 +374,7 @@
 	var size, port int
 	c := &cobra.Command{Use: "local", Short: "Run a whole group on loopback, for a look", Args: exact(0),
 		Long: `Starts instances as processes of their own on loopback ports, takes them into one group, shows it and runs
-until it is interrupted. Their files and folders stay under --dir, so a later start goes on where this one ended.`,
+until it is interrupted. One that ends is started again two seconds later; the others go on meanwhile. Their files and folders stay under --dir, so a later start goes on where this one ended.`,
 		RunE: func(cmd *cobra.Command, _ []string) error {
 			if size < 1 || size > 7 {
 				return usage(fmt.Errorf("--instances: found %d, expected 1 to 7", size))
@@ -416,16 +416,18 @@
 			return err
 		}
 		defer out.Close()
-		child := exec.CommandContext(running, self, "control", "run", "--file", file)
-		child.Stderr = out
-		child.Cancel = func() error { return child.Process.Signal(syscall.SIGTERM) }
-		child.WaitDelay = 5 * time.Second
-		if err := child.Start(); err != nil {
+		begin := func() (*exec.Cmd, error) {
+			child := exec.CommandContext(running, self, "control", "run", "--file", file)
+			child.Stderr = out
+			child.Cancel = func() error { return child.Process.Signal(syscall.SIGTERM) }
+			child.WaitDelay = 5 * time.Second
+			return child, child.Start()
+		}
+		child, err := begin()
+		if err != nil {
 			return err
 		}
-		go func() {
-			ended <- fmt.Errorf("instance %s ended (see %s.log): %w", name, filepath.Join(dir, name), child.Wait())
-		}()
+		go func() { ended <- again(running, cmd.OutOrStdout(), name, child, begin) }()
 		listens = append(listens, listen)
 	}
 	c.at = listens
@@ -454,6 +456,34 @@
 	return err
 }
 
+// Again, and how long after its end, an instance of a local group is started; one that ends sooner than that does not
+// come up at all, as on a folder that can't be used, and ends the command.
+const againAfter = 2 * time.Second
+
+// again starts an instance anew whenever it ends, until the context does.
+func again(ctx context.Context, w io.Writer, name string, child *exec.Cmd, begin func() (*exec.Cmd, error)) error {
+	for {
+		began := time.Now()
+		err := child.Wait()
+		if ctx.Err() != nil {
+			return nil
+		}
+		if time.Since(began) < againAfter {
+			return fmt.Errorf("instance %s does not come up, see its log: %w", name, err)
+		}
+		fmt.Fprintf(w, "instance %s ended (%v); it is started again in %v, the others go on\n", name, err, againAfter)
+		select {
+		case <-ctx.Done():
+			return nil
+		case <-time.After(againAfter):
+		}
+		if child, err = begin(); err != nil {
+			return err
+		}
+		fmt.Fprintf(w, "instance %s is up again, pid %d\n", name, child.Process.Pid)
+	}
+}
+
 // gather takes all instances into one group, those that are not yet.
 func (c *client) gather(ctx context.Context, listens []string) error {
 	for _, listen := range listens {
--- a/internal/cli/lab.go
+++ b/internal/cli/lab.go
@@ -15,7 +15,7 @@
 
 func newLab() *cobra.Command {
 	c := &cobra.Command{Use: "lab", Short: "The laboratory: the real code under faults and load"}
-	c.AddCommand(newLabRaft(), newLabPools())
+	c.AddCommand(newLabRaft(), newLabPools(), newLabPolicy())
 	return c
 }
 
--- a/internal/consensus/machine.go
+++ b/internal/consensus/machine.go
@@ -195,7 +195,7 @@
 	}
 	next, err := conf.ParseUnder(p.Rules, "document", []byte(p.Text))
 	if err == nil {
-		err = next.Follows(m.current)
+		err = next.Follows(m.before())
 	}
 	if err != nil {
 		return Answer{Refused, m.last(), short(err.Error())}
@@ -228,6 +228,27 @@
 	return Answer{Taken, v.Number, ""}
 }
 
+// before gives the version that reqs in flight came under: the last one, or where nodes are told of changes, the one
+// that is in force there. A version that was called off binds nobody.
+func (m *Machine) before() *conf.Document {
+	p := m.nodes.Policy
+	if p.Number == 0 {
+		return m.current
+	}
+	if p.Force < m.first {
+		return nil // none yet, or one that is kept no more: all instances find so
+	}
+	v, err := ReadVersion(m.lines[p.Force-m.first])
+	if err != nil {
+		return m.current
+	}
+	d, err := conf.ParseUnder(max(1, v.Rules), "version in force", []byte(v.Text))
+	if err != nil {
+		return m.current
+	}
+	return d
+}
+
 // short bounds a reason: it is kept with its session, and a document may have a fault on each of many lines.
 func short(reason string) string {
 	if len(reason) <= maxReason {
--- a/internal/consensus/nodes.go
+++ b/internal/consensus/nodes.go
@@ -70,7 +70,8 @@
 		switch e := e.(type) {
 		case policy.Result:
 			if c := g.rep.machine.nodes.Policy.Find(e.Number); c != nil && e.Err == "" {
-				f := g.log.WithFields(logrus.Fields{"change": c.Number, logs.Version: c.Version, "step": c.Step})
+				f := g.log.WithFields(logrus.Fields{"change": c.Number, logs.Version: c.Version, "step": c.Step,
+					"from": c.From, "exclusive": c.Propose.Exclusive})
 				if c.Why != "" {
 					f = f.WithField(logs.Cause, c.Why)
 				}
--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -92,6 +92,7 @@
 	Lease   uint32
 	Refused string
 	Wait    uint64 // ms after which to ask again
+	timed   bool   // its lease runs from this asking on
 }
 
 // Result is what came of a beat.
@@ -190,7 +191,7 @@
 	for i := range b.Join {
 		j := s.join(&b.Join[i], g)
 		if j.Refused == "" {
-			r.Granted[j.Lease] = true
+			r.Granted[j.Lease] = j.timed
 		}
 		r.Joined = append(r.Joined, j)
 	}
@@ -229,11 +230,16 @@
 		if n.Out != "" {
 			return Joined{Nonce: j.Nonce, Refused: "this incarnation was counted out; begin another"}
 		}
-		n.Seen = s.Clock // the same asking again: its answer was lost
-		if n.Lease.Floor >= g.Need {
+		// The same asking again: its answer was lost. One that never hears an answer doesn't stay in by asking on.
+		if s.Clock-n.Since > Span(g.LeaseMS) {
+			return Joined{Nonce: j.Nonce, Lease: n.Lease.ID}
+		}
+		n.Seen = s.Clock
+		timed := n.Lease.Floor >= g.Need
+		if timed {
 			n.Lease.Until, n.Lease.Alone = max(n.Lease.Until, s.Clock+Span(g.LeaseMS)), g.Alone
 		}
-		return Joined{Nonce: j.Nonce, Lease: n.Lease.ID}
+		return Joined{Nonce: j.Nonce, Lease: n.Lease.ID, timed: timed}
 	}
 	if n == nil {
 		if len(s.nodes) >= MaxNodes && !s.drop() {
@@ -276,7 +282,7 @@
 		n.Starts = n.Starts[1:]
 	}
 	s.lease[s.next] = n
-	return Joined{Nonce: j.Nonce, Lease: s.next}
+	return Joined{Nonce: j.Nonce, Lease: s.next, timed: true}
 }
 
 // flaps gives how long a name has to wait before it may join again.
--- a/internal/fleet/wire.go
+++ b/internal/fleet/wire.go
@@ -10,6 +10,7 @@
 	Lease    uint32 `json:"lease,omitempty"`
 	Renew    bool   `json:"renew,omitempty"`
 	Bye      bool   `json:"bye,omitempty"`
+	Echo     uint64 `json:"echo"`   // the group's time in the last answer it heard
 	Floor    uint64 `json:"floor"`  // it serves under nothing older, from the sending of this on
 	Serves   uint64 `json:"serves"` // the version taken over last
 	Fenced   string `json:"fenced,omitempty"`
@@ -29,6 +30,7 @@
 	Cluster string `json:"cluster"`
 	Term    uint64 `json:"term"`
 	Index   uint64 `json:"index"`
+	Clock   uint64 `json:"clock_ms"` // the group's time
 	Lease   uint32 `json:"lease,omitempty"`
 	LeaseMS uint64 `json:"lease_ms,omitempty"` // above 0: extended, from the sending of the asking on
 	Alone   bool   `json:"alone,omitempty"`    // past the lease it may go on alone
--- a/internal/lab/demo.go
+++ b/internal/lab/demo.go
@@ -3,9 +3,6 @@
 import (
 	"bytes"
 	"context"
-	"crypto/rand"
-	"encoding/hex"
-	"encoding/json"
 	"fmt"
 	"io"
 	mrand "math/rand"
@@ -13,7 +10,6 @@
 	"net/http"
 	"os"
 	"path/filepath"
-	"strconv"
 	"sync"
 	"syscall"
 	"text/tabwriter"
@@ -89,7 +85,7 @@
 	for range s.classes {
 		o.all, o.lately = append(o.all, newSeen()), append(o.lately, newSeen())
 	}
-	if o.kernel, err = NewKernel(loopback(7400), d.Seed, float64(s.cores), s.classes); err != nil {
+	if o.kernel, err = NewKernel(loopback(7400), d.Seed, float64(s.cores), s.classes, kernelStep); err != nil {
 		return nil, err
 	}
 	defer o.kernel.Close()
@@ -135,29 +131,8 @@
 	}
 	defer os.RemoveAll(dir)
 	o.addr = loopback(8080)
-	var classes []map[string]any
-	for k := range o.s.classes {
-		c := &o.s.classes[k]
-		one := map[string]any{"name": c.name, "gain": c.handler.Value, "give_up": int(c.handler.Timeout) * 100,
-			"promise": int(c.handler.Target) * 100, "semantics": "idempotent"}
-		if k == o.s.dearest {
-			one["semantics"], one["window"] = "deduplicated", 20_000_000
-		}
-		classes = append(classes, one)
-	}
-	var customers []map[string]any
-	for i := 0; i < o.s.tenants; i++ {
-		customers = append(customers, map[string]any{"name": fmt.Sprint("t", i), "quota_per_s": 100})
-	}
-	raw, err := json.Marshal(map[string]any{"name": "demo", "listen": o.addr, "kernel": o.kernel.ln.Addr().String(),
-		"control": control, "seed": "1", "stop_ms": 2000,
-		"limits": map[string]any{"cores": 1, "memory_mb": 128, "sockets": 1024},
-		"settings": map[string]any{"classes": classes, "customers": customers, "fleet_size": 1, "granularity": 2000,
-			"family_info": map[string]any{"below": "tier", "cores": o.s.cores, "memory_kb": 500000, "run_factor": 2,
-				"key_kb": 1, "meters": []string{"core_use", "on_cores", "heap_share", "links"}, "preemption": "off",
-				"say": "off", "senders": 4, "idle": 30_000_000},
-			"invariants": map[string]any{"drain_grace": 500_000, "fall_multiple": 5},
-			"limits":     map[string]any{"retry_after": true, "max_retry_after": 5_000_000}}})
+	raw, err := nodeConfig("demo", o.addr, o.kernel.ln.Addr().String(), control, o.s.cores, o.s.tenants, o.s.classes,
+		o.s.classes[o.s.dearest].name)
 	if err != nil {
 		return nil, nil, err
 	}
@@ -298,28 +273,11 @@
 	c := &o.s.classes[k]
 	ctx, cancel := context.WithTimeout(context.Background(), time.Duration(c.handler.Timeout)*100*time.Microsecond)
 	defer cancel()
-	var id [24]byte
-	rand.Read(id[:])
-	req, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+o.addr+"/rpc/"+c.name,
-		bytes.NewReader([]byte("body")))
-	if err != nil {
-		return
-	}
-	for key, v := range map[string]string{"Request-Id": hex.EncodeToString(id[:8]), "Sent-By": strconv.Itoa(tenant),
-		"Received-At": strconv.FormatInt(time.Now().UnixMilli(), 10), "Account": fmt.Sprint("t", tenant),
-		"Footprint-Kb": "8.0", "Priority-Rank": "0.5000"} {
-		req.Header.Set(key, v)
-	}
+	key := ""
 	if k == o.s.dearest {
-		req.Header.Set("Once-Key", hex.EncodeToString(id[8:]))
-	}
-	code := 0
-	res, err := o.client.Do(req)
-	if err == nil {
-		io.Copy(io.Discard, res.Body)
-		res.Body.Close()
-		code = res.StatusCode
+		key = newKey()
 	}
+	code, _ := tryReq(ctx, o.client, o.addr, c.name, tenant, key, false)
 	took := time.Since(due)
 	o.mu.Lock()
 	defer o.mu.Unlock()
--- a/internal/lab/demo_test.go
+++ b/internal/lab/demo_test.go
@@ -38,7 +38,7 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	k, err := NewKernel(loopback(7400), 1, 2, s.classes)
+	k, err := NewKernel(loopback(7400), 1, 2, s.classes, kernelStep)
 	if err != nil {
 		t.Fatal(err)
 	}
--- a/internal/lab/fleethistory.go
+++ b/internal/lab/fleethistory.go
@@ -22,6 +22,39 @@
 	Fences  bool  // when_alone = fence: bounds hold for everybody
 }
 
+// longestOverlap gives the longest time between the first node under some version and the last under an older one.
+func longestOverlap(h []FleetEvent) (longest int64) {
+	under := map[string]uint64{}
+	begun, last := map[uint64]int64{}, map[uint64]int64{} // by version: its first service, the last under an older one
+	var versions []uint64
+	for _, e := range h {
+		if e.Kind != "serves" && e.Kind != "stops" {
+			continue
+		}
+		was, on := under[e.Node]
+		if on {
+			for _, v := range versions {
+				if v > was {
+					last[v] = max(last[v], e.At)
+				}
+			}
+		}
+		if e.Kind == "stops" {
+			delete(under, e.Node)
+			continue
+		}
+		under[e.Node] = e.Version
+		if _, known := begun[e.Version]; !known && e.Version > 2 { // the first of all comes on other terms
+			begun[e.Version] = e.At
+			versions = append(versions, e.Version)
+		}
+	}
+	for v, at := range begun {
+		longest = max(longest, last[v]-at)
+	}
+	return longest
+}
+
 // CheckFleet holds a history against the promises of docs/design/policy.md and gives the first that is broken, and
 // the longest overlap seen.
 func CheckFleet(all []FleetEvent, p FleetPromises) (broken string, overlap int64) {
--- a/internal/lab/kernel.go
+++ b/internal/lab/kernel.go
@@ -26,6 +26,7 @@
 	first   int      // number of notices[0]
 	busy    float64  // core time used, in ms
 	at      time.Time
+	step    time.Duration // between looks at what has ended
 	stop    chan struct{}
 }
 
@@ -40,13 +41,13 @@
 )
 
 // NewKernel listens on an address.
-func NewKernel(addr string, seed int64, cores float64, classes []vclass) (*Kernel, error) {
+func NewKernel(addr string, seed int64, cores float64, classes []vclass, step time.Duration) (*Kernel, error) {
 	ln, err := net.Listen("tcp", addr)
 	if err != nil {
 		return nil, err
 	}
 	k := &Kernel{r: rand.New(rand.NewSource(seed)), ln: ln, classes: map[string]*vclass{}, cores: cores,
-		runs: map[string]*kernelRun{}, first: 1, at: time.Now(), stop: make(chan struct{})}
+		runs: map[string]*kernelRun{}, first: 1, at: time.Now(), step: step, stop: make(chan struct{})}
 	for i := range classes {
 		c := classes[i]
 		k.classes[c.name] = &c
@@ -168,7 +169,7 @@
 
 // work lets all runs go on, each with its part of the cores.
 func (k *Kernel) work() {
-	tick := time.NewTicker(kernelStep)
+	tick := time.NewTicker(k.step)
 	defer tick.Stop()
 	for {
 		select {
--- /dev/null
+++ b/internal/lab/local.go
@@ -0,0 +1,71 @@
+package lab
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"strings"
+	"time"
+
+	"umberwinch/internal/policy"
+)
+
+// Local is a fleet for a look: a rig that starts again what ends.
+type Local struct {
+	Program, Dir     string
+	Instances, Nodes int
+	Rate             float64
+	Seconds          int
+}
+
+// Run starts it, says what can be done with it, and goes on until the context ends.
+func (l *Local) Run(ctx context.Context, w io.Writer) error {
+	run, end := context.WithCancel(context.WithoutCancel(ctx)) // so that what is started can be ended in order
+	defer end()
+	r, err := NewRig(run, RigPlan{Program: l.Program, Dir: l.Dir, Seed: 1, Instances: l.Instances, Nodes: l.Nodes,
+		Folders: true, Keep: true})
+	defer r.Close()
+	if err != nil {
+		return err
+	}
+	go r.group.keep(run)
+	number, version, err := r.Propose(policyText(5*time.Second, "fence", 1, ""), policy.Propose{Reason: "the first"})
+	if err == nil {
+		_, err = r.Step(number, 30*time.Second, policy.Settled)
+	}
+	if err == nil {
+		err = r.AllServe(version, 20*time.Second)
+	}
+	if err != nil {
+		return err
+	}
+	var at []string
+	for _, p := range r.group.procs {
+		at = append(at, p.listen)
+	}
+	fmt.Fprintf(w, "%d control instances, %d nodes in 3 zones, policy version %d in force; logs are in %s\n\n", l.Instances,
+		l.Nodes, version, l.Dir)
+	fmt.Fprintf(w, "ask:\n  umberctl nodes list --at %s\n  umberctl policy status --at %[1]s\n", strings.Join(at, ","))
+	fmt.Fprintf(w, "change (on standard input):\n  printf '[fleet]\\nlease = 5s\\nwhen_alone = fence\\n[tenant t0]\\nrate = 500\\n' |\n"+
+		"    umberctl policy propose - --reason \"t0 grows\" --at %s\n", strings.Join(at, ","))
+	fmt.Fprintln(w, "kill -9, or stop (kill -STOP) and continue (kill -CONT):")
+	for _, p := range r.group.procs {
+		fmt.Fprintf(w, "  control %s  pid %d  at %s\n", p.name, p.pid(), p.listen)
+	}
+	for _, n := range r.nodes {
+		fmt.Fprintf(w, "  node %s of %s  pid %d  at %s\n", n.name, n.zone, n.cmd.Process.Pid, n.listen)
+	}
+	fmt.Fprintln(w, "what ends is started again after two seconds; Ctrl-C ends all")
+	calls := r.Load(ctx, max(l.Rate, 0.001))
+	tick := time.NewTicker(10 * time.Second)
+	defer tick.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			fmt.Fprintf(w, "callers: %v\n", calls)
+			return nil
+		case <-tick.C:
+			fmt.Fprintf(w, "callers: %v\n", calls)
+		}
+	}
+}
--- a/internal/lab/ondemand.go
+++ b/internal/lab/ondemand.go
@@ -3,11 +3,13 @@
 import (
 	"os"
 	"os/signal"
+	"strings"
 	"sync/atomic"
 	"syscall"
 	"time"
 
 	"umberwinch/internal/consensus"
+	"umberwinch/internal/policy"
 	"umberwinch/internal/wal"
 )
 
@@ -25,7 +27,18 @@
 
 // FaultsOnDemand gives an instance the faults that its environment asks for.
 func FaultsOnDemand() consensus.Faults {
-	kind := os.Getenv(faultEnv)
+	var out policy.Guard
+	for _, word := range strings.Split(os.Getenv(WithoutEnv), ",") {
+		if g, err := policy.GuardNamed(word); err == nil {
+			out |= g
+		}
+	}
+	f := faultsOnDemand(os.Getenv(faultEnv))
+	f.Fleet = out
+	return f
+}
+
+func faultsOnDemand(kind string) consensus.Faults {
 	if kind == "" {
 		return consensus.Faults{}
 	}
--- /dev/null
+++ b/internal/lab/policy.go
@@ -0,0 +1,700 @@
+package lab
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"os"
+	"runtime"
+	"sort"
+	"strconv"
+	"strings"
+	"sync"
+	"time"
+
+	"umberwinch/internal/fleet"
+	"umberwinch/internal/policy"
+)
+
+// Policy is a run of `umberctl lab policy`.
+type Policy struct {
+	Seed      int64
+	Quick     bool
+	Size      int // nodes of the real part
+	Out       string
+	Without   policy.Guard
+	Words     string // the guards, as words for processes
+	Mode      string // virtual, real or both
+	Schedules int
+	Changes   int
+	Program   string
+	Only      string // one case
+}
+
+// Numbers of the two modes. Quick ends within 50 s on four cores.
+const (
+	quickFleets  = 200
+	longFleets   = 2000
+	quickChanges = 10
+	longChanges  = 100
+)
+
+// realLease is the lease of the real part's policies: short, so that what waits for one ends soon, and long beside a
+// failover of the group.
+const realLease = 2 * time.Second
+
+// Run plays virtual schedules and large fleets, then processes, and reports.
+func (r *Policy) Run(ctx context.Context, w io.Writer) (*Report, error) {
+	rep := &Report{Name: "policy", Title: "A change of policy everywhere or nowhere",
+		Head: []string{"PART", "NODES", "CHANGES", "SETTLED", "CALLED OFF", "MEDIAN", "99TH", "WORST", "OVERLAP"}}
+	rep.Add("seed", "%d", r.Seed)
+	if r.Mode != "real" {
+		r.virtual(ctx, rep)
+		if rep.Broken == "" && r.Without == 0 {
+			r.large(rep)
+		}
+	}
+	if r.Mode != "virtual" && rep.Broken == "" {
+		if err := r.real(ctx, w, rep); err != nil {
+			return nil, err
+		}
+	}
+	if r.Out != "" {
+		if err := rep.Save(r.Out); err != nil {
+			return nil, err
+		}
+	}
+	return rep, rep.Print(w)
+}
+
+// span gives the quantiles of times as a table's cells.
+func span(times []float64) []string {
+	sort.Float64s(times)
+	at := func(q float64) string {
+		if len(times) == 0 {
+			return "-"
+		}
+		return fmt.Sprintf("%.0f ms", times[min(len(times)-1, int(q*float64(len(times))))])
+	}
+	return []string{at(0.5), at(0.99), at(1)}
+}
+
+func (r *Policy) row(rep *Report, part string, nodes, changes int, ends map[string]int, times []float64, overlap int64) {
+	rep.Rows = append(rep.Rows, append(append([]string{part, strconv.Itoa(nodes), strconv.Itoa(changes),
+		strconv.Itoa(ends[policy.Settled]), strconv.Itoa(ends[policy.CalledOff])}, span(times)...),
+		fmt.Sprintf("%.0f ms", float64(overlap)/10)))
+}
+
+// virtual plays schedules of faults on all cores, each from a seed of its own.
+func (r *Policy) virtual(ctx context.Context, rep *Report) {
+	n := r.Schedules
+	if n == 0 {
+		if n = longFleets; r.Quick {
+			n = quickFleets
+		}
+	}
+	var mu sync.Mutex
+	var wg sync.WaitGroup
+	ends, causes, bad, first := map[string]int{}, map[string]int{}, 0, int64(-1)
+	var times []float64
+	var overlap int64
+	why := ""
+	seeds := make(chan int64)
+	for i := 0; i < runtime.GOMAXPROCS(0); i++ {
+		wg.Add(1)
+		go func() {
+			defer wg.Done()
+			for s := range seeds {
+				f := NewVFleet(FleetPlan{Seed: s, Nodes: 9 + int(s%7), Ctl: 3 + 2*int(s%2), Changes: 5, Without: r.Without})
+				f.Play()
+				mu.Lock()
+				for k, v := range f.Ends {
+					ends[k] += v
+				}
+				for k, v := range f.Causes {
+					causes[k] += v
+				}
+				times, overlap = append(times, f.Times...), max(overlap, f.Overlap)
+				if f.Broken != "" {
+					if bad++; first < 0 || s < first {
+						first, why = s, f.Broken
+					}
+				}
+				mu.Unlock()
+			}
+		}()
+	}
+	for i := 0; i < n && ctx.Err() == nil; i++ {
+		seeds <- r.Seed*1_000_000 + int64(i)
+	}
+	close(seeds)
+	wg.Wait()
+	changes := ends[policy.Settled] + ends[policy.CalledOff]
+	r.row(rep, "virtual, faults", 12, changes, ends, times, overlap)
+	rep.Add("schedules", "%d", n)
+	rep.Add("changes", "%d", changes)
+	rep.Add("broken", "%d", bad)
+	for _, c := range []string{"a node said no", "not prepared in time", "by the operator"} {
+		rep.Notes = append(rep.Notes, fmt.Sprintf("virtual, faults: called off, %s: %d of %d", c, causes[c],
+			ends[policy.CalledOff]))
+	}
+	if bad > 0 {
+		rep.Break("seed %d of %d broken schedules: %s", first, bad, why)
+	}
+}
+
+// large plays fleets of the full size, calm and with a third down, and beside them the two baselines: telling each node
+// as it comes, and a majority of nodes.
+func (r *Policy) large(rep *Report) {
+	sizes := []int{300, 5000}
+	if r.Quick {
+		sizes = []int{300}
+	}
+	for _, n := range sizes {
+		for _, c := range []struct {
+			part string
+			down float64
+			way  string
+		}{{"calm", 0, ""}, {"a third down", 0.33, ""}, {"a third down, each as it comes", 0.33, WayEach},
+			{"a third down, majority", 0.33, WayMajority}} {
+			started := time.Now()
+			f := NewVFleet(FleetPlan{Seed: r.Seed, Nodes: n, Ctl: 3, Changes: 3, Calm: true, Down: c.down, Way: c.way,
+				Lease: 10_000, Span: 60_000})
+			f.Play()
+			if f.Broken != "" {
+				rep.Break("%d nodes, %s: %s", n, c.part, f.Broken)
+			}
+			r.row(rep, "virtual, "+c.part, n, len(f.Times), f.Ends, f.Times, f.Overlap)
+			if c.way == "" {
+				seconds := f.now / 1000
+				rep.Notes = append(rep.Notes, fmt.Sprintf("%d nodes, %s: %.1f askings, %.2f entries and %.1f KB of them a "+
+					"second; played in %v", n, c.part, float64(f.Asks)/seconds, float64(f.Entries)/seconds,
+					float64(f.Bytes)/1024/seconds, time.Since(started).Round(time.Millisecond)))
+			}
+		}
+	}
+}
+
+// policyText is a version's text; n makes each another.
+func policyText(lease time.Duration, alone string, n int, more string) string {
+	return fmt.Sprintf("[fleet]\nlease = %v\nwhen_alone = %s\n[tenant t0]\nrate = %d\n%s", lease, alone, 1000+n, more)
+}
+
+// bench is a rig under load, for the cases.
+type bench struct {
+	*Rig
+	n     int // texts made so far
+	force uint64
+	lease time.Duration
+	alone string
+}
+
+func (b *bench) text(more string) string {
+	b.n++
+	return policyText(b.lease, b.alone, b.n, more)
+}
+
+// change makes a change and waits until it is settled and all that are up serve under it.
+func (b *bench) change(p policy.Propose) (*policy.Change, error) {
+	number, version, err := b.Propose(b.text(""), p)
+	if err != nil {
+		return nil, err
+	}
+	return b.settled(number, version)
+}
+
+func (b *bench) settled(number, version uint64) (*policy.Change, error) {
+	c, err := b.Step(number, 30*time.Second, policy.Settled, policy.CalledOff)
+	if err != nil {
+		return c, err
+	}
+	if c.Step != policy.Settled {
+		return c, fmt.Errorf("change %d was called off: %s", number, c.Why)
+	}
+	b.force = version
+	return c, b.AllServe(version, 20*time.Second)
+}
+
+// off waits until a change is called off, and holds the fleet to serving on under the older version.
+func (b *bench) off(number uint64) (*policy.Change, error) {
+	c, err := b.Step(number, 40*time.Second, policy.Settled, policy.CalledOff)
+	if err != nil {
+		return c, err
+	}
+	if c.Step != policy.CalledOff {
+		return c, fmt.Errorf("change %d is settled, expected it called off", number)
+	}
+	return c, b.AllServe(b.force, 20*time.Second)
+}
+
+// held begins a change that one node does not get to prepare, so that it stays at the first step.
+func (b *bench) held(slow *rigNode, p policy.Propose) (number, version uint64, err error) {
+	b.lines(lineFault{deaf: "GET /v1/config"}, slow)
+	return b.Propose(b.text(""), p)
+}
+
+// policyCase is one hard case on processes.
+type policyCase struct {
+	name string
+	run  func(b *bench) error
+}
+
+var policyCases = []policyCase{
+	{"a change, and one without overlap", func(b *bench) error {
+		if _, err := b.change(policy.Propose{}); err != nil {
+			return err
+		}
+		_, err := b.change(policy.Propose{Exclusive: true})
+		return err
+	}},
+	{"killed before it prepared", func(b *bench) error {
+		n := b.nodes[0]
+		number, version, err := b.held(n, policy.Propose{})
+		if err != nil {
+			return err
+		}
+		n.Kill()
+		b.heal()
+		if _, err = b.settled(number, version); err != nil {
+			return err
+		}
+		if err = n.Start(); err != nil {
+			return err
+		}
+		return b.AllServe(version, 20*time.Second)
+	}},
+	{"killed after it prepared", func(b *bench) error {
+		slow, n := b.nodes[1], b.nodes[0]
+		number, version, err := b.held(slow, policy.Propose{})
+		if err == nil {
+			err = b.Prepared(n.name, version)
+		}
+		if err != nil {
+			return err
+		}
+		n.Kill()
+		b.heal()
+		if _, err = b.settled(number, version); err != nil {
+			return err
+		}
+		if err = n.Start(); err != nil {
+			return err
+		}
+		return b.AllServe(version, 20*time.Second)
+	}},
+	{"killed between the decision and being told", func(b *bench) error {
+		slow, n, cut := b.nodes[1], b.nodes[0], b.nodes[2]
+		number, version, err := b.held(slow, policy.Propose{})
+		if err == nil {
+			err = errors.Join(b.Prepared(n.name, version), b.Prepared(cut.name, version))
+		}
+		if err != nil {
+			return err
+		}
+		b.lines(lineFault{muteBack: true}, n, cut) // neither hears any more
+		b.lines(lineFault{}, slow)                 // and the slow one goes on
+		if _, err = b.Step(number, 20*time.Second, policy.InForce, policy.Settled); err != nil {
+			return err
+		}
+		n.Kill() // the other one is fenced instead
+		if _, err = b.Step(number, 20*time.Second, policy.Settled); err != nil {
+			return err
+		}
+		b.heal()
+		if err = n.Start(); err != nil {
+			return err
+		}
+		b.force = version
+		return b.AllServe(version, 20*time.Second)
+	}},
+	{"stopped past its lease and continued", func(b *bench) error {
+		n := b.nodes[3%len(b.nodes)]
+		n.Stop()
+		defer func() {
+			if n.stopped {
+				n.GoOn()
+			}
+		}()
+		c, err := b.change(policy.Propose{})
+		if err != nil {
+			return err
+		}
+		n.GoOn()
+		return b.AllServe(c.Version, 20*time.Second)
+	}},
+	{"a zone cut off from the group, not from its callers", func(b *bench) error {
+		zone := b.zoned("z2")
+		b.cut(zone...)
+		defer b.heal()
+		number, version, err := b.Propose(b.text(""), policy.Propose{})
+		if err != nil {
+			return err
+		}
+		if _, err = b.Step(number, 30*time.Second, policy.Settled); err != nil {
+			return err
+		}
+		b.heal()
+		b.force = version
+		return b.AllServe(version, 20*time.Second)
+	}},
+	{"one-way cuts", func(b *bench) error {
+		b.lines(lineFault{mute: true}, b.nodes[0])
+		b.lines(lineFault{muteBack: true}, b.nodes[1])
+		defer b.heal()
+		number, version, err := b.Propose(b.text(""), policy.Propose{})
+		if err != nil {
+			return err
+		}
+		if _, err = b.Step(number, 30*time.Second, policy.Settled); err != nil {
+			return err
+		}
+		b.heal()
+		b.force = version
+		return b.AllServe(version, 20*time.Second)
+	}},
+	{"the leader killed while nodes prepare", func(b *bench) error {
+		slow := b.nodes[4%len(b.nodes)]
+		number, version, err := b.held(slow, policy.Propose{})
+		if err == nil {
+			err = b.Prepared(b.nodes[0].name, version)
+		}
+		if err != nil {
+			return err
+		}
+		p, err := b.killLeader()
+		if err != nil {
+			return err
+		}
+		b.heal()
+		if _, err = b.settled(number, version); err != nil {
+			return err
+		}
+		return b.group.start(p, "")
+	}},
+	{"the leader killed while it is held, without overlap", func(b *bench) error {
+		cut := b.nodes[5%len(b.nodes)]
+		slow := b.nodes[1]
+		number, version, err := b.held(slow, policy.Propose{Exclusive: true})
+		if err == nil {
+			err = b.Prepared(cut.name, version)
+		}
+		if err != nil {
+			return err
+		}
+		b.lines(lineFault{muteBack: true}, cut)
+		b.lines(lineFault{}, slow)
+		if _, err = b.Step(number, 20*time.Second, policy.Held, policy.InForce, policy.Settled); err != nil {
+			return err
+		}
+		p, err := b.killLeader()
+		if err != nil {
+			return err
+		}
+		b.heal()
+		if _, err = b.settled(number, version); err != nil {
+			return err
+		}
+		return b.group.start(p, "")
+	}},
+	{"no majority in the middle, and back", func(b *bench) error {
+		slow := b.nodes[1]
+		number, version, err := b.held(slow, policy.Propose{Within: 30_000})
+		if err != nil {
+			return err
+		}
+		var gone []*proc
+		for _, p := range b.group.procs[1:] {
+			b.group.kill(p)
+			gone = append(gone, p)
+		}
+		time.Sleep(b.lease + b.lease/2) // past every lease
+		b.heal()
+		for _, p := range gone {
+			if err = b.group.start(p, ""); err != nil {
+				return err
+			}
+		}
+		_, err = b.settled(number, version)
+		return err
+	}},
+	{"a node says no", func(b *bench) error {
+		number, _, err := b.Propose(b.text("[class fill]\nkind = replayable\nvalue = 2\nresponse_target = 500ms\n"+
+			"client_timeout = 3s\n"), policy.Propose{})
+		if err != nil {
+			return err
+		}
+		c, err := b.off(number)
+		if err == nil && !strings.Contains(c.Why, "class fill: found it in the policy") {
+			err = fmt.Errorf("called off for %q, expected the odd node's no", c.Why)
+		}
+		return err
+	}},
+	{"a node never answers", func(b *bench) error {
+		number, _, err := b.held(b.nodes[0], policy.Propose{Within: 3000})
+		if err != nil {
+			return err
+		}
+		if _, err = b.off(number); err != nil {
+			return err
+		}
+		b.heal()
+		return nil
+	}},
+	{"it is left behind, and comes after", func(b *bench) error {
+		number, version, err := b.held(b.nodes[0], policy.Propose{Within: 3000, Spare: 1})
+		if err != nil {
+			return err
+		}
+		if _, err = b.Step(number, 30*time.Second, policy.Settled); err != nil {
+			return err
+		}
+		b.heal()
+		b.force = version
+		return b.AllServe(version, 20*time.Second)
+	}},
+	{"says prepared and forgets it", func(b *bench) error {
+		slow, n := b.nodes[1], b.nodes[0]
+		number, version, err := b.held(slow, policy.Propose{})
+		if err == nil {
+			err = b.Prepared(n.name, version)
+		}
+		if err != nil {
+			return err
+		}
+		n.Kill()
+		if err = n.Start(); err != nil {
+			return err
+		}
+		b.lines(lineFault{}, slow)
+		_, err = b.settled(number, version)
+		return err
+	}},
+	{"restarts in a loop", func(b *bench) error {
+		n := b.nodes[2]
+		stop, done := make(chan struct{}), make(chan error, 1)
+		go func() {
+			for {
+				select {
+				case <-stop:
+					done <- nil
+					return
+				case <-time.After(300 * time.Millisecond):
+				}
+				n.Kill()
+				if err := n.Start(); err != nil {
+					done <- err
+					return
+				}
+			}
+		}()
+		number, version, err := b.Propose(b.text(""), policy.Propose{Within: 20_000})
+		if err == nil {
+			_, err = b.Step(number, 30*time.Second, policy.Settled)
+		}
+		close(stop)
+		if err = errors.Join(err, <-done); err != nil {
+			return err
+		}
+		b.force = version
+		return b.AllServe(version, 60*time.Second)
+	}},
+	{"joins in the middle", func(b *bench) error {
+		n, slow := b.nodes[0], b.nodes[1]
+		n.Kill()
+		number, version, err := b.held(slow, policy.Propose{})
+		if err != nil {
+			return err
+		}
+		if err = n.Start(); err != nil {
+			return err
+		}
+		if err = b.Prepared(n.name, version); err != nil {
+			return err
+		}
+		b.heal()
+		_, err = b.settled(number, version)
+		return err
+	}},
+	{"drains in the middle", func(b *bench) error {
+		n, slow := b.nodes[0], b.nodes[1]
+		number, version, err := b.held(slow, policy.Propose{})
+		if err != nil {
+			return err
+		}
+		n.Drain()
+		if err = b.await(10*time.Second, func() error {
+			all, err := b.Nodes()
+			if err == nil && all[n.name].Out != fleet.Left {
+				err = fmt.Errorf("%s is %q, expected %q", n.name, all[n.name].Out, fleet.Left)
+			}
+			return err
+		}); err != nil {
+			return err
+		}
+		b.heal()
+		if _, err = b.settled(number, version); err != nil {
+			return err
+		}
+		<-n.ended
+		if err = n.Start(); err != nil {
+			return err
+		}
+		return b.AllServe(version, 20*time.Second)
+	}},
+	{"a version that would shed everything", func(b *bench) error {
+		more := ""
+		for _, c := range []string{"view", "submit"} {
+			more += fmt.Sprintf("[class %s]\nkind = %s\nretired = yes\nresponse_target = 300ms\nclient_timeout = 3s\n", c,
+				map[string]string{"view": "replayable", "submit": "uniqued\nwindow = 20s"}[c])
+		}
+		number, _, err := b.Propose(b.text(more), policy.Propose{})
+		if err != nil {
+			return err
+		}
+		c, err := b.off(number)
+		if err == nil && !strings.Contains(c.Why, "reqs of the trial were shed") {
+			err = fmt.Errorf("called off for %q, expected the trial's finding", c.Why)
+		}
+		return err
+	}},
+	{"two in five down, back one by one", func(b *bench) error {
+		down := b.nodes[:2*len(b.nodes)/5]
+		for _, n := range down {
+			n.Kill()
+		}
+		c, err := b.change(policy.Propose{})
+		if err != nil {
+			return err
+		}
+		for _, n := range down {
+			if err = n.Start(); err != nil {
+				return err
+			}
+			if err = b.AllServe(c.Version, 20*time.Second); err != nil {
+				return err
+			}
+		}
+		return nil
+	}},
+}
+
+// PolicyCases names the cases.
+func PolicyCases() (names []string) {
+	for _, c := range policyCases {
+		names = append(names, c.name)
+	}
+	return names
+}
+
+// begin starts a rig with a first policy.
+func (r *Policy) begin(ctx context.Context, dir string, alone string) (*bench, error) {
+	n := r.Size
+	if n == 0 {
+		n = 9
+	}
+	rig, err := NewRig(ctx, RigPlan{Program: r.Program, Dir: dir, Seed: r.Seed, Instances: 3, Nodes: n, Without: r.Words,
+		Odd: n, Folders: true})
+	b := &bench{Rig: rig, lease: realLease, alone: alone}
+	if err != nil {
+		return b, err
+	}
+	number, version, err := b.Propose(b.text(""), policy.Propose{})
+	if err == nil {
+		_, err = b.settled(number, version)
+	}
+	return b, err
+}
+
+// promises of the real part: a lease as the group counts it, and some ms of logs and rounds.
+func (b *bench) promises() FleetPromises {
+	return FleetPromises{Overlap: int64(fleet.Span(uint64(b.lease.Milliseconds())))*10 + 2000, Fences: b.alone == "fence"}
+}
+
+// real plays the cases on processes, then many changes under load.
+func (r *Policy) real(ctx context.Context, w io.Writer, rep *Report) error {
+	dir, err := os.MkdirTemp("", "lab-policy-")
+	if err != nil {
+		return err
+	}
+	defer os.RemoveAll(dir)
+	b, err := r.begin(ctx, dir, "fence")
+	defer b.Close()
+	if err != nil {
+		return err
+	}
+	load, stop := context.WithCancel(ctx)
+	calls := b.Load(load, 100)
+	kept := 0
+	for _, c := range policyCases {
+		if r.Only != "" && c.name != r.Only {
+			continue
+		}
+		started := time.Now()
+		err := c.run(b)
+		b.heal()
+		if err == nil {
+			err = b.AllServe(b.force, 60*time.Second)
+		}
+		if err != nil {
+			rep.Break("%s: %v", c.name, err)
+			break
+		}
+		if _, err = b.Check(b.promises()); err != nil {
+			rep.Break("%s: %v", c.name, err)
+			break
+		}
+		kept++
+		fmt.Fprintf(w, "%-55s kept, %.1f s\n", c.name, time.Since(started).Seconds())
+	}
+	stop()
+	b.loads.Wait()
+	rep.Add("cases", "%d", kept)
+	rep.Notes = append(rep.Notes, fmt.Sprintf("cases, real: callers: %v", calls))
+	if rep.Broken != "" || r.Only != "" {
+		return nil
+	}
+	return r.many(ctx, b, rep)
+}
+
+// many makes changes one after the other under load, none of which a caller may notice.
+func (r *Policy) many(ctx context.Context, b *bench, rep *Report) error {
+	n := r.Changes
+	if n == 0 {
+		if n = longChanges; r.Quick {
+			n = quickChanges
+		}
+	}
+	load, stop := context.WithCancel(ctx)
+	defer stop()
+	calls := b.Load(load, 200)
+	time.Sleep(time.Second)
+	before, ends, times := calls.String(), map[string]int{}, []float64{}
+	for i := 0; i < n && ctx.Err() == nil; i++ {
+		c, err := b.change(policy.Propose{})
+		if err != nil {
+			rep.Break("change %d of %d under load: %v", i+1, n, err)
+			return nil
+		}
+		ends[c.Step]++
+		times = append(times, float64(c.Forced-c.Begun))
+	}
+	stop()
+	b.loads.Wait()
+	overlap, err := b.Check(b.promises())
+	if err != nil {
+		rep.Break("%d changes under load: %v", n, err)
+	}
+	r.row(rep, "real, under load", len(b.nodes), n, ends, times, overlap)
+	rep.Add("real_changes", "%d", n)
+	rep.Add("asked", "%d", calls.Asked)
+	rep.Add("lost", "%d", calls.Lost)
+	rep.Add("shed", "%d", calls.Shed)
+	rep.Add("errored", "%d", calls.Errors)
+	rep.Notes = append(rep.Notes, "before the first change: "+before,
+		fmt.Sprintf("done within %.0f ms in the median, %.0f at the 99th", calls.quantile(0.5), calls.quantile(0.99)))
+	if calls.Lost+calls.Shed+calls.Errors > 0 {
+		rep.Break("callers noticed %d changes: %v", n, calls)
+	}
+	return nil
+}
--- a/internal/lab/procs.go
+++ b/internal/lab/procs.go
@@ -135,6 +135,35 @@
 	return nil
 }
 
+func (p *proc) pid() int { return p.cmd.Process.Pid }
+
+// keep starts again what ends, two seconds later, until the context does.
+func (c *cluster) keep(ctx context.Context) {
+	var wg sync.WaitGroup
+	for _, p := range c.procs {
+		wg.Add(1)
+		go func() {
+			defer wg.Done()
+			for {
+				select {
+				case <-ctx.Done():
+					return
+				case <-p.ended:
+				}
+				select {
+				case <-ctx.Done():
+					return
+				case <-time.After(2 * time.Second):
+				}
+				if c.start(p, "") != nil {
+					return
+				}
+			}
+		}()
+	}
+	wg.Wait()
+}
+
 // kill ends a process at its step, or at once, and waits until it is gone.
 func (c *cluster) kill(p *proc) {
 	if p.fault != "" && p.fault != diskStalls {
--- a/internal/lab/proxy.go
+++ b/internal/lab/proxy.go
@@ -1,6 +1,7 @@
 package lab
 
 import (
+	"bytes"
 	"encoding/binary"
 	"encoding/json"
 	"io"
@@ -14,13 +15,14 @@
 type switchboard struct {
 	mu    sync.Mutex
 	cut   map[[2]string]bool // by names, from and to
+	fault map[[2]string]lineFault
 	conns map[net.Conn][2]string
 	wg    sync.WaitGroup
 	ls    []net.Listener
 }
 
 func newSwitchboard() *switchboard {
-	return &switchboard{cut: map[[2]string]bool{}, conns: map[net.Conn][2]string{}}
+	return &switchboard{cut: map[[2]string]bool{}, fault: map[[2]string]lineFault{}, conns: map[net.Conn][2]string{}}
 }
 
 // front forwards what comes to a listener to an instance.
@@ -112,7 +114,110 @@
 func (s *switchboard) heal() {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.cut = map[[2]string]bool{}
+	s.cut, s.fault = map[[2]string]bool{}, map[[2]string]lineFault{}
+}
+
+// lineFault is what goes wrong on the lines from one to another, both named where they are made.
+type lineFault struct {
+	cut      bool          // nothing opens, and what is open closes
+	mute     bool          // what the one says is swallowed
+	muteBack bool          // and what the other answers
+	delay    time.Duration // of each piece, both ways
+	deaf     string        // connections that begin so are swallowed
+}
+
+// set puts a fault in place of the one before.
+func (s *switchboard) set(from, to string, f lineFault) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	key := [2]string{from, to}
+	s.fault[key] = f
+	for c, k := range s.conns {
+		if f.cut && k == key {
+			c.Close()
+		}
+	}
+}
+
+func (s *switchboard) on(key [2]string) lineFault {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	f := s.fault[key]
+	f.cut = f.cut || s.cut[key]
+	return f
+}
+
+// between opens an address on which one reaches another, and forwards what comes.
+func (s *switchboard) between(from, to, target string) (string, error) {
+	l, err := net.Listen("tcp", loopback(7300))
+	if err != nil {
+		return "", err
+	}
+	s.ls = append(s.ls, l)
+	s.wg.Add(1)
+	go func() {
+		defer s.wg.Done()
+		for {
+			c, err := l.Accept()
+			if err != nil {
+				return
+			}
+			s.wg.Add(1)
+			go func() { defer s.wg.Done(); s.cross(c, [2]string{from, to}, target) }()
+		}
+	}()
+	return l.Addr().String(), nil
+}
+
+func (s *switchboard) cross(c net.Conn, key [2]string, target string) {
+	defer c.Close()
+	if s.on(key).cut {
+		return
+	}
+	out, err := net.DialTimeout("tcp", target, time.Second)
+	if err != nil {
+		return
+	}
+	defer out.Close()
+	s.mu.Lock()
+	s.conns[c] = key
+	s.mu.Unlock()
+	defer func() { s.mu.Lock(); delete(s.conns, c); s.mu.Unlock() }()
+	back := make(chan struct{})
+	go func() {
+		s.pump(c, out, key, func(f lineFault, _ []byte) bool { return f.muteBack })
+		c.Close()
+		close(back)
+	}()
+	deaf := false
+	s.pump(out, c, key, func(f lineFault, b []byte) bool {
+		deaf = deaf || f.deaf != "" && bytes.HasPrefix(b, []byte(f.deaf))
+		return f.mute || deaf
+	})
+	out.Close()
+	<-back
+}
+
+// pump copies piece by piece, but for what is swallowed.
+func (s *switchboard) pump(dst, src net.Conn, key [2]string, swallow func(lineFault, []byte) bool) {
+	buf := make([]byte, 16<<10)
+	for {
+		n, err := src.Read(buf)
+		if n > 0 {
+			f := s.on(key)
+			if f.delay > 0 {
+				time.Sleep(f.delay)
+			}
+			if !swallow(f, buf[:n]) {
+				if _, werr := dst.Write(buf[:n]); werr != nil {
+					return
+				}
+			}
+		}
+		if err != nil {
+			return
+		}
+	}
 }
 
 func (s *switchboard) close() {
--- /dev/null
+++ b/internal/lab/sidecar.go
@@ -0,0 +1,79 @@
+package lab
+
+import (
+	"bytes"
+	"context"
+	"crypto/rand"
+	"encoding/hex"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net/http"
+	"strconv"
+	"time"
+)
+
+// What the demo and the rig say to a node: its start-up file, and reqs as a sidecar sends them.
+
+// nodeConfig makes a node's start-up file for emulated classes; the named one is uniqued.
+func nodeConfig(name, listen, kernel, control string, cores, tenants int, all []vclass, uniqued string) ([]byte, error) {
+	var classes, customers []map[string]any
+	for k := range all {
+		c := &all[k]
+		one := map[string]any{"name": c.name, "gain": c.handler.Value, "give_up": int(c.handler.Timeout) * 100,
+			"promise": int(c.handler.Target) * 100, "semantics": "idempotent"}
+		if c.name == uniqued {
+			one["semantics"], one["window"] = "deduplicated", 20_000_000
+		}
+		classes = append(classes, one)
+	}
+	for i := 0; i < tenants; i++ {
+		customers = append(customers, map[string]any{"name": fmt.Sprint("t", i), "quota_per_s": 100})
+	}
+	return json.Marshal(map[string]any{"name": name, "listen": listen, "kernel": kernel,
+		"control": control, "seed": "1", "stop_ms": 2000,
+		"limits": map[string]any{"cores": 1, "memory_mb": 128, "sockets": 1024},
+		"settings": map[string]any{"classes": classes, "customers": customers, "fleet_size": 1, "granularity": 2000,
+			"family_info": map[string]any{"below": "tier", "cores": cores, "memory_kb": 500000, "run_factor": 2,
+				"key_kb": 1, "meters": []string{"core_use", "on_cores", "heap_share", "links"}, "preemption": "off",
+				"say": "off", "senders": 4, "idle": 30_000_000},
+			"invariants": map[string]any{"drain_grace": 500_000, "fall_multiple": 5},
+			"limits":     map[string]any{"retry_after": true, "max_retry_after": 5_000_000}}})
+}
+
+func newKey() string {
+	var raw [16]byte
+	rand.Read(raw[:]) // never fails
+	return hex.EncodeToString(raw[:])
+}
+
+// tryReq sends one try of a req and gives its status, 0 where none came, and for how long to keep away.
+func tryReq(ctx context.Context, client *http.Client, addr, class string, tenant int, key string, again bool) (code int,
+	backOff time.Duration) {
+	req, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+addr+"/rpc/"+class,
+		bytes.NewReader([]byte("body")))
+	if err != nil {
+		return 0, 0
+	}
+	for k, v := range map[string]string{"Request-Id": newKey()[:16], "Sent-By": strconv.Itoa(tenant),
+		"Received-At": strconv.FormatInt(time.Now().UnixMilli(), 10), "Account": fmt.Sprint("t", tenant),
+		"Footprint-Kb": "8.0", "Priority-Rank": "0.5000"} {
+		req.Header.Set(k, v)
+	}
+	if key != "" {
+		req.Header.Set("Once-Key", key)
+	}
+	if again {
+		req.Header.Set("Attempt-Again", "1")
+	}
+	res, err := client.Do(req)
+	if err != nil {
+		return 0, 0
+	}
+	defer res.Body.Close()
+	if _, err = io.Copy(io.Discard, res.Body); err != nil {
+		return 0, 0
+	}
+	ms, _ := strconv.Atoi(res.Header.Get("Back-Off-Ms"))
+	return res.StatusCode, time.Duration(ms) * time.Millisecond
+}
--- a/internal/lab/vfleet.go
+++ b/internal/lab/vfleet.go
@@ -19,6 +19,13 @@
 // of them the real code, on played clocks, lines and crashes. The log is played too: what a leader proposes is committed
 // after a while, or lost with it. Times are ms.
 
+// The baselines: a version is in force as soon as it is proposed, or as soon as half of the nodes have prepared it, and
+// nodes hold no leases.
+const (
+	WayEach     = "each"
+	WayMajority = "majority"
+)
+
 // FleetPlan is what one schedule is drawn from.
 type FleetPlan struct {
 	Seed    int64
@@ -30,7 +37,7 @@
 	Lease   int64 // of the policy, ms
 	Calm    bool  // no faults
 	Down    float64
-	Way     string // "", or a baseline: each, majority
+	Way     string // "", or a baseline
 }
 
 type vevent struct {
@@ -134,12 +141,16 @@
 func NewVFleet(p FleetPlan) *VFleet {
 	w := &VFleet{FleetPlan: p, r: rand.New(rand.NewSource(p.Seed)), part: steward.NewPart(p.Without), lead: -1,
 		known: map[uint64]string{}, Ends: map[string]int{}, Causes: map[string]int{}, bad: map[uint64]bool{}}
+	if p.Way != "" {
+		w.Without |= policy.LeaseGuard | policy.Fence | policy.PrepareAll
+		w.part.Without = w.Without
+	}
 	if w.Lease == 0 {
 		w.Lease = 4000
 	}
 	w.put()
 	for i := 0; i < max(1, p.Ctl); i++ {
-		w.ctl = append(w.ctl, &vctl{s: steward.New(p.Without), up: true, rate: 1 + (w.r.Float64()-0.5)*0.008})
+		w.ctl = append(w.ctl, &vctl{s: steward.New(w.Without), up: true, rate: 1 + (w.r.Float64()-0.5)*0.008})
 	}
 	for i := 0; i < p.Nodes; i++ {
 		n := &vnode{w: w, name: fmt.Sprintf("n%04d", i), zone: i % 3, rate: 1 + (w.r.Float64()-0.5)*0.008,
@@ -221,7 +232,7 @@
 		if e.Kind == steward.KindPolicy {
 			json.Unmarshal(e.Body, &op)
 		}
-		if op.Kind == "decide" && w.Broken == "" {
+		if op.Kind == "decide" && w.Broken == "" && w.Way == "" {
 			w.allPrepared(&op)
 		}
 		end, err := w.part.Apply(e.Kind, e.Body, w.index, term, w)
@@ -270,6 +281,13 @@
 		}
 		switch c.Step {
 		case policy.Preparing:
+			if w.Way == WayEach {
+				w.after(0, func() {
+					w.index++
+					w.part.Policy.Apply(&policy.Op{Kind: "decide", Number: c.Number}, w.part.Fleet, nil, w.Without)
+					w.watch()
+				})
+			}
 		case policy.Held:
 			ev("decided")
 			w.tried(c)
@@ -400,7 +418,7 @@
 			}
 			n.busy = 0
 			if (n.says == v.Version || w.bad[v.Version] && !w.Without.Has(policy.Shadow)) && !decided {
-				n.m.Refuse(n.clock(), v.Version, "it says no")
+				n.m.Refuse(n.clock(), v.Version, "it says no", false)
 			} else {
 				n.m.Prepared(n.clock(), v)
 			}
@@ -641,19 +659,11 @@
 		w.after(at, func() { w.change(excl, spare) })
 		at += float64(w.Span) / float64(w.Changes+1)
 	}
-	if w.Down > 0 { // a share of the fleet is down while changes are made, back one by one afterwards
+	if w.Down > 0 { // a share of the fleet is cut off while changes are made, back one by one afterwards
 		for i, n := range w.nodes {
 			if float64(i) < w.Down*float64(len(w.nodes)) {
-				w.after(200, func() {
-					if n.up {
-						n.kill()
-					}
-				})
-				w.after(float64(w.Span)+float64(i)*10, func() {
-					if !n.up {
-						n.start()
-					}
-				})
+				w.after(200, func() { n.cut = true })
+				w.after(float64(w.Span)+float64(i)*10, func() { n.cut = false })
 			}
 		}
 	}
@@ -665,10 +675,14 @@
 	w.until(w.now + float64(w.Span) + 3*float64(w.Lease) + float64(len(w.nodes))*10*w.Down)
 	// All heals: then every change ends and every node serves under what is in force.
 	for _, n := range w.nodes {
-		n.cut, n.mute = false, false
+		n.cut, n.mute, n.busy = false, false, 0
 	}
 	w.Calm = true
 	w.until(w.now + 12*float64(w.Lease) + 65_000)
+	if w.Way != "" {
+		w.Overlap = longestOverlap(w.History)
+		return
+	}
 	w.check()
 }
 
--- a/internal/member/member.go
+++ b/internal/member/member.go
@@ -23,11 +23,14 @@
 	askWithin  = 1500   // for an answer; a beat goes out each half second, and a commit takes some ms
 	askLittle  = 800    // the same under a short lease, so that one lost asking does not cost it
 	backFirst  = 100    // first wait before an address is tried again, which doubles
-	backMost   = 5000   // and its bound
+	backMost   = 3000   // and its bound
 	lieBack    = 60_000 // for one that said what can't be
 	aloneAfter = 3000   // of nobody answering before a start goes on alone by its record
 )
 
+// never is later than any time.
+const never = uint64(1) << 60
+
 // Plan is what a node is told at its start.
 type Plan struct {
 	Name, Zone, Addr string
@@ -67,6 +70,7 @@
 	cluster string
 	term    uint64
 	index   uint64
+	echo    uint64 // the group's time, as told last
 	lease   uint32
 	until   uint64 // it may act on the lease before then
 	length  uint64 // of the lease
@@ -81,6 +85,7 @@
 	askNo   uint64 // counts askings: an answer names the one it is for
 	sent    uint64
 	renews  bool // the asking that is out wants more time
+	byes    bool // or says goodbye
 	born    uint64
 	met     bool // the group was heard in this life
 	start   bool // may begin alone by its record
@@ -90,7 +95,9 @@
 	tried   uint64            // the version whose trial was begun last
 	refused uint64
 	why     string
+	never   bool // refused for what the platform says: taken neither when it is in force
 	bye     bool
+	left    bool // and the group has heard it: nothing is asked any more
 }
 
 // New begins a life. kept is what the disk held, nil without.
@@ -166,6 +173,9 @@
 
 // Due gives when Ask will have something to send.
 func (m *Member) Due() uint64 {
+	if m.left {
+		return never
+	}
 	if m.asking {
 		return m.sent + m.Within()
 	}
@@ -182,13 +192,13 @@
 
 // Ask gives what is to be sent now to Address, if anything is due, and its number.
 func (m *Member) Ask(now uint64) (a fleet.Ask, no uint64, due bool) {
-	if m.asking || len(m.ctl) == 0 || now < m.Due() {
+	if m.asking || m.left || len(m.ctl) == 0 || now < m.Due() {
 		return a, 0, false
 	}
 	m.asking, m.sent = true, now
 	m.askNo++
 	a = fleet.Ask{Join: fleet.Join{Name: m.plan.Name, Zone: m.plan.Zone, Addr: m.plan.Addr, Nonce: m.nonce()},
-		Lease: m.lease, Floor: m.floor, Serves: m.cur, Refused: m.refused, Why: m.why}
+		Lease: m.lease, Echo: m.echo, Floor: m.floor, Serves: m.cur, Refused: m.refused, Why: m.why}
 	if _, ok := m.ready[m.next.Version]; ok && m.next.Version != 0 {
 		a.Prepared = m.next.Version
 	}
@@ -201,7 +211,7 @@
 	case m.lease != 0 && now >= m.renewAt:
 		a.Renew = true
 	}
-	m.renews = a.Renew || m.lease == 0
+	m.renews, m.byes = a.Renew || m.lease == 0, a.Bye
 	return a, m.askNo, true
 }
 
@@ -220,7 +230,7 @@
 	}
 	was := m.floor
 	m.ctl[m.at].wait, m.ctl[m.at].again = 0, 0
-	m.cluster, m.term, m.index, m.met = t.Cluster, t.Term, t.Index, true
+	m.cluster, m.term, m.index, m.echo, m.met = t.Cluster, t.Term, t.Index, t.Clock, true
 	if !m.plan.Without.Has(policy.NoWayBack) {
 		m.floor = max(m.floor, t.Need)
 	}
@@ -230,7 +240,7 @@
 	if m.next != t.Prepare {
 		m.next = t.Prepare
 		if m.refused != t.Prepare.Version {
-			m.refused, m.why = 0, ""
+			m.refused, m.why, m.never = 0, "", false
 		}
 	}
 	if m.cur == m.force.Version {
@@ -238,8 +248,8 @@
 	}
 	m.due = now + max(askLeast, t.Again) + uint64(m.draw())%max(1, t.Again/8)
 	switch {
-	case m.bye:
-		m.lease, m.until = 0, 0
+	case m.bye && m.byes:
+		m.lease, m.until, m.left = 0, 0, true
 	case t.Gone != "":
 		// Begun anew: what this incarnation was told about time counts no more.
 		if m.lease != 0 || t.Wait == 0 {
@@ -249,11 +259,14 @@
 		m.due = now + max(askLeast, t.Wait)
 	case t.LeaseMS > 0:
 		m.lease, m.length = t.Lease, t.LeaseMS
-		m.until = max(m.until, m.sent+t.LeaseMS)
+		m.until = m.sent + t.LeaseMS // a policy with a shorter lease takes time back at once
 		m.renewAt = m.sent + t.LeaseMS/4
 	case t.Lease != 0 && m.lease == 0: // taken in, but without time: what it asks next brings some
 		m.lease = t.Lease
 	}
+	if m.bye {
+		m.due = min(m.due, now+askLeast)
+	}
 	if m.lease != 0 {
 		if m.renewAt > now {
 			m.due = min(m.due, m.renewAt)
@@ -316,7 +329,7 @@
 // Want gives the version whose text is needed now, with its hash; decided tells that it has to be taken whatever
 // its trial says.
 func (m *Member) Want() (v fleet.Named, decided, ok bool) {
-	if m.force.Version > m.cur && !m.has(m.force) && m.refused != m.force.Version {
+	if m.force.Version > m.cur && !m.has(m.force) && !(m.never && m.refused == m.force.Version) {
 		return m.force, true, true
 	}
 	if m.next.Version > m.cur && !m.has(m.next) && m.refused != m.next.Version {
@@ -334,9 +347,10 @@
 	m.prune()
 }
 
-// Refuse tells that the node can't serve under a version.
-func (m *Member) Refuse(now uint64, version uint64, why string) {
-	m.refused, m.why, m.due = version, why, min(m.due, now)
+// Refuse tells that the node says no to a version. never tells that it can't serve under it at all; what only failed
+// its trial is taken once it is in force all the same, as the fleet decided to go on without this node's consent.
+func (m *Member) Refuse(now uint64, version uint64, why string, never bool) {
+	m.refused, m.why, m.never, m.due = version, why, never, min(m.due, now)
 }
 
 // Take gives the version to be taken over now, if there is one: in force, prepared, and newer than what is served.
--- a/internal/shadow/shadow.go
+++ b/internal/shadow/shadow.go
@@ -109,9 +109,9 @@
 }
 
 // Trial plays a recording against both deployments.
-func Trial(now, next *admission.Deployment, rec *Recording, b Bounds) Verdict {
+func Trial(now, next *admission.Deployment, retired []bool, rec *Recording, b Bounds) Verdict {
 	v := Verdict{Reqs: len(rec.reqs)}
-	v.Now, v.Next = play(now, rec), play(next, rec)
+	v.Now, v.Next = play(now, nil, rec), play(next, retired, rec)
 	n := float64(max(1, v.Next.Asked))
 	share := func(k int) float64 { return float64(k) / n }
 	switch {
@@ -128,7 +128,7 @@
 			"%.3f fewer", v.Next.InTime, v.Next.Asked, v.Now.InTime, b.MaxLate+b.MaxShed)
 	default:
 		for h, done := range v.Next.Probed {
-			if done < v.Now.Probed[h]/2 {
+			if done < v.Now.Probed[h]/2 && !(h < len(retired) && retired[h]) {
 				v.Why = fmt.Sprintf("of %d reqs of handler %d, one at a time, %d were done, %d under the one in force",
 					probes, h, done, v.Now.Probed[h])
 				break
@@ -161,14 +161,15 @@
 	out  Outcome
 	kb   float64
 	mean []float64
+	off  []bool // handlers of which all are shed before the controller hears of them
 }
 
 // play feeds a controller with the recording, then with probes one at a time.
-func play(d *admission.Deployment, rec *Recording) Outcome {
+func play(d *admission.Deployment, retired []bool, rec *Recording) Outcome {
 	plan := *d
 	plan.Pools = nil // their state is the server's own
 	plan.Cold, plan.Start = false, admission.Second
-	s := &stage{d: &plan, now: admission.Second, reqs: map[uint32]*req{}, mean: rec.times,
+	s := &stage{d: &plan, now: admission.Second, reqs: map[uint32]*req{}, mean: rec.times, off: retired,
 		out: Outcome{Probed: make([]int, len(d.Handlers))}}
 	c := admission.New(&plan)
 	begin := s.now
@@ -205,6 +206,13 @@
 
 func (s *stage) arrive(q *came, id uint32, probe bool) {
 	h := &s.d.Handlers[q.handler]
+	if int(q.handler) < len(s.off) && s.off[q.handler] {
+		if !probe {
+			s.out.Asked++
+			s.out.Shed++
+		}
+		return
+	}
 	r := &req{c: q, came: s.now, due: s.now + h.Timeout, left: q.ran, probe: probe}
 	if q.due > 0 {
 		r.due = s.now + q.due
--- a/internal/steward/steward.go
+++ b/internal/steward/steward.go
@@ -131,6 +131,12 @@
 		s.reports[n.Name] = &told{a.Lease, policy.Report{Prepared: a.Prepared, Refused: a.Refused, Why: a.Why,
 			Serves: a.Serves, Fenced: a.Fenced}}
 	}
+	if n != nil && !a.Bye && p.Fleet.Clock > a.Echo+fleet.Span(p.grant().LeaseMS) {
+		// It has not heard an answer for a lease's time, so it serves nothing: what it says reaches the group, and nothing
+		// comes back. Its askings must not keep it in, or a change would wait for it.
+		done(s.tell(p, fleet.Told{Lease: a.Lease}), nil)
+		return
+	}
 	// A promise that the state lacks goes through the log as well: a change waits for it.
 	if a.Renew || a.Bye || n.Lease.Floor < a.Floor && s.behind(p, n) {
 		s.wait(a, done)
@@ -155,7 +161,7 @@
 
 // tell fills in what holds now.
 func (s *Steward) tell(p *Part, t fleet.Told) fleet.Told {
-	t.Cluster, t.Term, t.Index = s.cluster, s.term, p.Index
+	t.Cluster, t.Term, t.Index, t.Clock = s.cluster, s.term, p.Index, p.Fleet.Clock
 	t.Need, t.Force = p.Policy.Need, fleet.Named{Version: p.Policy.Force, Hash: p.Policy.Hash}
 	g := p.grant()
 	t.Alone = g.Alone
