Tests of leases, promises, trials, two builds and whom a node believes; a start alone after a kill

A node killed between the decision and its note of having taken the version over could not start alone: its record named the older one beside the newer floor. The record holds the prepared version's rule now.

--- a/internal/backend/fleet.go
+++ b/internal/backend/fleet.go
@@ -424,6 +424,7 @@
 		return
 	}
 	f.kept.Prepared, f.kept.Next, f.kept.NextHash = t.v.Version, t.text, t.v.Hash
+	f.kept.NextAlone = t.plan.Doc.Fleet.Alone
 	l.keepFleet()
 }
 
--- a/internal/consensus/group.go
+++ b/internal/consensus/group.go
@@ -134,6 +134,7 @@
 	Point func(step string)   // hears of each step of Work
 	Disk  func(wal.FS) wal.FS // stands between the log and its folder
 	Fleet policy.Guard        // guards about nodes that are taken out
+	Level int                 // of an older program; 0: this one's
 }
 
 // Start opens the folder and begins to serve peers.
@@ -152,6 +153,7 @@
 	}
 	plan := PlanOf(c)
 	plan.Logger, plan.Point, plan.Guards = raftLog{log}, faults.Point, faults.Fleet
+	plan.Level = faults.Level
 	var disk wal.FS = dir
 	if faults.Disk != nil {
 		disk = faults.Disk(dir)
--- a/internal/consensus/machine_test.go
+++ b/internal/consensus/machine_test.go
@@ -173,6 +173,11 @@
 		{"a copy of the same life: a shorter log", hello("c", 2, 6, 60, 4, 29, 1), oldCopy, false, false},
 		{"a later term, with what was never agreed on gone", hello("c", 2, 6, 60, 5, 20, 1), "", true, false},
 		{"removed", hello("c", 3, 1, 1, 9, 9, 1), removedOnce, false, false},
+		{"of an older program", func() Hello {
+			h := hello("c", 2, 9, 9, 9, 9, 1)
+			h.Level = LevelVersions
+			return h
+		}(), "", true, false},
 		{"another cluster", hello("d", 2, 9, 9, 9, 9, 1), otherCluster, false, false},
 		{"meant for another", hello("c", 2, 9, 9, 9, 9, 7), forAnother, false, false},
 		{"itself", hello("c", 1, 9, 9, 9, 9, 1), forAnother, false, false},
--- /dev/null
+++ b/internal/lab/fleet_test.go
@@ -0,0 +1,237 @@
+package lab
+
+import (
+	"bytes"
+	"context"
+	"fmt"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"strings"
+	"sync"
+	"syscall"
+	"testing"
+	"time"
+
+	"umberwinch/internal/policy"
+)
+
+// programs builds umberctl and the node's program once, side by side.
+var programs = sync.OnceValues(func() (string, error) {
+	dir, err := os.MkdirTemp("", "lab-programs-")
+	if err != nil {
+		return "", err
+	}
+	out, err := exec.Command("go", "build", "-o", dir+string(filepath.Separator), "umberwinch/cmd/umberctl",
+		"umberwinch/cmd/umberwinch").CombinedOutput()
+	if err != nil {
+		os.Stderr.Write(out)
+	}
+	return filepath.Join(dir, "umberctl"), err
+})
+
+func built(t *testing.T) string {
+	t.Helper()
+	p, err := programs()
+	if err != nil {
+		t.Fatal(err)
+	}
+	return p
+}
+
+func TestMain(m *testing.M) {
+	code := m.Run()
+	if p, err := programs(); err == nil {
+		os.RemoveAll(filepath.Dir(p))
+	}
+	os.Exit(code)
+}
+
+// TestPolicyOnProcesses plays every hard case on processes, then changes under load that no caller may notice.
+func TestPolicyOnProcesses(t *testing.T) {
+	var out bytes.Buffer
+	rep, err := (&Policy{Seed: 3, Quick: true, Mode: "real", Changes: 5, Program: built(t)}).Run(context.Background(), &out)
+	if err != nil || rep.Broken != "" {
+		t.Fatalf("%v\n%s", err, out.String())
+	}
+	if !strings.Contains(out.String(), "policy: kept seed=3 cases=19 real_changes=5 ") {
+		t.Fatalf("last line of\n%s", out.String())
+	}
+	t.Logf("\n%s", out.String())
+}
+
+// TestPolicyGuardsOnProcesses takes out guards that live in a node's process: the case that needs each breaks.
+func TestPolicyGuardsOnProcesses(t *testing.T) {
+	for guard, only := range map[string]string{"fence": "stopped past its lease and continued",
+		"shadow": "a version that would shed everything"} {
+		var out bytes.Buffer
+		rep, err := (&Policy{Seed: 1, Quick: true, Mode: "real", Words: guard, Only: only, Size: 6,
+			Program: built(t)}).Run(context.Background(), &out)
+		if err != nil {
+			t.Fatalf("without %s: %v\n%s", guard, err, out.String())
+		}
+		if rep.Broken == "" {
+			t.Errorf("without %s no promise broke in %q\n%s", guard, only, out.String())
+		}
+	}
+}
+
+// TestGoesOnAlone: under go-on a fleet serves on when the group is gone, also a node that starts then; a change made
+// with a node cut off is called off, and made once that node is forgotten.
+func TestGoesOnAlone(t *testing.T) {
+	p := &Policy{Seed: 5, Size: 6, Program: built(t)}
+	b, err := p.begin(context.Background(), t.TempDir(), "go-on")
+	defer b.Close()
+	if err != nil {
+		t.Fatal(err)
+	}
+	fail := func(what string, err error) {
+		t.Helper()
+		if err != nil {
+			t.Fatalf("%s: %v\n%s", what, err, b.tail("n1", 8))
+		}
+	}
+	// A node cut off goes on, so a change waits for it and is called off.
+	b.cut(b.nodes[0])
+	fail("the silence of a node", b.await(20*time.Second, func() error {
+		all, err := b.Nodes()
+		if err == nil && all["n1"].Out == "" {
+			err = os.ErrDeadlineExceeded
+		}
+		return err
+	}))
+	number, _, err := b.Propose(b.text(""), policyProposal(2000))
+	fail("a change", err)
+	c, err := b.Step(number, 20*time.Second, "called off", "settled")
+	fail("its end", err)
+	if c.Step != "called off" || !strings.Contains(c.Why, "n1 (is silent and may serve alone") {
+		t.Fatalf("change %+v, expected it called off for n1", c)
+	}
+	if code, _, _ := b.one("n1"); code != 200 {
+		t.Errorf("the node that is cut off answers %d, expected that it serves", code)
+	}
+	// Killed and forgotten, it is waited for no more.
+	b.nodes[0].Kill()
+	var out map[string]string
+	_, err = b.ask("POST", "/v1/nodes/forget", map[string]string{"name": "n1"}, &out)
+	fail("forgetting", err)
+	number, version, err := b.Propose(b.text(""), policyProposal(10000))
+	fail("a change", err)
+	_, err = b.settled(number, version)
+	fail("a change without the node that was forgotten", err)
+	// The group goes; all serve on, and one that starts now serves its last version.
+	for _, p := range b.group.procs {
+		b.group.kill(p)
+	}
+	b.nodes[1].Kill()
+	fail("a start without the group", b.nodes[1].Start())
+	time.Sleep(2 * b.lease)
+	fail("service without the group", b.await(20*time.Second, func() error {
+		for _, n := range b.nodes[1:] {
+			if code, _, err := b.one(n.name); code != 200 {
+				return err
+			}
+		}
+		return nil
+	}))
+	if !strings.Contains(b.tail("n2", 20), "goes on alone under version") {
+		t.Errorf("n2 does not say that it is alone:\n%s", b.tail("n2", 8))
+	}
+	for _, p := range b.group.procs {
+		fail("the group's start", b.group.start(p, ""))
+	}
+	b.heal()
+	fail("the fleet with the group", b.AllServe(version, 30*time.Second))
+	if _, err = b.Check(FleetPromises{}); err != nil {
+		t.Error(err)
+	}
+}
+
+// TestLocalFleet: what README shows runs, starts again what is killed, and ends clean.
+func TestLocalFleet(t *testing.T) {
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	out, errs := &lockedBuffer{}, make(chan error, 1)
+	dir := t.TempDir()
+	go func() {
+		errs <- (&Local{Program: built(t), Dir: dir, Instances: 3, Nodes: 3, Rate: 50}).Run(ctx, out)
+	}()
+	pid := 0
+	wait := func(what string, holds func() bool) {
+		t.Helper()
+		for end := time.Now().Add(40 * time.Second); !holds(); time.Sleep(10 * time.Millisecond) {
+			select {
+			case err := <-errs:
+				t.Fatalf("%s: it ended: %v\n%s", what, err, out.String())
+			default:
+			}
+			if time.Now().After(end) {
+				t.Fatalf("%s: not within 40 s\n%s", what, out.String())
+			}
+		}
+	}
+	wait("the fleet", func() bool { return strings.Contains(out.String(), "Ctrl-C ends all") })
+	pid = pidOf(t, out.String(), "node n1 ")
+	if err := syscall.Kill(pid, syscall.SIGKILL); err != nil {
+		t.Fatal(err)
+	}
+	if err := syscall.Kill(pidOf(t, out.String(), "control b "), syscall.SIGKILL); err != nil {
+		t.Fatal(err)
+	}
+	starts := func(log, line string) int {
+		raw, _ := os.ReadFile(filepath.Join(dir, log))
+		return strings.Count(string(raw), line)
+	}
+	wait("the node's second start", func() bool { return starts("n1.log", "fleet: serves under version 1") >= 1 })
+	wait("the instance's second start", func() bool { return starts("instances.log", "instance is up") >= 4 })
+	cancel()
+	if err := <-errs; err != nil {
+		t.Error(err)
+	}
+	if err := syscall.Kill(pid, 0); err == nil {
+		t.Error("a node's process is left behind")
+	}
+}
+
+// lockedBuffer is a buffer that one goroutine writes and another reads.
+type lockedBuffer struct {
+	mu sync.Mutex
+	b  bytes.Buffer
+}
+
+func (l *lockedBuffer) Write(p []byte) (int, error) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.b.Write(p)
+}
+
+func (l *lockedBuffer) String() string {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.b.String()
+}
+
+func pidOf(t *testing.T, out, what string) (pid int) {
+	t.Helper()
+	_, rest, ok := strings.Cut(out, what)
+	_, rest, there := strings.Cut(rest, "pid ")
+	if _, err := fmt.Sscan(rest, &pid); !ok || !there || err != nil {
+		t.Fatalf("no pid of %q in\n%s", what, out)
+	}
+	return pid
+}
+
+func policyProposal(within uint64) policy.Propose { return policy.Propose{Within: within} }
+
+// one sends one req to one node.
+func (b *bench) one(name string) (code int, backOff time.Duration, err error) {
+	for _, n := range b.nodes {
+		if n.name == name {
+			ctx, cancel := context.WithTimeout(context.Background(), 3*time.Second)
+			defer cancel()
+			code, backOff = tryReq(ctx, b.client, n.front, "view", 0, "", false)
+			return code, backOff, fmt.Errorf("%s answers %d", name, code)
+		}
+	}
+	return 0, 0, fmt.Errorf("no node %s", name)
+}
--- a/internal/member/member.go
+++ b/internal/member/member.go
@@ -51,6 +51,8 @@
 	Prepared uint64 `json:"prepared"`
 	Next     string `json:"next"` // text of the prepared one
 	NextHash string `json:"next_hash"`
+	// NextAlone is the prepared one's rule.
+	NextAlone bool `json:"next_alone"`
 }
 
 // control is one address of the group.
@@ -114,6 +116,11 @@
 			m.ready[kept.Version] = kept.Hash
 			m.start = kept.Alone
 		}
+		// Decided and prepared, and killed before it was noted as taken over: in force, as a change under a policy that
+		// lets nodes go on alone is never held.
+		if kept.Prepared > kept.Version && kept.Prepared == kept.Floor && (kept.Alone || kept.Version == 0) {
+			m.kept, m.start = fleet.Named{Version: kept.Prepared, Hash: kept.NextHash}, kept.NextAlone
+		}
 		if kept.Prepared > kept.Version {
 			m.ready[kept.Prepared] = kept.NextHash
 		}
@@ -133,7 +140,7 @@
 // May tells whether the node may serve now, and if not why.
 func (m *Member) May(now uint64) (bool, string) {
 	switch {
-	case m.plan.Without.Has(policy.Fence) && m.lease != 0:
+	case m.plan.Without.Has(policy.Fence) && m.met:
 		return true, ""
 	case m.cur < m.floor && !m.plan.Without.Has(policy.NoWayBack):
 		return false, fmt.Sprintf("version %d is decided and not taken over yet", m.floor)
@@ -248,7 +255,7 @@
 	}
 	m.due = now + max(askLeast, t.Again) + uint64(m.draw())%max(1, t.Again/8)
 	switch {
-	case m.bye && m.byes:
+	case m.bye && (m.byes || t.Gone != ""):
 		m.lease, m.until, m.left = 0, 0, true
 	case t.Gone != "":
 		// Begun anew: what this incarnation was told about time counts no more.
--- /dev/null
+++ b/internal/member/member_test.go
@@ -0,0 +1,244 @@
+package member
+
+import (
+	"fmt"
+	"strings"
+	"testing"
+
+	"umberwinch/internal/fleet"
+	"umberwinch/internal/policy"
+)
+
+// drive is a member with a clock, told things by the test.
+type drive struct {
+	*testing.T
+	m   *Member
+	now uint64
+	ask fleet.Ask
+	no  uint64
+}
+
+func begin(t *testing.T, kept *Record, without policy.Guard) *drive {
+	d := &drive{T: t, now: 1000}
+	d.m = New(Plan{Name: "n", Zone: "z", Control: []string{"a", "b", "c"}, Nonce: "nonce-00000000", Seed: 7,
+		Without: without}, kept, d.now)
+	return d
+}
+
+// asks lets time go on to the next asking.
+func (d *drive) asks() {
+	d.Helper()
+	for end := d.now + 70_000; d.now <= end; d.now += 5 {
+		var due bool
+		if d.ask, d.no, due = d.m.Ask(d.now); due {
+			return
+		}
+	}
+	d.Fatal("nothing was asked within 70 s")
+}
+
+func (d *drive) told(t fleet.Told) error {
+	d.Helper()
+	if t.Cluster == "" {
+		t.Cluster = "g"
+	}
+	t.Term = max(t.Term, 1)
+	return d.m.Answered(d.now, d.no, t)
+}
+
+// joined takes a lease under a version in force.
+func (d *drive) joined(version uint64, alone bool) {
+	d.Helper()
+	d.asks()
+	v := fleet.Named{Version: version, Hash: fmt.Sprint("h", version)}
+	if err := d.told(fleet.Told{Lease: 5, LeaseMS: 4000, Need: version, Force: v, Alone: alone, Index: 10, Again: 1000}); err != nil {
+		d.Fatal(err)
+	}
+	if version > 0 {
+		d.takes(version, alone)
+	}
+}
+
+func (d *drive) takes(version uint64, alone bool) {
+	d.Helper()
+	v := fleet.Named{Version: version, Hash: fmt.Sprint("h", version)}
+	if w, _, ok := d.m.Want(); !ok || w != v {
+		d.Fatalf("wants %v %v, expected %v", w, ok, v)
+	}
+	d.m.Prepared(d.now, v)
+	if got, ok := d.m.Take(d.now); !ok || got != v {
+		d.Fatalf("takes %v %v, expected %v", got, ok, v)
+	}
+	d.m.Took(d.now, v, alone)
+}
+
+func (d *drive) serves(want bool, why string) {
+	d.Helper()
+	if ok, got := d.m.May(d.now); ok != want || !strings.Contains(got, why) {
+		d.Errorf("at %d: serves %v (%s), expected %v (%s)", d.now, ok, got, want, why)
+	}
+}
+
+// TestLeaseRunsFromTheAsking: an answer that took long brings less, and one that came too late brings nothing.
+func TestLeaseRunsFromTheAsking(t *testing.T) {
+	d := begin(t, nil, 0)
+	d.serves(false, "not heard")
+	d.asks()
+	sent := d.now
+	d.now += 700
+	d.told(fleet.Told{Lease: 5, LeaseMS: 4000, Index: 1, Again: 1000})
+	d.serves(true, "")
+	d.now = sent + 3999
+	d.serves(true, "")
+	d.now = sent + 4000
+	d.serves(false, "run out")
+	d.asks()
+	d.now += d.m.Within()
+	d.m.Failed(d.now, d.no)
+	late := d.no
+	d.asks()
+	if err := d.m.Answered(d.now, late, fleet.Told{Cluster: "g", Term: 1, Index: 2, Lease: 5, LeaseMS: 4000}); err != nil {
+		t.Fatal(err)
+	}
+	d.serves(false, "run out") // the answer to an asking that was given up
+}
+
+// TestDecidedFencesAtOnce: told that a version is decided, a node serves under nothing older from that moment, promises
+// so, and goes on once it has taken over what is in force.
+func TestDecidedFencesAtOnce(t *testing.T) {
+	d := begin(t, nil, 0)
+	d.joined(1, false)
+	d.serves(true, "")
+	d.asks()
+	d.told(fleet.Told{Lease: 5, Need: 2, Force: fleet.Named{Version: 1, Hash: "h1"}, Index: 11, Again: 1000}) // held
+	d.serves(false, "version 2 is decided")
+	d.asks()
+	if d.ask.Floor != 2 || !strings.Contains(d.ask.Fenced, "decided") {
+		t.Errorf("it asks with %+v, expected the promise of version 2", d.ask)
+	}
+	d.told(fleet.Told{Lease: 5, LeaseMS: 4000, Need: 2, Force: fleet.Named{Version: 2, Hash: "h2"}, Index: 12, Again: 1000})
+	d.takes(2, false)
+	d.serves(true, "")
+}
+
+// TestWhomItBelieves: an instance that is behind, of another group or at odds with itself is left, and what it said
+// changes nothing.
+func TestWhomItBelieves(t *testing.T) {
+	for what, c := range map[string]struct {
+		t    fleet.Told
+		back uint64 // it is not asked again sooner
+	}{
+		"behind in its log":      {fleet.Told{Index: 9, Need: 3, Force: fleet.Named{Version: 3}}, 0},
+		"of another group":       {fleet.Told{Cluster: "other", Index: 99, Need: 7, Force: fleet.Named{Version: 7}}, lieBack / 2},
+		"in force, not decided":  {fleet.Told{Index: 99, Need: 3, Force: fleet.Named{Version: 4}}, lieBack / 2},
+		"an older one decided":   {fleet.Told{Index: 99, Need: 2, Force: fleet.Named{Version: 2}}, 0},
+		"without a group at all": {fleet.Told{Cluster: " ", Index: 99, Need: 3}, 0},
+	} {
+		d := begin(t, nil, 0)
+		d.joined(3, false)
+		d.asks()
+		at := d.m.Address()
+		if strings.TrimSpace(c.t.Cluster) == "" && c.t.Cluster != "" {
+			c.t.Cluster = ""
+			if err := d.m.Answered(d.now, d.no, c.t); err == nil {
+				t.Errorf("%s: believed", what)
+			}
+		} else if err := d.told(c.t); err == nil {
+			t.Errorf("%s: believed", what)
+		}
+		if d.m.Address() == at {
+			t.Errorf("%s: it goes on asking %s", what, at)
+		}
+		if d.m.InForce() != 3 || d.m.Serves() != 3 || d.m.Floor() != 3 {
+			t.Errorf("%s: changed what it serves to %d, in force %d", what, d.m.Serves(), d.m.InForce())
+		}
+		for k := range d.m.ctl {
+			if d.m.ctl[k].addr == at && d.m.ctl[k].again < d.now+c.back {
+				t.Errorf("%s: asked again after %d ms, expected %d at least", what, d.m.ctl[k].again-d.now, c.back)
+			}
+		}
+	}
+}
+
+// TestBacksOff: instances that don't answer are asked less and less, none of them forgotten, within the bound.
+func TestBacksOff(t *testing.T) {
+	d := begin(t, nil, 0)
+	asked, times := map[string]int{}, 0
+	for end := d.now + 30_000; d.now < end; times++ {
+		d.asks()
+		asked[d.m.Address()]++
+		d.now += 20
+		d.m.Failed(d.now, d.no)
+	}
+	if len(asked) != 3 || times < 20 || times > 120 {
+		t.Errorf("asked %v, %d times in 30 s; expected all three, 20 to 120 times", asked, times)
+	}
+}
+
+// TestStartAlone: a node that kept its version serves it when nobody answers, if that version's rule lets it, and never
+// when it knows of a newer decision.
+func TestStartAlone(t *testing.T) {
+	kept := Record{Cluster: "g", Version: 3, Hash: "h3", Alone: true, Floor: 3}
+	for what, c := range map[string]struct {
+		change func(*Record)
+		serves bool
+	}{
+		"go-on":                   {func(*Record) {}, true},
+		"fence":                   {func(r *Record) { r.Alone = false }, false},
+		"a newer one was decided": {func(r *Record) { r.Floor = 4 }, false},
+		"killed as it took the next over": {func(r *Record) {
+			r.Version, r.Hash, r.Floor, r.Prepared, r.NextHash, r.NextAlone = 2, "h2", 3, 3, "h3", true
+		}, true},
+		"the same, and that one fences": {func(r *Record) {
+			r.Version, r.Hash, r.Floor, r.Prepared, r.NextHash = 2, "h2", 3, 3, "h3"
+		}, false},
+		"it had said prepared, in doubt": {func(r *Record) { r.Prepared, r.NextHash = 4, "h4" }, true},
+	} {
+		r := kept
+		c.change(&r)
+		d := begin(t, &r, 0)
+		for end := d.now + 2*aloneAfter; d.now < end; {
+			d.asks()
+			d.now += 50
+			d.m.Failed(d.now, d.no)
+			if v, ok := d.m.Take(d.now); ok {
+				if v.Version != 3 {
+					t.Errorf("%s: takes version %d", what, v.Version)
+				}
+				d.m.Took(d.now, v, true)
+			}
+		}
+		if ok, why := d.m.May(d.now); ok != c.serves {
+			t.Errorf("%s: serves %v (%s), expected %v", what, ok, why, c.serves)
+		}
+		if !c.serves {
+			continue
+		}
+		if !d.m.Alone(d.now) {
+			t.Errorf("%s: it does not say that it is alone", what)
+		}
+		d.asks()
+		d.told(fleet.Told{Lease: 5, LeaseMS: 4000, Need: 4, Force: fleet.Named{Version: 4, Hash: "h4"}, Index: 1})
+		d.serves(false, "version 4 is decided")
+	}
+}
+
+// TestGoodbye: a node that leaves says so once, even when an asking was out, and never joins again.
+func TestGoodbye(t *testing.T) {
+	d := begin(t, nil, 0)
+	d.joined(1, false)
+	d.asks()
+	d.m.Leave(d.now)
+	d.told(fleet.Told{Lease: 5, LeaseMS: 4000, Need: 1, Force: fleet.Named{Version: 1, Hash: "h1"}, Index: 11, Again: 1000})
+	before := d.now
+	d.asks()
+	if !d.ask.Bye || d.now-before > 200 {
+		t.Fatalf("after %d ms it asks %+v, expected its goodbye", d.now-before, d.ask)
+	}
+	d.told(fleet.Told{Lease: 5, Need: 1, Force: fleet.Named{Version: 1, Hash: "h1"}, Index: 12, Again: 1000})
+	for end := d.now + 20_000; d.now < end; d.now += 50 {
+		if a, _, due := d.m.Ask(d.now); due {
+			t.Fatalf("after its goodbye it asks %+v", a)
+		}
+	}
+}
--- a/internal/shadow/shadow.go
+++ b/internal/shadow/shadow.go
@@ -181,7 +181,8 @@
 			break
 		}
 	}
-	s.run(c, s.now+s.longest())
+	// Past what the controller remembers of the load, so that probes find it at rest.
+	s.run(c, s.now+s.longest()+10*admission.Second)
 	id := uint32(MaxReqs)
 	for h := range d.Handlers {
 		// The quietest there is: the same handler once in four response targets.
--- /dev/null
+++ b/internal/shadow/shadow_test.go
@@ -0,0 +1,96 @@
+package shadow
+
+import (
+	"strings"
+	"testing"
+	"time"
+
+	"umberwinch/admission"
+)
+
+const ms = admission.Second / 1000
+
+func deployment() *admission.Deployment {
+	return &admission.Deployment{Fleet: 1, Senders: 4, Granule: 2 * ms, Cores: 4, Fall: 5, MemKB: 4000, RunFactor: 2,
+		Handlers: []admission.Handler{{Target: 300 * ms, Timeout: 3000 * ms, Value: 1},
+			{Target: 500 * ms, Timeout: 3000 * ms, Value: 5}},
+		Tenants: []admission.Tenant{{Quota: 1000}}, Idle: 30 * admission.Second}
+}
+
+// record plays a server's last seconds into a recording: reqs at a pace, each with its run's time.
+func record(n int, every, ran admission.Time) *Recording {
+	r := NewRecording(2)
+	for i := 0; i < n; i++ {
+		q := admission.Req{ID: uint32(i + 1), Handler: i % 2, KB: 10, Caller: uint32(i % 4)}
+		r.Came(admission.Time(i)*every, &q)
+		r.Ran(q.ID, ran)
+	}
+	return r
+}
+
+var bounds = Bounds{MaxShed: 0.05, MaxLate: 0.05}
+
+// TestTrials: what a version would do is found before it does it.
+func TestTrials(t *testing.T) {
+	busy := record(3*MaxReqs/2, 4*ms, 8*ms) // half of the cores
+	for _, c := range []struct {
+		name    string
+		rec     *Recording
+		change  func(*admission.Deployment)
+		retired []bool
+		why     string // "" : it passes
+	}{
+		{"the same again", busy, func(*admission.Deployment) {}, nil, ""},
+		{"other values and quotas", busy, func(d *admission.Deployment) {
+			d.Handlers[0].Value, d.Tenants[0].Quota = 9, 10
+		}, nil, ""},
+		{"client timeouts shorter than a run", busy, func(d *admission.Deployment) {
+			for k := range d.Handlers {
+				d.Handlers[k].Target, d.Handlers[k].Timeout = 5*ms, 5*ms
+			}
+		}, nil, "reqs of the trial"},
+		{"all retired", busy, func(*admission.Deployment) {}, []bool{true, true}, "were shed"},
+		{"memory for a few reqs", record(MaxReqs, 4*ms, 14*ms), func(d *admission.Deployment) {
+			d.MemKB = 30
+		}, nil, "reqs of the trial"},
+		{"on an idle server, one that sheds all", NewRecording(2), func(d *admission.Deployment) {
+			d.MemKB = 0.5
+		}, nil, "one at a time"},
+		{"on an idle server, a good one", NewRecording(2), func(*admission.Deployment) {}, nil, ""},
+	} {
+		next := deployment()
+		c.change(next)
+		started := time.Now()
+		v := Trial(deployment(), next, c.retired, c.rec.Copy(), bounds)
+		if (v.Why == "") != (c.why == "") || !strings.Contains(v.Why, c.why) {
+			t.Errorf("%s: found %q, expected %q (%+v)", c.name, v.Why, c.why, v)
+		}
+		if v.Now.Rounds+v.Next.Rounds > 6*maxRounds {
+			t.Errorf("%s: %d rounds", c.name, v.Now.Rounds+v.Next.Rounds)
+		}
+		t.Logf("%s: %v, now %+v, next %+v", c.name, time.Since(started).Round(time.Microsecond), v.Now, v.Next)
+	}
+}
+
+// TestRecordingIsBounded: the latest reqs are kept in their order, and runs of those that were let go of are nobody's.
+func TestRecordingIsBounded(t *testing.T) {
+	r := record(3*MaxReqs+7, ms, ms)
+	c := r.Copy()
+	if len(c.reqs) != MaxReqs || len(r.byID) > MaxReqs {
+		t.Fatalf("%d reqs, %d open", len(c.reqs), len(r.byID))
+	}
+	for i := 1; i < len(c.reqs); i++ {
+		if c.reqs[i].id != c.reqs[i-1].id+1 {
+			t.Fatalf("req %d after %d", c.reqs[i].id, c.reqs[i-1].id)
+		}
+	}
+	r.Ran(1, ms)
+}
+
+// BenchmarkTrial: a whole recording against two controllers.
+func BenchmarkTrial(b *testing.B) {
+	rec := record(MaxReqs, 4*ms, 8*ms).Copy()
+	for i := 0; i < b.N; i++ {
+		Trial(deployment(), deployment(), nil, rec, bounds)
+	}
+}
