--- a/internal/backend/link.go
+++ b/internal/backend/link.go
@@ -234,5 +234,9 @@
 	l.move(&l.kernel.link, c.Kernel)
 	l.move(&l.control.link, c.Control)
 	l.moveStore(c.Store)
+	if !c.own.Fleet.Same(l.told.own.Fleet) {
+		l.log.Warn("operator's file: [fleet] can't change while the program serves and stays as it was")
+		c.own.Fleet = l.told.own.Fleet
+	}
 	l.movePools(c)
 }
--- a/internal/operator/fleet.go
+++ b/internal/operator/fleet.go
@@ -2,6 +2,7 @@
 
 import (
 	"os"
+	"slices"
 	"strconv"
 	"strings"
 )
@@ -59,3 +60,11 @@
 	}
 	return f
 }
+
+// Same tells whether two files say the same of the fleet.
+func (f *Fleet) Same(o *Fleet) bool {
+	if f == nil || o == nil {
+		return f == o
+	}
+	return slices.Equal(f.Control, o.Control) && f.Name == o.Name && f.Zone == o.Zone && f.Folder == o.Folder
+}
--- a/internal/operator/operator_test.go
+++ b/internal/operator/operator_test.go
@@ -122,3 +122,28 @@
 		t.Fatal("a reserve with one handler was taken")
 	}
 }
+
+// TestFleetSection: what the [fleet] section of a node's file may say.
+func TestFleetSection(t *testing.T) {
+	n, err := readNode(Parse("node.ini", []byte("[fleet]\ncontrol = 127.0.0.1:7201, 127.0.0.1:7202\nzone = north\n")))
+	if err != nil || len(n.Fleet.Control) != 2 || n.Fleet.Zone != "north" {
+		t.Fatalf("%+v %v", n, err)
+	}
+	if n, err = readNode(Parse("node.ini", nil)); err != nil || n.Fleet != nil {
+		t.Errorf("without a section: %+v %v", n, err)
+	}
+	for text, want := range map[string]string{
+		"[fleet]\nzone = z\n":                                           "node.ini:1: fleet.control: found 0 addresses",
+		"[fleet]\ncontrol = 127.0.0.1:1\n":                              "node.ini:1: fleet.zone: found nothing",
+		"[fleet]\ncontrol = 10.0.0.1:7201\nzone = z\n":                  "node.ini:2: fleet.control: found \"10.0.0.1:7201\"",
+		"[fleet]\ncontrol = host:7201\nzone = z\n":                      "node.ini:2: fleet.control: found \"host:7201\"",
+		"[fleet]\ncontrol = 127.0.0.1:1\nzone = a b\n":                  "node.ini:3: fleet.zone: found \"a b\"",
+		"[fleet]\ncontrol = 127.0.0.1:1\nzone = z\nfolder = /no/such\n": "node.ini:4: fleet.folder: found \"/no/such\"",
+		"[fleet]\ncontrol = 127.0.0.1:1\nzone = z\nlease = 3s\n":        "node.ini:4: fleet.lease: found a key that is not known",
+		"[fleet]\ncontrol = 127.0.0.1:1\nzone = z\nname = -x\n":         "node.ini:4: fleet.name: found \"-x\"",
+	} {
+		if _, err := readNode(Parse("node.ini", []byte(text))); err == nil || !strings.Contains(err.Error(), want) {
+			t.Errorf("%q: found %v, expected %q", text, err, want)
+		}
+	}
+}
