--- /dev/null
+++ b/admission/adopt_test.go
@@ -0,0 +1,55 @@
+package admission
+
+import "testing"
+
+// counter takes decisions and remembers what became of each req.
+type counter struct {
+	run, shed map[uint32]bool
+}
+
+func (c *counter) Run(id uint32)                  { c.run[id] = true }
+func (c *counter) Shed(id uint32, _ bool, _ Time) { c.shed[id] = true }
+func (c *counter) Fail(id uint32)                 { c.shed[id] = true }
+func (c *counter) Pause(uint32)                   {}
+func (c *counter) Call(uint32, Time)              {}
+func (c *counter) Skip(uint32)                    {}
+func (c *counter) Remember(uint32, Time)          {}
+func (c *counter) Forget(uint32)                  {}
+func (c *counter) Reuse(uint32)                   {}
+func (c *counter) Health(bool)                    {}
+func (c *counter) Say(float64)                    {}
+func (c *counter) IdleClose(Time)                 {}
+func (c *counter) Wake(Time)                      {}
+func (c *counter) Log(string)                     {}
+
+// TestAdopt: under another deployment what is held and runs goes on, with the due times under which it came; what comes
+// after has the new ones.
+func TestAdopt(t *testing.T) {
+	d := Deployment{Start: Second, Fleet: 1, Senders: 1, Granule: 1, Cores: 1, Fall: 5, MemKB: 1e6, RunFactor: 1,
+		Handlers: []Handler{{Target: Second, Timeout: 10 * Second, Value: 1}, {Target: Second, Timeout: 10 * Second, Value: 2}},
+		Tenants:  []Tenant{{Quota: 100}}}
+	c, w := New(&d), &counter{map[uint32]bool{}, map[uint32]bool{}}
+	at := Second
+	c.Decide(&Round{Now: at, Arrived: []Req{{ID: 1, Came: at, KB: 1}, {ID: 2, Came: at, KB: 1}, {ID: 3, Handler: 1, Came: at, KB: 1}}}, w)
+	if !w.run[1] || w.run[2] || w.run[3] {
+		t.Fatalf("runs %v, expected the first alone on one core", w.run)
+	}
+	next := d
+	next.Handlers = []Handler{{Target: Second, Timeout: 2 * Second, Value: 7}, {Target: Second, Timeout: 10 * Second, Value: 3.5}}
+	next.Tenants = []Tenant{{Quota: 10}}
+	c.Adopt(&next)
+	if c.h[0].value != 7 || c.h[0].needs != 1 || c.h[1].needs != 0.5 || c.t[0].fair != 10*float64(c.t[0].came.span())/float64(Second) {
+		t.Errorf("adopted %+v %+v fair %v", c.h[0], c.h[1], c.t[0].fair)
+	}
+	if i := c.s.find(2); c.s.at[i].due != at+10*Second {
+		t.Errorf("what was held is due at %d now, expected %d as it came", c.s.at[i].due, at+10*Second)
+	}
+	at += Second / 100
+	c.Decide(&Round{Now: at, Ended: []End{{ID: 1, How: OK, Ran: Second / 100}}, Arrived: []Req{{ID: 4, Came: at, KB: 1}}}, w)
+	if !w.run[2] || w.run[3] || len(w.shed) > 0 {
+		t.Errorf("after the first ended runs %v, shed %v; expected the second by its place", w.run, w.shed)
+	}
+	if i := c.s.find(4); c.s.at[i].due != at+2*Second {
+		t.Errorf("what came after is due at %d, expected %d", c.s.at[i].due, at+2*Second)
+	}
+}
--- a/internal/cli/control.go
+++ b/internal/cli/control.go
@@ -403,7 +403,7 @@
 	running, stop := context.WithCancel(cmd.Context())
 	defer stop()
 	ended := make(chan error, size)
-	var listens []string
+	var listens, pids []string
 	for i := 0; i < size; i++ {
 		name := string(rune('a' + i))
 		listen := fmt.Sprintf("127.0.0.1:%d", port+i)
@@ -428,7 +428,7 @@
 			return err
 		}
 		go func() { ended <- again(running, cmd.OutOrStdout(), name, child, begin) }()
-		listens = append(listens, listen)
+		listens, pids = append(listens, listen), append(pids, fmt.Sprintf("instance %s: pid %d", name, child.Process.Pid))
 	}
 	c.at = listens
 	go func() {
@@ -439,8 +439,8 @@
 		if err != nil && running.Err() == nil {
 			ended <- err
 		} else if running.Err() == nil {
-			fmt.Fprintf(cmd.OutOrStdout(), "running; ask it with: umberctl control status --at %s\n",
-				strings.Join(listens, ","))
+			fmt.Fprintf(cmd.OutOrStdout(), "%s\nrunning; ask it with: umberctl control status --at %s\n",
+				strings.Join(pids, ", "), strings.Join(listens, ","))
 		}
 	}()
 	select {
@@ -456,8 +456,8 @@
 	return err
 }
 
-// Again, and how long after its end, an instance of a local group is started; one that ends sooner than that does not
-// come up at all, as on a folder that can't be used, and ends the command.
+// Again, and how long after its end, an instance of a local group is started; one that ends by itself
+// sooner than that does not come up at all, as on a folder that can't be used, and ends the command.
 const againAfter = 2 * time.Second
 
 // again starts an instance anew whenever it ends, until the context does.
@@ -468,7 +468,8 @@
 		if ctx.Err() != nil {
 			return nil
 		}
-		if time.Since(began) < againAfter {
+		var exit *exec.ExitError
+		if killed := errors.As(err, &exit) && exit.ExitCode() < 0; !killed && time.Since(began) < againAfter {
 			return fmt.Errorf("instance %s does not come up, see its log: %w", name, err)
 		}
 		fmt.Fprintf(w, "instance %s ended (%v); it is started again in %v, the others go on\n", name, err, againAfter)
--- /dev/null
+++ b/internal/cli/fleet_test.go
@@ -0,0 +1,171 @@
+package cli
+
+import (
+	"bytes"
+	"encoding/json"
+	"fmt"
+	"net"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"regexp"
+	"strconv"
+	"strings"
+	"sync"
+	"syscall"
+	"testing"
+	"time"
+
+	"umberwinch/internal/consensus"
+	"umberwinch/internal/policy"
+)
+
+// output is what a running command printed so far.
+type output struct {
+	mu sync.Mutex
+	b  bytes.Buffer
+}
+
+func (o *output) Write(p []byte) (int, error) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	return o.b.Write(p)
+}
+
+func (o *output) String() string {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	return o.b.String()
+}
+
+// running starts a command that goes on until the test ends, and is ended by SIGTERM with status 0.
+func running(t *testing.T, args ...string) *output {
+	t.Helper()
+	o := &output{}
+	cmd := exec.Command(program, args...)
+	cmd.Stdout, cmd.Stderr = o, o
+	if err := cmd.Start(); err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() {
+		cmd.Process.Signal(syscall.SIGTERM)
+		if err := cmd.Wait(); err != nil {
+			t.Errorf("umberctl %s: %v\n%s", strings.Join(args, " "), err, o)
+		}
+	})
+	return o
+}
+
+// says waits until it printed something that matches, and gives the first group of it.
+func (o *output) says(t *testing.T, pattern string) string {
+	t.Helper()
+	re := regexp.MustCompile(pattern)
+	for end := time.Now().Add(40 * time.Second); ; time.Sleep(10 * time.Millisecond) {
+		if m := re.FindStringSubmatch(o.String()); m != nil {
+			return m[len(m)-1]
+		}
+		if time.Now().After(end) {
+			t.Fatalf("%q: not within 40 s\n%s", pattern, o)
+		}
+	}
+}
+
+func kill(t *testing.T, pid string) {
+	t.Helper()
+	n, err := strconv.Atoi(pid)
+	if err == nil {
+		err = syscall.Kill(n, syscall.SIGKILL)
+	}
+	if err != nil {
+		t.Fatal(err)
+	}
+}
+
+// freePort gives a port from which a few on, and those a hundred below, are free.
+func freePort(t *testing.T) int {
+	t.Helper()
+	for port := 17201 + os.Getpid()%500*20; port < 30000; port += 7 {
+		free := true
+		for _, p := range []int{port, port + 1, port + 2, port - 100, port - 99, port - 98} {
+			l, err := net.Listen("tcp", fmt.Sprintf("127.0.0.1:%d", p))
+			if err != nil {
+				free = false
+				break
+			}
+			l.Close()
+		}
+		if free {
+			return port
+		}
+	}
+	t.Fatal("no free ports")
+	return 0
+}
+
+// TestLocalGoesOn: an instance of a local group that is killed does not end the others, and is started again.
+func TestLocalGoesOn(t *testing.T) {
+	dir, port := t.TempDir(), freePort(t)
+	o := running(t, "control", "local", "--dir", filepath.Join(dir, "group"), "--port", strconv.Itoa(port))
+	at := "--at=" + o.says(t, `control status --at (\S+)`)
+	kill(t, o.says(t, `instance b: pid (\d+)`))
+	want(t, 0, "taken: version 1", "config", "put", file(t, dir, "one.ini", "[tenant t]\nrate = 1\n"), at)
+	o.says(t, `instance b ended`)
+	o.says(t, `instance b is up again, pid (\d+)`)
+	b := fmt.Sprintf("--at=127.0.0.1:%d", port+1)
+	for end := time.Now().Add(20 * time.Second); ; time.Sleep(20 * time.Millisecond) {
+		if out, _, code := run(t, "config", "get", b, "--within", "1s"); code == 0 && strings.Contains(out, "rate = 1") {
+			break
+		}
+		if time.Now().After(end) {
+			t.Fatal("the instance that was started again has no version 1 after 20 s")
+		}
+	}
+}
+
+// TestPolicyCommands goes through the commands with a local fleet.
+func TestPolicyCommands(t *testing.T) {
+	dir := t.TempDir()
+	o := running(t, "fleet", "local", "--dir", filepath.Join(dir, "fleet"), "--nodes", "3", "--rate", "20")
+	at := "--at=" + o.says(t, `nodes list --at (\S+)`)
+	o.says(t, `Ctrl-C ends all`)
+	text := func(n int, more string) string {
+		return file(t, dir, fmt.Sprintf("p%d.ini", n), fmt.Sprintf("[fleet]\nlease = 2s\nwhen_alone = fence\n[tenant t0]\n"+
+			"rate = %d\n%s", n, more))
+	}
+	want(t, 0, "no change under way", "policy", "status", at)
+	want(t, 3, "no change is under way", "policy", "call-off", at)
+	want(t, 0, "settled: nobody can serve under an older one", "policy", "propose", text(2, ""), at, "--reason", "more")
+	want(t, 0, "version 2 in force, 2 decided; 3 of 3 nodes in; lease 2s, when alone fence", "policy", "status", at)
+	want(t, 3, "class other: found it in the policy", "policy", "propose",
+		text(3, "[class other]\nkind = replayable\n"), at)
+	want(t, 3, "was called off: refused by", "policy", "propose", "3", at)
+	want(t, 3, "version 2, expected one after 2", "policy", "propose", "2", at)
+	want(t, 2, "within_ms: found 1, expected 1000", "policy", "propose", "2", "--prepare", "1ms", at)
+	want(t, 0, "called off", "policy", "history", at)
+	want(t, 0, "proposed by", "policy", "explain", "2", at)
+	want(t, 2, "found no change 99", "policy", "explain", "99", at)
+	var v consensus.PolicyView
+	if err := json.Unmarshal([]byte(want(t, 0, "", "policy", "status", "--json", at)), &v); err != nil || v.Force != 2 ||
+		len(v.Past) != 4 || v.Past[1].Step != policy.Settled {
+		t.Errorf("%+v (%v)", v, err)
+	}
+	out := want(t, 0, "n3    z3    serves  2", "nodes", "list", at)
+	if strings.Count(out, "\n") != 4 {
+		t.Errorf("list of three nodes:\n%s", out)
+	}
+	want(t, 0, "serves at", "nodes", "show", "n1", at)
+	want(t, 2, `found no node "n9"`, "nodes", "show", "n9", at)
+	want(t, 3, `found no node "n9"`, "nodes", "forget", "n9", at)
+	kill(t, o.says(t, `node n2 of z2  pid (\d+)`))
+	want(t, 0, "settled", "policy", "propose", text(4, ""), "--exclusive", at) // it is down, or comes back meanwhile
+	want(t, 0, "n1 is forgotten", "nodes", "forget", "n1", at)                 // it lives, and joins again
+	for end := time.Now().Add(20 * time.Second); ; time.Sleep(50 * time.Millisecond) {
+		if out, _, _ := run(t, "nodes", "list", at); strings.Count(out, " serves  4 ") == 3 {
+			break
+		}
+		if time.Now().After(end) {
+			out, _, _ := run(t, "nodes", "list", at)
+			t.Fatalf("three nodes do not serve under version 4 after 20 s:\n%s", out)
+		}
+	}
+}
--- a/internal/lab/fleet.go
+++ b/internal/lab/fleet.go
@@ -55,6 +55,7 @@
 	ending context.CancelFunc
 	ctx    context.Context
 	seq    int
+	closed sync.Once
 }
 
 // rigNode is one node's process with its kernel.
@@ -157,7 +158,9 @@
 const WithoutEnv = "UMBERWINCH_WITHOUT"
 
 // Close ends all processes.
-func (r *Rig) Close() {
+func (r *Rig) Close() { r.closed.Do(r.close) }
+
+func (r *Rig) close() {
 	r.ending()
 	r.loads.Wait()
 	for _, n := range r.nodes {
--- a/internal/member/member.go
+++ b/internal/member/member.go
@@ -20,7 +20,7 @@
 // Times, in ms.
 const (
 	askLeast   = 50     // between two askings
-	askWithin  = 1500   // for an answer; a beat goes out each half second, and a commit takes some ms
+	askWithin  = 1500   // for an answer; a beat goes out each second at least, and a commit takes some ms
 	askLittle  = 800    // the same under a short lease, so that one lost asking does not cost it
 	backFirst  = 100    // first wait before an address is tried again, which doubles
 	backMost   = 3000   // and its bound
--- a/internal/steward/steward.go
+++ b/internal/steward/steward.go
@@ -15,11 +15,13 @@
 	maxOps  = 64    // operators' askings that wait
 )
 
-// Times. A beat goes out this often while anybody asked, so a thousand renewals are one entry; leases are
-// seconds, so half of one is no matter to them. Without askings one a second keeps the group's time.
+// Times. A beat a second has all renewals that came meanwhile, so a thousand are one entry; under leases so short that
+// a second is much of them it comes eight times a lease. While a change is under way a promise or a joining waits for a
+// tenth of a second at most.
 const (
-	beatEach = 500
-	beatRest = 1000
+	beatRest   = 1000
+	beatShare  = 8
+	beatChange = 100
 	// An op or a beat that was not applied after this long was lost with a leader or on the way to one.
 	lostAfter = 5000
 )
@@ -230,9 +232,9 @@
 		s.sentAt = 0
 		s.waits, s.out = append(s.out, s.waits...), nil
 	}
-	since := s.now - s.beatAt
-	if s.sentAt == 0 && (since >= beatRest || since >= beatEach && len(s.waits)+len(s.forgets) > 0 ||
-		p.Policy.Now != nil && since >= beatEach/5 && len(s.waits) > 0) {
+	since, each := s.now-s.beatAt, min(beatRest, max(beatChange, p.grant().LeaseMS/beatShare))
+	if s.sentAt == 0 && (since >= beatRest || since >= each && len(s.waits)+len(s.forgets) > 0 ||
+		p.Policy.Now != nil && since >= beatChange && len(s.waits) > 0) {
 		b := s.beat(p)
 		s.sentAt = s.now
 		s.out, s.waits, s.forgets = s.waits, nil, nil
