--- a/internal/lab/policy.go
+++ b/internal/lab/policy.go
@@ -36,6 +36,8 @@
 	Changes   int
 	Program   string
 	Only      string // one case
+	Part      int    // of Parts: which of the cases, for runs side by side; 0 of 0 for all
+	Parts     int
 }
 
 // Numbers of the two modes. Quick ends within 50 s on four cores.
@@ -752,7 +754,10 @@
 	load, stop := context.WithCancel(ctx)
 	calls := b.Load(load, 100)
 	kept := 0
-	for _, c := range policyCases {
+	for i, c := range policyCases {
+		if r.Parts > 0 && i%r.Parts != r.Part {
+			continue
+		}
 		if r.Only != "" && c.name != r.Only || r.Only == "" && c.long && r.Quick {
 			continue
 		}
