--- a/internal/lab/fleet_test.go
+++ b/internal/lab/fleet_test.go
@@ -167,11 +167,13 @@
 	t.Parallel()
 	ctx, cancel := context.WithCancel(context.Background())
 	defer cancel()
-	out, errs := &lockedBuffer{}, make(chan error, 1)
+	out, errs, over := &lockedBuffer{}, make(chan error, 1), make(chan struct{})
 	dir := t.TempDir()
 	go func() {
+		defer close(over)
 		errs <- (&Local{Program: built(t), Dir: dir, Instances: 3, Nodes: 3, Rate: 50}).Run(ctx, out)
 	}()
+	t.Cleanup(func() { cancel(); <-over }) // nothing is left behind where the test fails
 	pid := 0
 	wait := func(what string, holds func() bool) {
 		t.Helper()
