--- a/internal/lab/fleet_test.go
+++ b/internal/lab/fleet_test.go
@@ -77,7 +77,7 @@
 func TestPolicyGuardsOnProcesses(t *testing.T) {
 	t.Parallel()
 	for guard, only := range map[string]string{"fence": "stopped past its lease and continued",
-		"shadow": "a version that would shed everything"} {
+		"shadow": "a version that would shed everything", "prepare-all": "a node never answers"} {
 		var out bytes.Buffer
 		rep, err := (&Policy{Seed: 1, Quick: true, Mode: "real", Words: guard, Only: only, Size: 6,
 			Program: built(t)}).Run(context.Background(), &out)
