One test of names and one accepting loop where there were two

fleet.IsName said what operator.IsName says, and the switchboard accepted twice in the same lines. Behaviour as before; the tests of both packages pass.

--- a/internal/backend/fleet.go
+++ b/internal/backend/fleet.go
@@ -95,7 +95,7 @@
 	if plan.Name == "" {
 		plan.Name = l.told.Name
 	}
-	if !fleet.IsName(plan.Name) {
+	if !operator.IsName(plan.Name) {
 		return fmt.Errorf("fleet.name: found %.50q, expected up to 40 letters, digits, '-', '_' and '.'", plan.Name)
 	}
 	for _, name := range o.Without {
--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -9,6 +9,8 @@
 	"encoding/json"
 	"fmt"
 	"sort"
+
+	"umberwinch/internal/operator"
 )
 
 // Bounds of the state.
@@ -123,9 +125,9 @@
 // Valid says what is wrong with a join before it is proposed.
 func (j *Join) Valid() error {
 	switch {
-	case !IsName(j.Name):
+	case !operator.IsName(j.Name):
 		return fmt.Errorf("name: found %.50q, expected up to 40 letters, digits, '-', '_' and '.'", j.Name)
-	case !IsName(j.Zone):
+	case !operator.IsName(j.Zone):
 		return fmt.Errorf("zone: found %.50q, expected up to 40 letters, digits, '-', '_' and '.'", j.Zone)
 	case len(j.Addr) > maxWord:
 		return fmt.Errorf("addr: found %d bytes, expected at most %d", len(j.Addr), maxWord)
@@ -135,19 +137,6 @@
 	return nil
 }
 
-// IsName tells whether s can name a node or a zone.
-func IsName(s string) bool {
-	if s == "" || len(s) > 40 || s[0] == '-' || s[0] == '.' {
-		return false
-	}
-	for _, r := range s {
-		if !(r >= 'a' && r <= 'z' || r >= 'A' && r <= 'Z' || r >= '0' && r <= '9' || r == '-' || r == '_' || r == '.') {
-			return false
-		}
-	}
-	return true
-}
-
 // Apply plays one beat.
 func (s *State) Apply(b *Beat, term uint64, g Grant) Result {
 	r := Result{LeaseMS: g.LeaseMS, Granted: map[uint32]bool{}}
--- a/internal/lab/proxy.go
+++ b/internal/lab/proxy.go
@@ -27,6 +27,11 @@
 
 // front forwards what comes to a listener to an instance.
 func (s *switchboard) front(l net.Listener, name, to string) {
+	s.serve(l, func(c net.Conn) { s.forward(c, name, to) })
+}
+
+// serve takes what comes to a listener until it is closed.
+func (s *switchboard) serve(l net.Listener, take func(net.Conn)) {
 	s.ls = append(s.ls, l)
 	s.wg.Add(1)
 	go func() {
@@ -37,7 +42,7 @@
 				return
 			}
 			s.wg.Add(1)
-			go func() { defer s.wg.Done(); s.forward(c, name, to) }()
+			go func() { defer s.wg.Done(); take(c) }()
 		}
 	}()
 }
@@ -153,19 +158,7 @@
 	if err != nil {
 		return "", err
 	}
-	s.ls = append(s.ls, l)
-	s.wg.Add(1)
-	go func() {
-		defer s.wg.Done()
-		for {
-			c, err := l.Accept()
-			if err != nil {
-				return
-			}
-			s.wg.Add(1)
-			go func() { defer s.wg.Done(); s.cross(c, [2]string{from, to}, target) }()
-		}
-	}()
+	s.serve(l, func(c net.Conn) { s.cross(c, [2]string{from, to}, target) })
 	return l.Addr().String(), nil
 }
 
