Health is on after two quiet seconds of a hang, so that checks let come what shows its end

Where work hung, nothing of it was left and nothing came for two seconds, health says yes until something comes: with callers that obey checks to the letter nobody would ever send what shows that work goes on again. Costs one req each two seconds while work does hang.

--- a/admission/admission.go
+++ b/admission/admission.go
@@ -90,6 +90,7 @@
 	stale                 ring // what was read or done too late to be of use, of all
 	unread                ring // how long what was read had waited unread, in response targets
 	lastTick, slowTick    Time
+	lastCame              Time // when a req was read last
 	voice                 Voice
 	press, said           float64
 	idle, idleSaid        Time
@@ -220,6 +221,7 @@
 
 // enter gives a req its index and counts it as arrived.
 func (c *Controller) enter(q *Req) {
+	c.lastCame = c.now
 	i := c.s.take(q.ID)
 	it, h := &c.s.at[i], &c.h[q.Handler]
 	it.h, it.kb, it.came, it.again = int32(q.Handler), q.KB, min(q.Came, c.now), q.Again
@@ -961,9 +963,12 @@
 	return 0
 }
 
-// health tells checks whether to send anything here.
+// health tells checks whether to send anything here. Where work hung, nothing of it is left and nothing has come for two
+// seconds (some checks' time), it says yes until something comes: else nobody would ever send what shows that it goes
+// on again. Guards against callers that obey checks to the letter; costs one req each two seconds while work does hang.
 func (c *Controller) health() {
-	if good := !c.hung && !c.swamped && !c.drain; good != c.good {
+	quiet := c.running == 0 && c.hold.n == 0 && c.now-c.lastCame > 2*Second
+	if good := (!c.hung || quiet) && !c.swamped && !c.drain; good != c.good {
 		c.good = good
 		c.w.Health(good)
 	}
