--- /dev/null
+++ b/internal/lab/vzones.go
@@ -0,0 +1,858 @@
+package lab
+
+import (
+	"fmt"
+	"math"
+	"math/rand"
+
+	"umberwinch/internal/fleet"
+	"umberwinch/internal/steward"
+	"umberwinch/internal/zones"
+)
+
+// vzones.go is traffic on a fleet in virtual time: callers that try elsewhere, nodes by their real gates, and for each
+// zone a service below with a capacity, a cache that has to fill, and faults. Reqs are flows, a tenth of a second at a
+// time; group, stewards, members and gates are the real code.
+
+// Kinds of trouble of a zone's schedule.
+const (
+	ZoneDead    = "dead"     // its nodes are killed and come back cold
+	ZoneKernels = "kernels"  // its kernels are dead, its nodes well
+	ZoneSlow    = "slow"     // its service below at a tenth of its speed
+	ZoneErrors  = "errors"   // four in ten of its runs fail for good
+	ZoneCutOff  = "cut off"  // from the group alone
+	ZoneCallers = "callers"  // from its callers alone
+	ZoneBadNode = "bad node" // one node of it is sick
+	ZoneCommon  = "common"   // all zones are slow
+	ZoneLies    = "lies"     // two of five of its nodes say that they are sick
+	ZoneRestart = "restart"  // its nodes are killed and come back at once, cold: of all zones, a restart of the fleet
+	ZoneNoise   = "noise"    // half of the reports are missing, the others vary
+)
+
+// ZonePlan is what one run is drawn from.
+type ZonePlan struct {
+	Seed    int64
+	Nodes   int
+	Zones   int
+	Kinds   []string // of the zones z0, z1, ...; empty ones are well
+	Fails   float64  // ms after the start
+	Heals   float64
+	Ends    float64
+	Load    float64 // demand over what all zones do when warm
+	Cold    float64 // times that a call to a cold service takes; 0: 8
+	Off     bool    // decide = off: nodes alone
+	Own     bool    // each node leaves and returns by its own judgement, decide = off
+	Oracle  bool    // what could be done at best, in place of all of it
+	Without zones.Guard
+	Again   bool    // its service below fails once more, to a third of its speed, in the middle of the return
+	Spare   int     // nodes of z0 that start for the first time in the middle of the return
+	Stagger float64 // ms by which a common cause comes later to each next zone
+	Ramp    float64 // a baseline: after a restart nodes take a share that grows by the clock, in so many ms
+	Patient bool    // callers that are turned away come again when they are told to, in one to two seconds
+	Lead    bool    // the leader is lost as the zone fails, and as it begins to return
+}
+
+// vclassOf are the classes of the flows: shares and values.
+var flowShare, flowValue = [3]float64{0.7, 0.2, 0.1}, [3]float64{1, 2, 20}
+
+// flowTries is how often a caller asks for one req at most.
+const flowTries = 4
+
+const (
+	flowStep   = 100.0 // ms
+	flowRun    = 20.0  // ms that a run takes on a warm service
+	flowTarget = 300.0
+	flowOut    = 80.0 // run slots of a zone's nodes, four times what its service below works on at once
+)
+
+// vbelow is a zone's service below, and what goes over it.
+type vbelow struct {
+	cap    float64 // runs a second when warm
+	warm   float64
+	speed  float64
+	queue  float64
+	came   [flowTries][3]float64 // a second, of the last step
+	rate   flows                 // slowly moving, as reports have it
+	asked  float64
+	bears  float64
+	peak   float64 // asked over what it bears, at worst while it returns
+	tries  float64 // of the last step, over what it bears
+	cold   float64
+	lately [10]float64 // asked over what it bears, of the last second
+	steady int         // steps for which its zone has been returning, with nothing wrong below
+}
+
+// flows are a zone's figures a second.
+type flows struct{ came, again, turned, done, late, shed, errored, worth, got, runs, runMS, util float64 }
+
+// VZones is one run.
+type VZones struct {
+	ZonePlan
+	f        *VFleet
+	below    []*vbelow
+	retry    [20][flowTries][3]float64 // reqs that come again, by step from the next one on
+	said     []float64                 // by node: when it last said that it is ready
+	sickAt   []float64                 // by node, for its own judgement: since when it is sick
+	awayTill []float64
+	failing  bool
+	upIn     []float64 // nodes that are up, by zone
+	Broken   string
+	Done     float64 // value done in time, and asked for, since the trouble began
+	Asked    float64
+	Left     map[string]float64 // ms from the trouble to a zone's leaving
+	Back     map[string]float64 // and from its end to the zone's being in again
+	Wrong    int
+	Steps    int
+	BackStep int
+	Peak     float64 // below while it returns: asked over what it bears
+	neighAt  string
+	peakAt   string
+	Neigh    float64 // the most that a zone that is in was asked for over what it bears, its own first tries fitting
+	Worst    float64 // ms for which its service was asked for more than it bears, in that second failure
+	Failing  float64 // value done while it fails, from five seconds on
+	Others   float64 // share of value done by the zones that are in while one is left, at worst over a second
+	Plot     []Line
+	ceil     map[string][2]float64 // now, and before until settled
+	struck   bool                  // the second failure has come
+	Began    int                   // times that the fleet began with a share
+	Tries    float64               // a req, from the trouble on
+	asks     [2]float64            // tries, and first ones
+	Start    float64               // after a restart: asked below over what it bears, at worst
+}
+
+// DrawZones draws a run from a seed: what fails, at which load, in a fleet of what size.
+func DrawZones(seed int64) ZonePlan {
+	r := rand.New(rand.NewSource(seed))
+	p := ZonePlan{Seed: seed, Zones: 3 + r.Intn(3), Fails: 15_000, Heals: 35_000 + float64(r.Intn(15))*1000, Ends: 400_000,
+		Load: 0.3 + 0.5*r.Float64(), Cold: 1 + 9*r.Float64(), Lead: r.Intn(4) == 0, Again: r.Intn(4) == 0}
+	p.Nodes = p.Zones * (3 + r.Intn(5))
+	kinds := []string{ZoneDead, ZoneKernels, ZoneSlow, ZoneErrors, ZoneCutOff, ZoneCallers, ZoneBadNode, ZoneLies, ZoneNoise}
+	p.Kinds = append(p.Kinds, kinds[r.Intn(len(kinds))])
+	if p.Kinds[0] == ZoneLies {
+		p.Nodes = p.Zones * 5
+	}
+	switch r.Intn(5) {
+	case 0:
+		p.Kinds = append(p.Kinds, kinds[r.Intn(4)])
+	case 1:
+		for p.Kinds = nil; len(p.Kinds) < p.Zones; {
+			p.Kinds = append(p.Kinds, []string{ZoneCommon, ZoneKernels, ZoneErrors}[seed%3])
+		}
+	}
+	p.Stagger = float64(r.Intn(1200) / (p.Zones - 1)) // what takes longer to reach the last zone looks like one zone's
+	p.Spare = r.Intn(2) * r.Intn(2)
+	return p
+}
+
+// NewVZones readies a run.
+func NewVZones(p ZonePlan) *VZones {
+	if p.Zones == 0 {
+		p.Zones = 3
+	}
+	if p.Cold == 0 {
+		p.Cold = 8
+	}
+	mode := "auto"
+	if p.Off || p.Own || p.Oracle {
+		mode = "off"
+	}
+	v := &VZones{ZonePlan: p, Left: map[string]float64{}, Back: map[string]float64{}, ceil: map[string][2]float64{}, Others: 1}
+	v.f = NewVFleet(FleetPlan{Seed: p.Seed, Nodes: p.Nodes, Ctl: 3, Calm: true, Lease: 4000, Zones: p.Zones,
+		Rules: "[zones]\ndecide = " + mode + "\nsmall_start = yes\n", WithoutZones: p.Without})
+	v.f.load, v.f.look, v.f.applied = v.report, v.seen, v.applied
+	v.upIn = make([]float64, p.Zones)
+	v.said, v.sickAt, v.awayTill = make([]float64, p.Nodes), make([]float64, p.Nodes), make([]float64, p.Nodes)
+	for i := 0; i < p.Spare; i++ {
+		v.f.nodes[(i+1)*p.Zones].held = true
+	}
+	for z := 0; z < p.Zones; z++ {
+		v.below = append(v.below, &vbelow{cap: 1000, warm: 1, speed: 1, cold: p.Cold})
+	}
+	v.Plot = make([]Line, 3)
+	return v
+}
+
+func (v *VZones) kind(z int) string {
+	if z < len(v.Kinds) {
+		return v.Kinds[z]
+	}
+	return ""
+}
+
+// common tells that one cause ails all zones.
+func (v *VZones) common() bool {
+	for z := 1; z < v.Zones; z++ {
+		if v.kind(z) != v.kind(0) {
+			return false
+		}
+	}
+	return v.kind(0) != ""
+}
+
+func (v *VZones) fail(format string, args ...any) {
+	if v.Broken == "" {
+		v.Broken = fmt.Sprintf("%.1f s: ", (v.f.now-begins)/1000) + fmt.Sprintf(format, args...)
+	}
+}
+
+// Play runs it: ten calm seconds, trouble, its end, and on until Ends.
+func (v *VZones) Play() {
+	w := v.f
+	w.after(1500, func() { w.change(false, 0) })
+	w.Changes = 1
+	w.after(2000, v.step)
+	w.until(begins)
+	w.after(v.Fails, v.strike)
+	w.after(v.Heals, v.heal)
+	w.until(begins + v.Ends)
+	if w.Broken != "" {
+		v.fail("%s", w.Broken)
+	}
+	if v.Off || v.Own || v.Oracle {
+		return
+	}
+	for _, z := range w.part.Zones.Zones {
+		if z.Step != zones.In {
+			v.fail("zone %s is %s at %d at the end: %v", z.Name, z.Step, z.Share, z.Events[len(z.Events)-1])
+		}
+	}
+	for _, z := range w.part.Zones.Zones {
+		for _, e := range z.Events {
+			if e.Go < e.Stay {
+				v.fail("zone %s was left for %.0f of value a second, where staying was to do %.0f", z.Name, e.Go, e.Stay)
+			}
+		}
+	}
+	if v.Start > 1 {
+		v.fail("a service was asked for %.2f of what it bears after the restart", v.Start)
+	}
+	if v.Worst > 8000 {
+		v.fail("a service that failed during the return was asked for more than it bears for %.1f s", v.Worst/1000)
+	}
+	if v.Peak > 1.0 {
+		v.fail("a service was asked for %.2f of what it bears while its zone returned: %s", v.Peak, v.peakAt)
+	}
+	if v.Neigh > 1.1 && v.Load*float64(v.Zones) < 0.85*float64(v.Zones) {
+		v.fail("a zone that is in was asked for %.2f of what it bears by tries from elsewhere: %s", v.Neigh, v.neighAt)
+	}
+}
+
+func (v *VZones) strike() {
+	v.failing = true
+	v.lead()
+	for z, b := range v.below {
+		switch k := v.kind(z); k {
+		case ZoneDead, ZoneRestart:
+			b.warm = 0
+			for i, n := range v.f.nodes {
+				if n.zone == z && n.up {
+					n.kill()
+					v.said[i] = min(v.said[i], v.f.now)
+				}
+			}
+		case ZoneSlow:
+			b.speed = 0.1
+		case ZoneCommon:
+			v.f.after(v.Stagger*float64(z), func() {
+				if v.failing {
+					b.speed = 0.1
+				}
+			})
+		case ZoneCutOff:
+			for _, n := range v.f.nodes {
+				n.cut = n.cut || n.zone == z
+			}
+		}
+	}
+}
+
+func (v *VZones) heal() {
+	v.failing = false
+	for z, b := range v.below {
+		if b.speed < 1 {
+			b.speed, b.warm = 1, 0 // what comes back is cold
+		}
+		if v.kind(z) == ZoneKernels {
+			b.warm = 0
+		}
+	}
+	for _, n := range v.f.nodes {
+		n.cut = false
+		if !n.up {
+			n.start()
+		}
+	}
+}
+
+// middle is what comes in the middle of a return.
+func (v *VZones) middle() {
+	if v.struck {
+		return
+	}
+	v.struck = true
+	for _, n := range v.f.nodes {
+		if n.held {
+			n.held = false
+			n.start()
+		}
+	}
+	v.lead()
+	if b := v.below[0]; v.Again {
+		b.speed = 0.3
+		v.f.after(25_000, func() { b.speed = 1 })
+	}
+}
+
+// lead has the leader lost, if that is asked for.
+func (v *VZones) lead() {
+	w := v.f
+	if !v.Lead || w.lead < 0 {
+		return
+	}
+	c := w.ctl[w.lead]
+	c.up, w.lead = false, -1
+	w.after(800, w.elect)
+	w.after(3000, func() { c.s, c.up, c.last = w.steward(), true, w.now*c.rate })
+}
+
+// picks is the share of a class that a node's order takes.
+func picks(o *fleet.ZoneOrder, class int) float64 {
+	if o == nil {
+		return 1
+	}
+	share := float64(o.Share) / fleet.Whole
+	if o.Worth > 0 {
+		switch {
+		case flowValue[class] < o.Worth:
+			return 1
+		case flowValue[class] > o.Worth:
+			return 0
+		}
+	}
+	return share
+}
+
+// zoneNow is how a zone's nodes stand at a step.
+type zoneNow struct {
+	listed, up, takes, rate float64 // nodes on the callers' list, serving, by how much of a req each takes
+	pick                    [3]float64
+	capped                  bool
+	free                    float64 // nodes without a ceiling
+	retry                   float64
+}
+
+func (v *VZones) stand() []zoneNow {
+	out := make([]zoneNow, v.Zones)
+	now := v.f.now
+	clear(v.upIn)
+	for i, n := range v.f.nodes {
+		z := &out[n.zone]
+		o := (*fleet.ZoneOrder)(nil)
+		if n.up {
+			v.upIn[n.zone]++
+		}
+		serves := n.up && n.serves
+		if serves {
+			o = n.m.Zone()
+		}
+		share := n.gate != nil && n.gate.Out()
+		ready := serves && !share && now >= v.awayTill[i]
+		if ready {
+			v.said[i] = now
+		} else if n.up {
+			v.said[i] = 0 // it says that it is not
+		}
+		if v.said[i] == 0 || now-v.said[i] > 3000 {
+			continue
+		}
+		z.listed++
+		if !ready {
+			continue
+		}
+		z.up++
+		for c := range z.pick {
+			z.pick[c] += picks(o, c)
+		}
+		if o != nil {
+			z.rate += o.Rate
+			if z.capped = z.capped || o.Capped; !o.Capped {
+				z.free++
+			}
+			z.retry += float64(o.Retry) / fleet.Whole
+			if o.Retry == 0 {
+				z.retry += 1e9
+			}
+		} else {
+			z.retry += 1e9
+		}
+	}
+	for k := range out {
+		if n := out[k].up; n > 0 {
+			out[k].retry /= n
+			for c := range out[k].pick {
+				out[k].pick[c] /= n
+				if since := now - begins - v.Heals; v.Ramp > 0 && !v.failing && since > 0 {
+					out[k].pick[c] *= min(1, max(since/v.Ramp, 1.0/16))
+				}
+			}
+		}
+	}
+	return out
+}
+
+// step plays a tenth of a second.
+func (v *VZones) step() {
+	v.f.after(flowStep, v.step)
+	const dt = flowStep / 1000
+	all := v.stand()
+	listed := 0.0
+	for z := range all {
+		if v.kind(z) == ZoneCallers && v.failing {
+			all[z].listed = 0
+		}
+		listed += all[z].listed
+	}
+	var ask [flowTries][3]float64 // a second
+	demand := v.Load * float64(v.Zones) * 1000
+	total := 0.0
+	for c := range flowShare {
+		ask[0][c] = demand * flowShare[c]
+		total += ask[0][c] * flowValue[c]
+		for k := 1; k < flowTries; k++ {
+			ask[k][c] = v.retry[0][k][c]
+		}
+	}
+	copy(v.retry[:], v.retry[1:])
+	v.retry[len(v.retry)-1] = [flowTries][3]float64{}
+	again := func(k, c int, n float64) {
+		if k+1 < flowTries {
+			v.retry[0][k+1][c] += n
+		}
+	}
+	turned := func(k, c int, n float64) { // and told when to come back
+		if !v.Patient || k+1 >= flowTries {
+			again(k, c, n)
+			return
+		}
+		half := len(v.retry) / 2
+		for at := half; at < len(v.retry); at++ {
+			v.retry[at][k+1][c] += n / float64(half)
+		}
+	}
+	if v.Oracle {
+		v.oracle(total, dt)
+		return
+	}
+	done, inDone, inAsked := 0.0, 0.0, 0.0
+	for z, b := range v.below {
+		s := &all[z]
+		part := 0.0
+		if listed > 0 {
+			part = s.listed / listed
+		}
+		dead := s.up == 0
+		was := b.rate
+		var f flows
+		var take [flowTries][3]float64
+		sum := 0.0
+		for k := range ask {
+			for c := range ask[k] {
+				came := ask[k][c] * part
+				if v.f.now >= begins+v.Fails {
+					v.asks[0] += came
+					if k == 0 {
+						v.asks[1] += came
+					}
+				}
+				f.came += came
+				if k > 0 {
+					f.again += came
+				} else {
+					f.worth += came * flowValue[c]
+				}
+				if dead {
+					again(k, c, came)
+					continue
+				}
+				// Nodes on the list that are gone answer nothing; the others take by their order.
+				live := came * s.up / max(s.listed, 1e-9)
+				again(k, c, came-live)
+				take[k][c] = live * s.pick[c]
+				turned(k, c, live-take[k][c])
+				f.turned += live - take[k][c]
+				sum += take[k][c]
+			}
+		}
+		scale := func(from int, x float64) { // the rest is turned away
+			for k := from; k < flowTries; k++ {
+				for c := range take[k] {
+					f.turned += take[k][c] * (1 - x)
+					turned(k, c, take[k][c]*(1-x))
+					take[k][c] *= x
+				}
+			}
+		}
+		// Nodes that heard that there is no ceiling any more take their part of what comes whole.
+		if most := s.rate + sum*s.free/max(s.up, 1); s.capped && sum > most {
+			scale(0, most/sum)
+		}
+		first, more := 0.0, 0.0
+		for c := range take[0] {
+			first += take[0][c]
+			for k := 1; k < flowTries; k++ {
+				more += take[k][c]
+			}
+		}
+		if more > s.retry*first {
+			scale(1, s.retry*first/more)
+			more = s.retry * first
+		}
+		b.asked = first + more
+		b.bears = b.cap * b.speed / (1 + (b.cold-1)*(1-b.warm))
+		broken := v.failing && v.kind(z) == ZoneKernels
+		served := min(b.asked+b.queue/dt, b.bears)
+		if broken {
+			served = 0
+		}
+		b.queue += (b.asked - served) * dt
+		shed := 0.0
+		if b.queue > flowOut {
+			shed = (b.queue - flowOut) / dt
+			b.queue = flowOut
+		}
+		f.shed = shed
+		f.runMS = flowRun*b.cap/max(b.bears, 1) + 1000*b.queue/max(b.bears, 1)
+		f.runs = served
+		f.util = min(1, served/max(b.bears, 1))
+		b.warm = min(1, b.warm+served*dt/(b.cap*10))
+		ok := 0.0
+		if f.runMS < flowTarget && !broken {
+			ok = 1
+		}
+		if v.failing && v.kind(z) == ZoneErrors {
+			if ok *= 0.6; v.common() && z == 0 {
+				ok /= 2 // the same everywhere, and worst here
+			}
+		}
+		for k := range take {
+			for c := range take[k] {
+				if b.asked <= 0 {
+					continue
+				}
+				n := take[k][c] / b.asked
+				got := served * n * flowValue[c] * ok
+				f.got += got
+				turned(k, c, shed*n)
+			}
+		}
+		f.done, f.late = served*ok, served*(1-ok)
+		if v.failing && v.kind(z) == ZoneErrors {
+			f.late, f.errored = 0, f.late
+		}
+		done += f.got
+		v.check(z, b, s, first, f)
+		if step, _ := v.f.part.Zones.StepOf(fmt.Sprint("z", z)); step == zones.In && v.kind(z) == "" {
+			inDone, inAsked = inDone+f.got, inAsked+f.worth
+		}
+		mix(&b.rate, &was, &f)
+	}
+	if v.f.now >= begins+v.Fails {
+		v.Tries = v.asks[0] / max(v.asks[1], 1)
+		v.Done += done * dt
+		v.Asked += total * dt
+		if v.failing && v.f.now >= begins+v.Fails+5000 {
+			v.Failing += done * dt
+		}
+	}
+	if len(v.f.part.Zones.Zones) > 0 && inAsked > 0 && v.failing {
+		v.Others = min(v.Others, inDone/inAsked)
+	}
+	at := (v.f.now - begins) / 1000
+	if int(at*10)%5 == 0 && at >= 0 {
+		v.Plot[0].Points = append(v.Plot[0].Points, [2]float64{at, done / max(total, 1)})
+		v.Plot[1].Points = append(v.Plot[1].Points, [2]float64{at, v.below[0].asked / max(v.below[0].bears, 1)})
+		_, share := v.f.part.Zones.StepOf("z0")
+		v.Plot[2].Points = append(v.Plot[2].Points, [2]float64{at, float64(share) / fleet.Whole})
+	}
+	if v.Own {
+		v.own()
+	}
+}
+
+// mix has a zone's figures follow within two thirds of a second, as a report over two seconds does.
+func mix(into, was, is *flows) {
+	const a = 0.15
+	for _, p := range [][3]*float64{{&into.came, &was.came, &is.came}, {&into.again, &was.again, &is.again},
+		{&into.turned, &was.turned, &is.turned},
+		{&into.errored, &was.errored, &is.errored}, {&into.done, &was.done, &is.done}, {&into.late, &was.late, &is.late},
+		{&into.shed, &was.shed, &is.shed}, {&into.worth, &was.worth, &is.worth}, {&into.got, &was.got, &is.got},
+		{&into.runs, &was.runs, &is.runs}, {&into.runMS, &was.runMS, &is.runMS}, {&into.util, &was.util, &is.util}} {
+		*p[0] = *p[1] + a*(*p[2]-*p[1])
+	}
+}
+
+// check holds a step to the promises.
+func (v *VZones) check(z int, b *vbelow, s *zoneNow, first float64, f flows) {
+	name := fmt.Sprint("z", z)
+	// Over a whole second, as on processes: who hears first that it may take more is asked for all of it, for a moment.
+	b.lately[int(v.f.now/flowStep)%len(b.lately)] = b.asked / max(b.bears, 1)
+	second := 0.0
+	for _, x := range b.lately {
+		second += x / float64(len(b.lately))
+	}
+	if v.kind(z) == ZoneRestart && !v.failing && v.f.now > begins+v.Heals {
+		v.Start = max(v.Start, second)
+	}
+	if all := v.f.part.Zones.Find(zones.Fleet); z == 0 && all != nil && all.Step == zones.Returning {
+		sum := 0.0
+		for _, n := range v.f.nodes {
+			if n.up && n.serves {
+				if o := n.m.Zone(); o != nil && o.Capped {
+					sum += o.Rate
+				}
+			}
+		}
+		if most := max(v.ceil[zones.Fleet][0], v.ceil[zones.Fleet][1]); sum > most*1.001+1e-6 {
+			v.fail("the nodes have %.1f runs a second together, expected %.1f at most", sum, most)
+		}
+	}
+	st := v.f.part.Zones.Find(name)
+	if st == nil || v.Off || v.Own {
+		return
+	}
+	if b.steady++; st.Step != zones.Returning || v.failing || b.speed != 1 {
+		b.steady = 0
+	}
+	switch st.Step {
+	case zones.Returning:
+		if over := b.asked / max(b.bears, 1); !v.failing && b.speed == 1 {
+			if b.steady >= len(b.lately) && second > v.Peak {
+				v.Peak, v.peakAt = second, fmt.Sprintf("%s at %.1f s", name, (v.f.now-begins)/1000)
+			}
+		} else if over > 1 && b.speed < 1 && !v.failing {
+			v.Worst += flowStep
+		}
+		most := max(v.ceil[name][0], v.ceil[name][1])
+		sum := 0.0
+		for _, n := range v.f.nodes {
+			if n.zone != z || !n.up || !n.serves {
+				continue
+			}
+			if o := n.m.Zone(); o != nil && o.Capped {
+				sum += o.Rate
+			}
+		}
+		if sum > most*1.001+1e-6 {
+			v.fail("nodes of %s have %.1f runs a second together, expected %.1f at most", name, sum, most)
+		}
+	case zones.In:
+		if v.kind(z) == "" && first < 0.85*b.bears && !v.f.allIn() {
+			if second > v.Neigh {
+				v.Neigh, v.neighAt = second, fmt.Sprintf("%s at %.1f s, %.0f first tries of %.0f", name, (v.f.now-begins)/1000, first, b.bears)
+			}
+		}
+	}
+	if v.f.part.Zones.Settled > 0 {
+		for _, n := range v.f.nodes {
+			if !n.up || !n.serves {
+				continue
+			}
+			if o := n.m.Zone(); o != nil && o.Epoch < v.f.part.Zones.Settled {
+				v.fail("%s acts on epoch %d, and %d is settled", n.name, o.Epoch, v.f.part.Zones.Settled)
+			}
+		}
+	}
+}
+
+// Full gives the ms from the end of the trouble until at least 98 in 100 of the value is done for ten seconds on end, -1
+// if it never is.
+func (v *VZones) Full() float64 { return v.back(0.98) }
+
+// back is the same for any share.
+func (v *VZones) back(share float64) float64 {
+	since := -1.0
+	for _, p := range v.Plot[0].Points {
+		at := p[0]*1000 - v.Heals
+		switch {
+		case at < 0:
+		case p[1] < share:
+			since = -1
+		case since < 0:
+			since = at
+		case at-since >= 10_000:
+			return since
+		}
+	}
+	return -1
+}
+
+// allIn tells that no zone is left, or has been for long enough for all nodes to have heard.
+func (w *VFleet) allIn() bool {
+	s := w.part.Zones
+	for _, z := range s.Zones {
+		if z.Step != zones.In && s.Settled == s.Epoch && float64(w.part.Fleet.Clock-z.Since) > 2500 {
+			return false
+		}
+	}
+	return true
+}
+
+// applied hears of what the group decided about zones.
+func (v *VZones) applied(end any) {
+	if b, beat := end.(steward.BeatDone); beat && b.Began {
+		v.Began++
+		v.ceil[zones.Fleet] = [2]float64{v.f.part.Zones.Find(zones.Fleet).Ceiling, 0}
+	}
+	e, is := end.(zones.Result)
+	if !is || e.Err != "" {
+		return
+	}
+	if e.Kind == "settle" {
+		for n, c := range v.ceil {
+			v.ceil[n] = [2]float64{c[0], 0}
+		}
+		return
+	}
+	z := v.f.part.Zones.Find(e.Zone)
+	if z == nil || e.Step == "" {
+		return
+	}
+	v.ceil[z.Name] = [2]float64{z.Ceiling, max(v.ceil[z.Name][0], v.ceil[z.Name][1])}
+	at := v.f.now - begins
+	k := 0
+	fmt.Sscanf(z.Name, "z%d", &k)
+	switch e.Kind {
+	case "leave":
+		kind := v.kind(k)
+		// What is cold crawls too, where it was not left before; what ails all is no zone's.
+		b := v.below[k]
+		crawls := b.bears < 0.85*b.cap || b.warm < 0.99 && b.asked > b.bears
+		right := crawls || kind == ZoneCutOff && z.Cause == "cut off" || kind == ZoneDead || kind == ZoneKernels || kind == ZoneSlow || kind == ZoneErrors
+		if v.common() || !right || !v.failing && !crawls {
+			v.Wrong++
+			v.fail("%s was left, and it is %q (bears %.0f, warm %.2f, asked %.0f): %s", z.Name, kind, b.bears, b.warm, b.asked, z.Events[len(z.Events)-1].Text)
+		}
+		if _, known := v.Left[z.Name]; !known {
+			v.Left[z.Name] = at - v.Fails
+		}
+	case "step":
+		if v.Steps++; v.Steps == 3 {
+			v.f.after(500, v.middle)
+		}
+	case "back":
+		v.BackStep++
+	case "in":
+		v.Back[z.Name] = at - v.Heals
+	}
+}
+
+// report is what a node tells of itself.
+func (v *VZones) report(n *vnode) *fleet.Tally {
+	b := v.below[n.zone]
+	r, w := &b.rate, v.f
+	nodes := v.upIn[n.zone]
+	noisy := v.kind(n.zone) == ZoneNoise && v.failing
+	if noisy && w.r.Intn(2) == 0 {
+		return nil
+	}
+	spread := 0.1
+	if noisy {
+		spread = 0.5
+	}
+	count := func(x float64) int { // of two seconds
+		x = 2 * x / max(nodes, 1) * math.Exp(spread*w.r.NormFloat64())
+		return int(x + w.r.Float64())
+	}
+	l := &fleet.Tally{MS: 2000, Kernel: !(v.failing && v.kind(n.zone) == ZoneKernels), Cores: 4,
+		OnCores: 4 * r.util * math.Exp(spread*0.5*w.r.NormFloat64()), RunMS: r.runMS * math.Exp(spread*w.r.NormFloat64()),
+		Came: count(r.came), Again: count(r.again), Turned: count(r.turned), Done: count(r.done), Late: count(r.late), Errored: count(r.errored),
+		Shed: count(r.shed), Runs: count(r.runs), Worth: 2 * r.worth / max(nodes, 1), Got: 2 * r.got / max(nodes, 1),
+		Calls: count(r.runs), CallMS: r.runMS * 0.8 * math.Exp(spread*w.r.NormFloat64()), Out: int((b.queue + r.runs*r.runMS/1000) / max(nodes, 1))}
+	if l.OnCores > 4 {
+		l.OnCores = 4
+	}
+	for c := range flowShare {
+		l.Mix = append(l.Mix, fleet.Worth{Value: flowValue[c], Came: count((r.came - r.again) * flowShare[c])})
+	}
+	if v.failing {
+		bad := v.kind(n.zone) == ZoneBadNode && n.name == v.firstOf(n.zone) ||
+			v.kind(n.zone) == ZoneLies && w.numberOf(n)%5 < 2
+		if bad {
+			l.Kernel = false
+			l.Done, l.Late = 0, l.Done
+		}
+	}
+	return l
+}
+
+func (w *VFleet) numberOf(n *vnode) (k int) {
+	fmt.Sscanf(n.name, "n%d", &k)
+	return k / w.Zones
+}
+
+func (v *VZones) firstOf(zone int) string {
+	for _, n := range v.f.nodes {
+		if n.zone == zone {
+			return n.name
+		}
+	}
+	return ""
+}
+
+// seen is what one node sees of another.
+func (v *VZones) seen(n *vnode, l fleet.Look) fleet.Seen {
+	for _, o := range v.f.nodes {
+		if o.name != l.Name {
+			continue
+		}
+		switch {
+		case !o.up:
+			return fleet.Seen{Name: l.Name, Is: fleet.SeenSilent}
+		case !o.serves || o.gate.Out():
+			return fleet.Seen{Name: l.Name, Is: fleet.SeenSheds}
+		}
+		return fleet.Seen{Name: l.Name, Is: fleet.SeenServes}
+	}
+	return fleet.Seen{Name: l.Name, Is: fleet.SeenSilent}
+}
+
+// own is the baseline in which each node judges for itself: sick for two seconds, it is not ready for five.
+func (v *VZones) own() {
+	for i, n := range v.f.nodes {
+		b := v.below[n.zone]
+		sick := n.up && (v.failing && v.kind(n.zone) == ZoneKernels || b.rate.runMS > 3*flowRun+5 ||
+			b.rate.late+b.rate.errored > 0.3*(b.rate.done+b.rate.late+b.rate.errored))
+		switch {
+		case !sick:
+			v.sickAt[i] = 0
+		case v.sickAt[i] == 0:
+			v.sickAt[i] = v.f.now
+		case v.f.now-v.sickAt[i] > 2000+float64(i%10)*200 && v.f.now >= v.awayTill[i]:
+			v.awayTill[i], v.sickAt[i] = v.f.now+5000, 0
+		}
+	}
+}
+
+// oracle is what could be done at best: the trouble and the room are known at once, the dearest goes first, and a cold
+// service is asked for just what it bears.
+func (v *VZones) oracle(total float64, dt float64) {
+	room, done := 0.0, 0.0
+	for z, b := range v.below {
+		dead := v.failing && (v.kind(z) == ZoneDead || v.kind(z) == ZoneKernels || v.kind(z) == ZoneCallers)
+		if dead {
+			continue
+		}
+		bears := b.cap * b.speed / (1 + (b.cold-1)*(1-b.warm))
+		room += bears
+		b.warm = min(1, b.warm+bears*dt/(b.cap*10))
+	}
+	for c := 2; c >= 0; c-- {
+		n := min(room, v.Load*float64(v.Zones)*1000*flowShare[c])
+		room -= n
+		done += n * flowValue[c]
+	}
+	if v.f.now >= begins+v.Fails {
+		v.Done += done * dt
+		v.Asked += total * dt
+	}
+}
--- /dev/null
+++ b/internal/lab/vzones_test.go
@@ -0,0 +1,185 @@
+package lab
+
+import (
+	"bytes"
+	"context"
+	"fmt"
+	"os"
+	"strconv"
+	"strings"
+	"testing"
+
+	"umberwinch/internal/zones"
+)
+
+func playZones(p ZonePlan) *VZones {
+	v := NewVZones(p)
+	v.Play()
+	return v
+}
+
+// TestZoneSchedules plays what goes wrong with zones in virtual time and holds each run to all promises.
+func TestZoneSchedules(t *testing.T) {
+	n := 40
+	if s := os.Getenv("UMBERWINCH_SCHEDULES"); s != "" {
+		n, _ = strconv.Atoi(s)
+	}
+	left, steps, bad := 0, 0, 0
+	for seed := int64(1); seed <= int64(n); seed++ {
+		p := DrawZones(seed)
+		v := playZones(p)
+		if v.Broken != "" {
+			bad++
+			t.Errorf("seed %d (%v, load %.2f, cold %.1f, %d nodes in %d zones, again %v, spare %d): %s", seed, p.Kinds, p.Load,
+				p.Cold, p.Nodes, p.Zones, p.Again, p.Spare, v.Broken)
+			if bad > 8 {
+				break
+			}
+		}
+		left, steps = left+len(v.Left), steps+v.Steps
+	}
+	t.Log(fmt.Sprintf("%d runs, %d zones left, %d steps back in", n, left, steps))
+	if left < n/6 || steps < n {
+		t.Errorf("%d zones left and %d steps in %d runs: too few to hold anything to", left, steps, n)
+	}
+}
+
+// TestZoneGuards takes each guard out: a promise has to break, or it is not checked.
+func TestZoneGuards(t *testing.T) {
+	base := ZonePlan{Seed: 3, Nodes: 15, Fails: 15_000, Heals: 40_000, Ends: 200_000, Load: 0.6}
+	room := base
+	room.Kinds, room.Load, room.Off = []string{ZoneErrors}, 0.9, true
+	alone := playZones(room)
+	for name, plan := range map[string]func(p *ZonePlan){
+		"common-cause": func(p *ZonePlan) { p.Kinds, p.Load = []string{ZoneErrors, ZoneErrors, ZoneErrors}, 0.4 },
+		"room":         func(p *ZonePlan) { p.Kinds, p.Load = []string{ZoneErrors}, 0.9 },
+		"one-epoch":    func(p *ZonePlan) { p.Kinds = []string{ZoneKernels} },
+		"paced":        func(p *ZonePlan) { p.Kinds = []string{ZoneDead} },
+		"step-back":    func(p *ZonePlan) { p.Kinds, p.Again = []string{ZoneDead}, true },
+		"retry-budget": func(p *ZonePlan) { p.Kinds, p.Load = []string{ZoneDead}, 0.8 },
+		"lease-tokens": func(p *ZonePlan) { p.Kinds, p.Spare = []string{ZoneDead}, 2 },
+	} {
+		p := base
+		plan(&p)
+		verdict := func(p ZonePlan) string {
+			v := playZones(p)
+			if name == "room" && v.Failing < 0.98*alone.Failing {
+				return fmt.Sprintf("%.0f of value done while it failed, and %.0f by nodes alone", v.Failing, alone.Failing)
+			}
+			return v.Broken
+		}
+		if broken := verdict(p); broken != "" {
+			t.Errorf("with %s: %s", name, broken)
+		}
+		g, err := zones.GuardNamed(name)
+		if err != nil {
+			t.Fatal(err)
+		}
+		p.Without = g
+		if broken := verdict(p); broken == "" {
+			t.Errorf("without %s no promise broke", name)
+		} else {
+			t.Logf("without %s: %s", name, broken)
+		}
+	}
+}
+
+// TestZonesOnProcesses plays every hard case about zones on processes, in fleets side by side.
+func TestZonesOnProcesses(t *testing.T) {
+	t.Parallel()
+	const parts = 5
+	for part := 0; part < parts; part++ {
+		t.Run(fmt.Sprint(part), func(t *testing.T) {
+			t.Parallel()
+			var out bytes.Buffer
+			rep, err := (&Zones{Seed: int64(11 + part), Quick: true, Mode: "real", Part: part, Parts: parts,
+				Program: built(t)}).Run(context.Background(), &out)
+			if err != nil || rep.Broken != "" {
+				t.Fatalf("%v\n%s", err, out.String())
+			}
+			if n := strings.Count(out.String(), " kept, "); n < len(zoneCases)/parts-1 {
+				t.Fatalf("%d cases kept, expected %d\n%s", n, len(zoneCases)/parts, out.String())
+			}
+			t.Log(out.String())
+		})
+	}
+}
+
+// TestZoneGuardsOnProcesses takes guards out of the processes: the case that needs each breaks. The others need more
+// load or more nodes than a rig has; they are taken out in virtual time.
+func TestZoneGuardsOnProcesses(t *testing.T) {
+	t.Parallel()
+	for guard, only := range map[string]string{"paced": "a zone dead at once, and back cold",
+		"step-back": "its service below fails in the middle of the return", "one-epoch": "its kernels dead, its nodes well"} {
+		t.Run(guard, func(t *testing.T) {
+			t.Parallel()
+			var out bytes.Buffer
+			rep, err := (&Zones{Seed: 21, Quick: true, Mode: "real", Words: guard, Only: only,
+				Program: built(t)}).Run(context.Background(), &out)
+			if err != nil {
+				t.Fatalf("%v\n%s", err, out.String())
+			}
+			if rep.Broken == "" {
+				t.Errorf("without %s no promise broke in %q\n%s", guard, only, out.String())
+			}
+			t.Log(rep.Broken)
+		})
+	}
+}
+
+// TestWrongZoneHistories holds the checker to histories that are wrong on purpose.
+func TestWrongZoneHistories(t *testing.T) {
+	good := []ZoneEvent{{At: 0, Kind: "zone", Zone: "a"}, {At: 0, Kind: "zone", Zone: "b"},
+		{At: 10, Kind: "decided", Zone: "a", Epoch: 1, Share: 0, Op: "leave"}, {At: 20, Kind: "acts", Node: "n", Epoch: 1},
+		{At: 30, Kind: "settled", Epoch: 1}, {At: 40, Kind: "answers", Node: "n"},
+		{At: 50, Kind: "decided", Zone: "a", Epoch: 2, Share: 16, Op: "step"}, {At: 60, Kind: "settled", Epoch: 2},
+		{At: 62, Kind: "answers", Node: "n"}, {At: 65, Kind: "acts", Node: "n", Epoch: 2}, {At: 90, Kind: "answers", Node: "n"}}
+	may := map[string]bool{"a": true}
+	if broken := CheckZones(good, may, 5); broken != "" {
+		t.Fatalf("the right history: %s", broken)
+	}
+	for what, more := range map[string][]ZoneEvent{
+		"left without a reason":       {{At: 70, Kind: "decided", Zone: "b", Epoch: 3, Op: "leave"}},
+		"no zone is in":               {{At: 70, Kind: "decided", Zone: "b", Epoch: 3, Op: "step", Share: 0}},
+		"an epoch that goes back":     {{At: 70, Kind: "decided", Zone: "a", Epoch: 1, Share: 16, Op: "step"}},
+		"raised before it settled":    {{At: 70, Kind: "decided", Zone: "a", Epoch: 3, Share: 32, Op: "step"}, {At: 71, Kind: "decided", Zone: "a", Epoch: 4, Share: 64, Op: "step"}},
+		"acts on what was settled":    {{At: 61, Kind: "acts", Node: "m", Epoch: 1}, {At: 80, Kind: "answers", Node: "m"}},
+		"acts long after, by another": {{At: 15, Kind: "acts", Node: "k", Epoch: 0}, {At: 45, Kind: "answers", Node: "k"}},
+	} {
+		if broken := CheckZones(append(append([]ZoneEvent{}, good...), more...), may, 5); broken == "" {
+			t.Errorf("%s: not found", what)
+		}
+	}
+}
+
+// TestRestart: a fleet whose nodes all restart at once asks nothing of its cold services that they don't bear, and is back;
+// without a small start it asks for several times that. A lone restart has no part in it.
+func TestRestart(t *testing.T) {
+	base := ZonePlan{Seed: 5, Nodes: 15, Kinds: []string{ZoneRestart, ZoneRestart, ZoneRestart}, Fails: 15_000, Heals: 17_000,
+		Ends: 220_000, Load: 0.6}
+	v := playZones(base)
+	if v.Broken != "" || v.Began == 0 || v.Full() < 0 {
+		t.Errorf("%s; began small %d times, full after %.1f s", v.Broken, v.Began, v.Full()/1000)
+	}
+	t.Logf("below at worst %.2f of what it bears; full after %.1f s", v.Start, v.Full()/1000)
+	without := base
+	without.Without = zones.SmallStart
+	if v := playZones(without); v.Broken == "" {
+		t.Error("without small-start no promise broke")
+	} else {
+		t.Logf("without small-start: %s; full after %.1f s", v.Broken, v.Full()/1000)
+	}
+	lone := base
+	lone.Kinds, lone.Nodes = []string{ZoneDead}, 15
+	if v := playZones(lone); v.Began != 0 {
+		t.Errorf("a third of the fleet restarted and all began with a share")
+	}
+	for seed := int64(1); seed <= 12; seed++ {
+		p := base
+		p.Seed, p.Load, p.Cold, p.Lead = seed, 0.4+0.04*float64(seed%10), 2+float64(seed%7), seed%3 == 0
+		p.Ends = 400_000
+		if v := playZones(p); v.Broken != "" {
+			t.Errorf("seed %d, load %.2f, cold %.0f: %s", seed, p.Load, p.Cold, v.Broken)
+		}
+	}
+}
--- /dev/null
+++ b/internal/lab/zonecost.go
@@ -0,0 +1,287 @@
+package lab
+
+import (
+	"context"
+	"fmt"
+	"os"
+	"strconv"
+	"sync"
+	"time"
+
+	"umberwinch/internal/zones"
+)
+
+// What failures cost callers on processes, by several ways: the same failures, one after the other, in fleets with the same
+// load.
+
+// zoneFailure is one of them.
+type zoneFailure struct {
+	name         string
+	strike, heal func(b *zoneBench) error
+	after        time.Duration // in place of the plan's
+}
+
+// costWay is a way to be measured: how its fleet decides, and what its callers and its platform are like.
+type costWay struct {
+	name, mode string
+	patient    bool          // callers come back when they are told to
+	pace       time.Duration // between the starts of two nodes
+}
+
+// costPlan is a measurement.
+type costPlan struct {
+	ways         []costWay
+	failures     []zoneFailure
+	fails, after time.Duration // long enough for the failure to show, and for all to be whole again
+	row          func(way *costWay, failure string, c *cost) []string
+	bound        string // this way's services below are never asked for more than they bear
+}
+
+var zoneFailures = []zoneFailure{
+	{name: "dead", strike: func(b *zoneBench) error {
+		for _, n := range b.zoned("z1") {
+			n.Kill()
+		}
+		return nil
+	}, heal: func(b *zoneBench) error {
+		b.below("z1", 1, 0, true)
+		for _, n := range b.zoned("z1") {
+			if err := n.Start(); err != nil {
+				return err
+			}
+		}
+		return nil
+	}},
+	{name: "kernels", strike: func(b *zoneBench) error { b.kernels("z1", true); return nil }, heal: func(b *zoneBench) error {
+		b.below("z1", 1, 0, true)
+		b.kernels("z1", false)
+		return nil
+	}},
+	{name: "slow", strike: func(b *zoneBench) error { b.below("z1", 0.05, 0, false); return nil }, heal: func(b *zoneBench) error {
+		b.below("z1", 1, 0, true)
+		return nil
+	}},
+}
+
+// cost is what one failure came to.
+type cost struct {
+	value   float64 // done in time, of what was asked, from the failure to the end
+	others  float64 // of what the other zones answered while it failed
+	last    time.Duration
+	peak    float64
+	tries   float64
+	whole   time.Duration    // from its end until the zone is in and all its nodes are ready; 0: not in the time there was
+	service [3]time.Duration // from its end until half, 95 and 98 in 100 of the value is done for good; -1: not in that time
+}
+
+// shares of full service that are timed.
+var costShares = [3]float64{0.5, 0.95, 0.98}
+
+func (b *zoneBench) cost(c *Calls, f *zoneFailure, p *costPlan) (out cost, err error) {
+	from := time.Now()
+	if err = f.strike(b); err != nil {
+		return out, err
+	}
+	b.sleep(p.fails)
+	healed := time.Now()
+	if err = f.heal(b); err != nil {
+		return out, err
+	}
+	over := p.after
+	if f.after > 0 {
+		over = f.after
+	}
+	for time.Since(healed) < over && b.ctx.Err() == nil {
+		b.sleep(20 * time.Millisecond)
+		if out.whole != 0 {
+			continue
+		}
+		ready := true
+		for _, n := range b.zoned("z1") {
+			ready = ready && b.ready.is(n.name)
+		}
+		if v, err := b.zone("z1"); ready && err == nil && v.Step == zones.In {
+			out.whole = time.Since(healed)
+		}
+	}
+	for _, s := range b.stores { // each is judged alone
+		out.peak = max(out.peak, s.Peak(healed))
+	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	all, good, asked, near, well := 0.0, 0.0, 0, 0.0, 0.0
+	for _, a := range c.Each {
+		if a.At.Before(from) {
+			continue
+		}
+		asked++
+		out.tries += float64(a.Tries)
+		all += a.Value
+		if a.Good {
+			good += a.Value
+		}
+		if a.At.After(healed) || a.Node == nil {
+			continue
+		}
+		if a.Node.zone == "z1" {
+			out.last = max(out.last, a.At.Sub(from))
+		} else if near += a.Value; a.Good {
+			well += a.Value
+		}
+	}
+	out.value, out.others, out.tries = good/max(all, 1), well/max(near, 1), out.tries/float64(max(asked, 1))
+	for i, share := range costShares {
+		out.service[i] = serviceBack(c.Each, healed, over, share)
+	}
+	return out, nil
+}
+
+// serviceSpan is over which done is held to asked: at 180 reqs a second one dear req weighs a hundredth of it.
+const serviceSpan = 2 * time.Second
+
+// serviceBack gives how long after a moment a share of the value that is asked for is done in time, from there to the end;
+// -1 if it is not. A req counts when it ends.
+func serviceBack(each []Answered, since time.Time, over time.Duration, share float64) time.Duration {
+	n := int(over / serviceSpan)
+	good, all := make([]float64, n), make([]float64, n)
+	for _, a := range each {
+		if k := int(a.At.Sub(since) / serviceSpan); !a.At.Before(since) && k < n {
+			if all[k] += a.Value; a.Good {
+				good[k] += a.Value
+			}
+		}
+	}
+	back := n
+	for back > 0 && good[back-1] >= share*all[back-1] && all[back-1] > 0 {
+		back--
+	}
+	if back == n {
+		return -1
+	}
+	return time.Duration(back) * serviceSpan
+}
+
+// costSeeds is how many seeds a measurement is made with, costFleets how many fleets run at once, as the tests have them.
+const (
+	costSeeds  = 3
+	costFleets = 5
+)
+
+// costs measures all failures by all ways.
+func (r *Zones) costs(ctx context.Context, rep *Report, p *costPlan) error {
+	type run struct {
+		seed int64
+		way  *costWay
+		out  []cost
+		err  error
+	}
+	var runs []*run
+	for seed := r.Seed; seed < r.Seed+costSeeds; seed++ {
+		for i := range p.ways {
+			runs = append(runs, &run{seed: seed, way: &p.ways[i]})
+		}
+	}
+	var wg sync.WaitGroup
+	room := make(chan struct{}, costFleets)
+	for _, one := range runs {
+		wg.Add(1)
+		go func() {
+			defer wg.Done()
+			room <- struct{}{}
+			defer func() { <-room }()
+			if one.err = ctx.Err(); one.err != nil {
+				return
+			}
+			dir, err := os.MkdirTemp("", "lab-zones-")
+			if err != nil {
+				one.err = err
+				return
+			}
+			defer os.RemoveAll(dir)
+			mine := *r
+			mine.Seed = one.seed
+			b, err := mine.begin(ctx, dir, "fence", one.way.mode)
+			defer b.Close()
+			if err != nil {
+				one.err = err
+				return
+			}
+			b.Patient, b.pace = one.way.patient, one.way.pace
+			load, stop := context.WithCancel(ctx)
+			defer stop()
+			calls := b.Load(load, zoneRate)
+			b.sleep(12 * time.Second) // until the group knows what services bear
+			for i := range p.failures {
+				out, err := b.cost(calls, &p.failures[i], p)
+				if err != nil {
+					one.err = fmt.Errorf("seed %d, %s, %s: %w", one.seed, one.way.name, p.failures[i].name, err)
+					return
+				}
+				if one.err = b.ctx.Err(); one.err != nil {
+					return
+				}
+				one.out = append(one.out, out)
+			}
+		}()
+	}
+	wg.Wait()
+	for _, one := range runs {
+		if one.err != nil {
+			return one.err
+		}
+		for i := range one.out {
+			name := fmt.Sprintf("real, %s, seed %d", p.failures[i].name, one.seed)
+			rep.Rows = append(rep.Rows, append([]string{name, "9", strconv.Itoa(zoneRate) + "/s", one.way.name},
+				p.row(one.way, p.failures[i].name, &one.out[i])...))
+			if one.way.name == p.bound && one.out[i].peak > 1 {
+				rep.Break("seed %d, %s: a service below was asked for %.2f of what it bears on the way back", one.seed,
+					p.failures[i].name, one.out[i].peak)
+			}
+		}
+	}
+	return nil
+}
+
+// zoneCosts are a zone's failures, with the fleet's decisions and without.
+var zoneCosts = costPlan{ways: []costWay{{name: "the fleet", mode: "auto"}, {name: "nodes alone", mode: "off"}},
+	failures: zoneFailures, fails: 8 * time.Second, after: 30 * time.Second, bound: "the fleet",
+	row: func(_ *costWay, _ string, c *cost) []string {
+		whole := "-"
+		if c.whole > 0 {
+			whole = fmt.Sprintf("%.1f s", c.whole.Seconds())
+		}
+		return []string{fmt.Sprintf("%.4f", c.value), fmt.Sprintf("%.1f s", c.last.Seconds()), whole, fmt.Sprintf("%.2f tries", c.tries),
+			fmt.Sprintf("%.2f", c.peak)}
+	}}
+
+// comebackCosts are a restart of all nodes over cold services, and that of one node.
+var comebackCosts = costPlan{ways: []costWay{{name: "the fleet", mode: "auto"}, {name: "the fleet, patient callers", mode: "auto",
+	patient: true}, {name: "no ramp", mode: "no-ramp"}, {name: "by the clock", mode: "off", pace: 3 * time.Second},
+	{name: "nodes alone", mode: "off"}},
+	failures: []zoneFailure{{name: "one node restarts", strike: func(b *zoneBench) error { return nil }, heal: func(b *zoneBench) error {
+		b.nodes[0].Kill()
+		return b.nodes[0].Start()
+	}, after: 12 * time.Second}, {name: "all nodes restart", strike: func(b *zoneBench) error {
+		for _, n := range b.nodes {
+			n.Kill()
+		}
+		return nil
+	}, heal: func(b *zoneBench) error {
+		for _, z := range []string{"z1", "z2", "z3"} {
+			b.below(z, 1, 0, true)
+		}
+		for _, n := range b.nodes {
+			if err := n.Start(); err != nil {
+				return err
+			}
+			b.sleep(b.pace)
+		}
+		return nil
+	}}}, fails: time.Second, after: 56 * time.Second, bound: "the fleet",
+	row: func(_ *costWay, _ string, c *cost) []string {
+		out := []string{}
+		for _, s := range c.service {
+			out = append(out, secs(float64(s.Milliseconds())))
+		}
+		return append(out, "-", fmt.Sprintf("%.2f", c.peak), fmt.Sprintf("%.2f; %.3f of value", c.tries, c.value))
+	}}
--- a/internal/member/member.go
+++ b/internal/member/member.go
@@ -13,6 +13,7 @@
 	"fmt"
 	"hash/crc32"
 
+	"umberwinch/internal/comeback"
 	"umberwinch/internal/fleet"
 	"umberwinch/internal/policy"
 )
@@ -43,6 +44,10 @@
 // Record is what a node with a disk keeps.
 type Record struct {
 	Cluster  string `json:"cluster"`
+	Gen      uint64 `json:"generation,omitempty"`
+	Term     uint64 `json:"term,omitempty"` // as heard last when this was written
+	Index    uint64 `json:"index,omitempty"`
+	Sum      uint64 `json:"sum,omitempty"`
 	Version  uint64 `json:"version"` // served under last
 	Hash     string `json:"hash"`
 	Text     string `json:"text"`
@@ -53,6 +58,8 @@
 	NextHash string `json:"next_hash"`
 	// NextAlone is the prepared one's rule.
 	NextAlone bool `json:"next_alone"`
+	// Zone is the order of its zone that it was told last.
+	Zone *fleet.ZoneOrder `json:"zone,omitempty"`
 }
 
 // control is one address of the group.
@@ -70,6 +77,7 @@
 	draws   uint32
 	starts  int // incarnations of this life
 	cluster string
+	gen     uint64 // of the group; what an earlier one says counts no more
 	term    uint64
 	index   uint64
 	echo    uint64 // the group's time, as told last
@@ -81,9 +89,12 @@
 	next    fleet.Named // being prepared
 	cur     uint64      // served under
 	alone   bool        // cur's rule
-	due     uint64      // when to ask next
+	zone    *fleet.ZoneOrder
+	foreign bool   // zone is of an earlier generation: acted on, and its epoch means nothing here
+	due     uint64 // when to ask next
 	renewAt uint64
 	asking  bool
+	asked   string
 	askNo   uint64 // counts askings: an answer names the one it is for
 	sent    uint64
 	renews  bool // the asking that is out wants more time
@@ -92,6 +103,9 @@
 	met     bool // the group was heard in this life
 	start   bool // may begin alone by its record
 	kept    fleet.Named
+	told    fleet.Heard // where the group stood when it was heard last
+	hash    string      // of cur
+	gather  bool        // whoever answered restores the group, and asks what this node holds
 
 	ready   map[uint64]string // versions that can be taken over, with their hashes; two at most
 	tried   uint64            // the version whose trial was begun last
@@ -104,13 +118,14 @@
 
 // New begins a life. kept is what the disk held, nil without.
 func New(plan Plan, kept *Record, now uint64) *Member {
-	m := &Member{plan: plan, born: now, due: now, ready: map[uint64]string{}}
+	m := &Member{plan: plan, born: now, due: now, gen: 1, ready: map[uint64]string{}}
 	for _, a := range plan.Control {
 		m.ctl = append(m.ctl, control{addr: a})
 	}
 	m.at = int(m.draw() % uint32(max(1, len(m.ctl)))) // so that a fleet does not begin at one
 	if kept != nil {
-		m.cluster, m.floor = kept.Cluster, kept.Floor
+		m.cluster, m.floor, m.zone, m.gen = kept.Cluster, kept.Floor, kept.Zone, max(1, kept.Gen)
+		m.told = fleet.Heard{Group: m.cluster, Gen: m.gen, Term: kept.Term, Index: kept.Index, Sum: kept.Sum}
 		if kept.Version > 0 {
 			m.kept = fleet.Named{Version: kept.Version, Hash: kept.Hash}
 			m.ready[kept.Version] = kept.Hash
@@ -144,7 +159,7 @@
 		return true, ""
 	case m.cur < m.floor && !m.plan.Without.Has(policy.NoWayBack):
 		return false, fmt.Sprintf("version %d is decided and not taken over yet", m.floor)
-	case m.lease != 0 && now < m.until:
+	case m.lease != 0 && now < m.until, m.handed(now):
 		return true, ""
 	case m.alone && m.met || m.start && !m.met && m.cur > 0:
 		return true, ""
@@ -156,10 +171,16 @@
 	return false, "its lease has run out"
 }
 
+// handed tells whether it serves on under what is left of the lease of the generation before, until the new one takes it
+// in: a group that is restored waits for that time before it counts on anything.
+func (m *Member) handed(now uint64) bool {
+	return m.lease == 0 && m.gen > 1 && m.met && now < m.until && !m.left
+}
+
 // Alone tells whether it serves without a lease.
 func (m *Member) Alone(now uint64) bool {
 	ok, _ := m.May(now)
-	return ok && !(m.lease != 0 && now < m.until)
+	return ok && !(m.lease != 0 && now < m.until) && !m.handed(now)
 }
 
 // Serves, Floor, Until and InForce show the state.
@@ -170,6 +191,39 @@
 func (m *Member) Lease() uint32   { return m.lease }
 func (m *Member) Cluster() string { return m.cluster }
 
+// Met tells whether the group was heard in this life.
+func (m *Member) Met() bool { return m.met }
+
+// Told gives where the group stood when it was heard last.
+func (m *Member) Told() fleet.Heard { return m.told }
+
+// Gathered tells, once, that whoever was asked last restores the group and wants to know what this node holds.
+func (m *Member) Gathered() bool {
+	g := m.gather
+	m.gather = false
+	return g
+}
+
+// Zone gives the last order of the node's zone, nil where nothing is decided about zones.
+func (m *Member) Zone() *fleet.ZoneOrder { return m.zone }
+
+// KeptZone gives it as it is to be kept: an earlier generation's without its epoch.
+func (m *Member) KeptZone() *fleet.ZoneOrder {
+	if m.zone == nil || !m.foreign {
+		return m.zone
+	}
+	o := *m.zone
+	o.Epoch = 0
+	return &o
+}
+
+func (m *Member) epoch() uint64 {
+	if m.zone == nil || m.foreign {
+		return 0
+	}
+	return m.zone.Epoch
+}
+
 // Address gives the instance to speak with.
 func (m *Member) Address() string {
 	if len(m.ctl) == 0 {
@@ -178,6 +232,11 @@
 	return m.ctl[m.at].addr
 }
 
+// Plan gives what the node was told at its start, Asked the instance that was asked last, Length that of the lease.
+func (m *Member) Plan() *Plan    { return &m.plan }
+func (m *Member) Asked() string  { return m.asked }
+func (m *Member) Length() uint64 { return m.length }
+
 // Due gives when Ask will have something to send.
 func (m *Member) Due() uint64 {
 	if m.left {
@@ -202,11 +261,18 @@
 	if m.asking || m.left || len(m.ctl) == 0 || now < m.Due() {
 		return a, 0, false
 	}
-	m.asking, m.sent = true, now
+	m.asking, m.sent, m.asked = true, now, m.Address()
 	m.askNo++
-	a = fleet.Ask{Join: fleet.Join{Name: m.plan.Name, Zone: m.plan.Zone, Addr: m.plan.Addr, Nonce: m.nonce()},
-		Lease: m.lease, Echo: m.echo, Floor: m.floor, Serves: m.cur, Refused: m.refused, Why: m.why}
-	if _, ok := m.ready[m.next.Version]; ok && m.next.Version != 0 {
+	a = fleet.Ask{Join: fleet.Join{Name: m.plan.Name, Zone: m.plan.Zone, Addr: m.plan.Addr, Nonce: m.nonce(),
+		Up: max(1, now-m.born)},
+		Lease: m.lease, Echo: m.echo, Floor: m.floor, Serves: m.cur, Refused: m.refused, Why: m.why,
+		Zones: m.epoch()}
+	if m.told.Group != "" {
+		h := m.told
+		h.Hash = m.hash
+		a.Heard = &h
+	}
+	if m.next.Version != 0 && m.has(m.next) { // by its hash: a group that lost state may give the number to another text
 		a.Prepared = m.next.Version
 	}
 	if ok, why := m.May(now); !ok {
@@ -231,19 +297,38 @@
 		return nil
 	}
 	m.asking = false
+	if t.Gather {
+		m.gather = true
+		m.leave(now, 0)
+		return nil
+	}
 	if err, lies := m.doubt(&t); err != nil {
 		m.leave(now, map[bool]uint64{true: lieBack}[lies])
 		return err
 	}
-	was := m.floor
+	newer := t.Cluster != m.cluster && m.cluster != ""
+	if newer { // a later generation of the group
+		// The lease of the one before may be acted on for the rest of its time, as the group that is restored waits for.
+		m.lease, m.foreign, m.next, m.force = 0, true, fleet.Named{}, fleet.Named{}
+		m.starts++
+		m.refused, m.why, m.never = 0, "", false
+	}
+	if m.cluster != t.Cluster { // also the first that it hears of
+		m.gen = max(1, t.Gen)
+	}
+	was, wasEpoch := m.floor, m.epoch()
 	m.ctl[m.at].wait, m.ctl[m.at].again = 0, 0
 	m.cluster, m.term, m.index, m.echo, m.met = t.Cluster, t.Term, t.Index, t.Clock, true
+	m.told = fleet.Heard{Group: t.Cluster, Gen: m.gen, Term: t.Term, Index: t.Index, Sum: t.Sum}
 	if !m.plan.Without.Has(policy.NoWayBack) {
 		m.floor = max(m.floor, t.Need)
 	}
 	if t.Force.Version >= m.force.Version || m.plan.Without.Has(policy.NoWayBack) {
 		m.force = t.Force
 	}
+	if t.Zone != nil || t.Lease != 0 {
+		m.zone, m.foreign = t.Zone, false
+	}
 	if m.next != t.Prepare {
 		m.next = t.Prepare
 		if m.refused != t.Prepare.Version {
@@ -258,11 +343,14 @@
 	case m.bye && (m.byes || t.Gone != ""):
 		m.lease, m.until, m.left = 0, 0, true
 	case t.Gone != "":
-		// Begun anew: what this incarnation was told about time counts no more.
+		// Begun anew: what this incarnation was told about time counts no more, but for the rest of an earlier generation's.
 		if m.lease != 0 || t.Wait == 0 {
 			m.starts++
 		}
-		m.lease, m.until = 0, 0
+		if !newer && !m.handed(now) {
+			m.until = 0
+		}
+		m.lease = 0
 		m.due = now + max(askLeast, t.Wait)
 	case t.LeaseMS > 0:
 		m.lease, m.length = t.Lease, t.LeaseMS
@@ -281,7 +369,7 @@
 		if m.renews && t.LeaseMS == 0 {
 			m.renewAt = now // its promise came too late; it makes a newer one now
 		}
-		if m.floor > was || m.renewAt <= now {
+		if m.floor > was || m.epoch() > wasEpoch || m.renewAt <= now {
 			m.due = now + askLeast
 		}
 	}
@@ -293,16 +381,25 @@
 // from another group or at odds with itself, which is a lie.
 func (m *Member) doubt(t *fleet.Told) (err error, lies bool) {
 	back := m.plan.Without.Has(policy.NoWayBack)
+	of := comeback.Whose{Group: t.Cluster, Gen: max(1, t.Gen), Before: t.Before}
 	switch {
 	case t.Cluster == "":
 		return fmt.Errorf("an answer without a group"), true
-	case m.cluster != "" && t.Cluster != m.cluster:
-		return fmt.Errorf("an answer of group %.16s, expected %.16s", t.Cluster, m.cluster), true
 	case t.Force.Version > t.Need:
 		return fmt.Errorf("an answer with version %d in force and %d decided", t.Force.Version, t.Need), true
+	case m.cluster != "" && t.Cluster != m.cluster && !of.After(m.cluster, m.gen) && !m.plan.Without.Has(policy.Generation):
+		return fmt.Errorf("an answer of group %.16s in generation %d, expected %.16s in %d", t.Cluster, of.Gen, m.cluster,
+			m.gen), true
+	case m.cluster != "" && t.Cluster != m.cluster && t.Need < m.floor && !back:
+		return fmt.Errorf("generation %d of the group has version %d decided, expected %d at least: it was restored without what "+
+			"this node was told", of.Gen, t.Need, m.floor), false
+	case m.cluster != "" && t.Cluster != m.cluster:
+		return nil, false
 	case t.Term < m.term || t.Index < m.index && !back:
 		return fmt.Errorf("an answer as of term %d and entry %d, expected %d and %d at least", t.Term, t.Index, m.term,
 			m.index), false
+	case t.Zone != nil && t.Zone.Epoch < m.epoch():
+		return fmt.Errorf("an answer with epoch %d of the zones, expected %d at least", t.Zone.Epoch, m.epoch()), false
 	case t.Need < m.floor && !back:
 		return fmt.Errorf("an answer with version %d decided, expected %d at least", t.Need, m.floor), false
 	}
@@ -373,7 +470,7 @@
 
 // Took tells that the loop serves under a version from now on.
 func (m *Member) Took(now uint64, v fleet.Named, alone bool) {
-	m.cur, m.alone = v.Version, alone
+	m.cur, m.alone, m.hash = v.Version, alone, v.Hash
 	m.floor = max(m.floor, v.Version)
 	m.due = min(m.due, now)
 	m.prune()
--- a/internal/member/member_test.go
+++ b/internal/member/member_test.go
@@ -242,3 +242,145 @@
 		}
 	}
 }
+
+// TestGenerations: a node goes by the newest generation of its group that it knows, serves on under what is left of its
+// lease until that takes it in, and never goes back to an older one, nor to an older version with a newer one.
+func TestGenerations(t *testing.T) {
+	second := func(need uint64) fleet.Told {
+		v := fleet.Named{Version: need, Hash: fmt.Sprint("h", need)}
+		return fleet.Told{Cluster: "g2", Gen: 2, Before: []string{"g"}, Need: need, Force: v, Index: 3, Again: 1000}
+	}
+	d := begin(t, nil, 0)
+	d.joined(2, false)
+	d.asks()
+	if h := d.ask.Heard; h == nil || h.Group != "g" || h.Gen != 1 || h.Index != 10 || h.Hash != "h2" {
+		t.Fatalf("it asks with %+v, expected where the group stood", h)
+	}
+	// One that was restored from before version 2 is not followed, and may catch up.
+	if err := d.told(second(1)); err == nil || !strings.Contains(err.Error(), "restored without") {
+		t.Fatalf("%v", err)
+	}
+	if ok, _ := d.m.May(d.now); !ok {
+		t.Fatal("it does not serve on under its lease")
+	}
+	d.asks()
+	d.m.zone = &fleet.ZoneOrder{Epoch: 90, Share: 32}
+	one := second(2)
+	one.Gone = "its lease is of another generation"
+	if err := d.told(one); err != nil {
+		t.Fatal(err)
+	}
+	if ok, why := d.m.May(d.now); !ok || d.m.Lease() != 0 || d.m.Alone(d.now) {
+		t.Fatalf("between the generations: %v %s, lease %d", ok, why, d.m.Lease())
+	}
+	// Its zone's order holds until the new one says otherwise, and that one's epochs need not be later.
+	if z := d.m.Zone(); z == nil || z.Share != 32 || d.m.KeptZone().Epoch != 0 {
+		t.Fatalf("%+v: it forgot what it may take", z)
+	}
+	until := d.m.Until()
+	d.asks()
+	if d.ask.Zones != 0 {
+		t.Fatalf("it promises epoch %d of an earlier generation", d.ask.Zones)
+	}
+	if d.ask.Lease != 0 || d.ask.Heard.Group != "g2" || d.ask.Heard.Gen != 2 {
+		t.Fatalf("it asks %+v, expected to join the new one", d.ask)
+	}
+	if ok, _ := d.m.May(until); ok {
+		t.Fatal("it serves past the end of the old lease")
+	}
+	one = second(2)
+	one.Lease, one.LeaseMS, one.Zone = 9, 4000, &fleet.ZoneOrder{Epoch: 3, Share: 256}
+	if err := d.told(one); err != nil {
+		t.Fatal(err)
+	}
+	if ok, _ := d.m.May(d.now + 3000); !ok || d.m.Serves() != 2 {
+		t.Fatal("it is in and does not serve")
+	}
+	// The old generation goes on, far ahead: nobody follows it. A sibling of the new one neither.
+	for what, told := range map[string]fleet.Told{
+		"the old one": {Cluster: "g", Gen: 1, Term: 90, Index: 9000, Need: 2, Force: fleet.Named{Version: 2, Hash: "h2"}},
+		"a sibling":   {Cluster: "g7", Gen: 2, Before: []string{"g"}, Need: 2, Force: fleet.Named{Version: 2, Hash: "h2"}},
+		"a stranger":  {Cluster: "g8", Gen: 3, Before: []string{"g7"}, Need: 2, Force: fleet.Named{Version: 2, Hash: "h2"}}} {
+		d.asks()
+		if err := d.told(told); err == nil {
+			t.Errorf("it follows %s", what)
+		}
+	}
+	// Over a restart it is remembered.
+	d = begin(t, &Record{Cluster: "g2", Gen: 2, Version: 2, Hash: "h2", Floor: 2, Term: 4, Index: 77}, 0)
+	d.asks()
+	if h := d.ask.Heard; h == nil || h.Gen != 2 || h.Index != 77 {
+		t.Fatalf("after a restart it asks with %+v", h)
+	}
+	if err := d.told(fleet.Told{Cluster: "g", Gen: 1, Index: 9000, Need: 2, Force: fleet.Named{Version: 2, Hash: "h2"}}); err == nil {
+		t.Error("after a restart it follows the old generation")
+	}
+	without := begin(t, &Record{Cluster: "g2", Gen: 2, Version: 2, Hash: "h2", Floor: 2}, policy.Generation)
+	without.asks()
+	if err := without.told(fleet.Told{Cluster: "g", Gen: 1, Index: 9000, Need: 2, Force: fleet.Named{Version: 2, Hash: "h2"}}); err != nil {
+		t.Errorf("without the guard the old generation is not followed either: %v", err)
+	}
+}
+
+// TestGathered: one that restores the group is told what the node holds, and its answer is no lie of an instance's.
+func TestGathered(t *testing.T) {
+	d := begin(t, nil, 0)
+	d.joined(2, false)
+	d.asks()
+	if err := d.told(fleet.Told{Gather: true}); err != nil || !d.m.Gathered() || d.m.Gathered() {
+		t.Fatalf("%v: expected to be asked for what it holds, once", err)
+	}
+	if ok, _ := d.m.May(d.now); !ok || d.m.Floor() != 2 {
+		t.Fatal("it forgot its lease")
+	}
+	was := d.now
+	d.asks()
+	if d.now-was > backMost {
+		t.Errorf("it asks again after %d ms", d.now-was)
+	}
+}
+
+// TestFirstGeneration: a node that knows no group takes the generation of the first that it hears, so that it counts as one of
+// that when the group is restored again, or has lost state.
+func TestFirstGeneration(t *testing.T) {
+	d := begin(t, nil, 0)
+	d.asks()
+	if err := d.told(fleet.Told{Cluster: "g3", Gen: 3, Before: []string{"g", "g2"}, Term: 1, Index: 5, Sum: 77, Lease: 4, LeaseMS: 4000}); err != nil {
+		t.Fatal(err)
+	}
+	d.asks()
+	if h := d.ask.Heard; h == nil || h.Gen != 3 || h.Sum != 77 {
+		t.Fatalf("it asks with %+v, expected generation 3 and what the entry was", h)
+	}
+	if err := d.told(fleet.Told{Cluster: "g4", Gen: 3, Before: []string{"g", "g2", "g3"}, Term: 1, Index: 9}); err == nil {
+		t.Error("it follows another group of its own generation")
+	}
+}
+
+// TestPreparedByHash: a version counts as prepared by its text, not by its number: a group that lost state gives the number to
+// another one.
+func TestPreparedByHash(t *testing.T) {
+	d := begin(t, nil, 0)
+	d.joined(2, false)
+	told := func(hash string) {
+		t.Helper()
+		d.asks()
+		if err := d.told(fleet.Told{Cluster: "g", Term: 1, Index: 10, Need: 2, Force: fleet.Named{Version: 2, Hash: "h2"},
+			Prepare: fleet.Named{Version: 3, Hash: hash}, Lease: 1, LeaseMS: 4000}); err != nil {
+			t.Fatal(err)
+		}
+	}
+	told("h3")
+	d.m.Prepared(d.now, fleet.Named{Version: 3, Hash: "h3"})
+	if d.asks(); d.ask.Prepared != 3 {
+		t.Fatalf("%+v: it does not say that it is prepared", d.ask)
+	}
+	d.m.Failed(d.now, d.no)
+	told("another")
+	if d.asks(); d.ask.Prepared != 0 {
+		t.Fatalf("%+v: it says that it has prepared a text that it never saw", d.ask)
+	}
+	if v, _, ok := d.m.Want(); !ok || v.Hash != "another" {
+		t.Fatalf("it wants %+v, expected the other text", v)
+	}
+}
--- a/internal/operator/fleet.go
+++ b/internal/operator/fleet.go
@@ -11,6 +11,7 @@
 type Fleet struct {
 	Control []string // where instances of the control service listen for clients
 	Name    string   // empty: the platform's
+	At      string   // where other nodes reach it; empty: where it listens
 	Zone    string
 	Folder  string // kept there: the version served under and the one prepared; empty: nothing is
 	NoTrial bool   // for the laboratory alone, as is Without
@@ -28,7 +29,8 @@
 		return nil
 	}
 	f := &Fleet{Control: t.List("fleet", "control"), Name: t.String("fleet", "name", ""),
-		Zone: t.Needed("fleet", "zone", "the zone this node is in"), Folder: t.String("fleet", "folder", "")}
+		Zone: t.Needed("fleet", "zone", "the zone this node is in"), Folder: t.String("fleet", "folder", ""),
+		At: t.String("fleet", "at", "")}
 	if len(f.Control) == 0 || len(f.Control) > maxControl {
 		t.Note("fleet", "control", strconv.Itoa(len(f.Control))+" addresses", "1 to 15 of IP:PORT, parted by commas")
 	}
@@ -46,6 +48,9 @@
 	if f.Name != "" && !IsName(f.Name) {
 		t.Note("fleet", "name", strconv.Quote(clip(f.Name)), "up to 40 letters, digits, '-', '_' and '.'")
 	}
+	if f.At != "" && !IsAddress(f.At) {
+		t.Note("fleet", "at", strconv.Quote(clip(f.At)), "IP:PORT")
+	}
 	if f.Folder != "" {
 		if info, err := os.Stat(f.Folder); err != nil || !info.IsDir() {
 			t.Note("fleet", "folder", strconv.Quote(clip(f.Folder)), "a folder that is there")
@@ -54,7 +59,7 @@
 	for _, word := range strings.Split(os.Getenv(withoutEnv), ",") {
 		if word == "shadow" {
 			f.NoTrial = true
-		} else if word == "fence" || word == "no-way-back" {
+		} else if word == "fence" || word == "no-way-back" || word == "generation" {
 			f.Without = append(f.Without, word)
 		}
 	}
@@ -66,5 +71,5 @@
 	if f == nil || o == nil {
 		return f == o
 	}
-	return slices.Equal(f.Control, o.Control) && f.Name == o.Name && f.Zone == o.Zone && f.Folder == o.Folder
+	return slices.Equal(f.Control, o.Control) && f.Name == o.Name && f.Zone == o.Zone && f.Folder == o.Folder && f.At == o.At
 }
--- a/internal/policy/policy.go
+++ b/internal/policy/policy.go
@@ -35,8 +35,9 @@
 
 // Rules are what the document of a version says of leases and of the group's absence.
 type Rules struct {
-	LeaseMS uint64 `json:"lease_ms"`
-	Alone   bool   `json:"alone"` // when_alone = go-on
+	LeaseMS uint64          `json:"lease_ms"`
+	Alone   bool            `json:"alone"` // when_alone = go-on
+	Zones   fleet.ZoneRules `json:"zones,omitzero"`
 }
 
 // Before is the rules until a version is in force. Ten seconds outlast a group's failover several times; a
@@ -288,6 +289,35 @@
 	return r
 }
 
+// Restore makes a version the one in force of a group that is restored, without a change that led to it. One that was
+// under way is called off: whoever knew its end is gone.
+func (s *State) Restore(version uint64, hash string, rules Rules, clock uint64, proof string) {
+	if c := s.Now; c != nil {
+		if c.Step != Preparing && c.Version == version {
+			c.Step = Settled
+			c.event(clock, "the group was restored, and has this version: %s", proof)
+		} else {
+			c.Step, c.Why = CalledOff, "the group was restored: "+clip(proof)
+			c.event(clock, "called off: %s", c.Why)
+		}
+		c.Ended = clock
+		s.past(c)
+	}
+	if version == 0 { // nobody was told of any
+		return
+	}
+	if hash == "" { // nobody has its text: whatever comes next is newer than what was promised, and nothing is in force
+		s.Need, s.Force, s.Hash, s.Rules = version-1, 0, "", Rules{}
+		return
+	}
+	s.Number++
+	s.Need, s.Force, s.Hash, s.Rules = version, version, hash, rules
+	c := &Change{Number: s.Number, Version: version, From: version, Step: Settled, Hash: hash, Rules: rules, Begun: clock,
+		Decided: clock, Forced: clock, Ended: clock, Propose: Propose{Version: version, Author: "recover", Reason: clip(proof)}}
+	c.event(clock, "restored: %s", proof)
+	s.past(c)
+}
+
 // Grants gives the rules that leases are given under now.
 func (s *State) Grants() Rules {
 	if s.Force == 0 {
@@ -319,6 +349,9 @@
 	if c == nil {
 		return nil, nil
 	}
+	if f.Clock < f.Hush { // in a restored group's first moments nobody is in, and all of them may be on their way
+		waits = append(waits, Wait{fleet.Unknown, "", fmt.Sprintf("may act on their leases for %d ms at most", f.Hush-f.Clock)})
+	}
 	for _, n := range f.Nodes() {
 		if c.Step != Preparing {
 			if f.May(n, c.Version) {
@@ -377,7 +410,7 @@
 			return &Op{Kind: "decide", Number: c.Number, Epoch: f.Epoch}
 		case len(refused) > c.Propose.Spare:
 			return &Op{Kind: "off", Number: c.Number, Why: "refused by " + reasons(refused)}
-		case len(waits) == 0 || late && len(waits)+len(refused) <= c.Propose.Spare:
+		case len(waits) == 0 || late && len(waits)+len(refused) <= c.Propose.Spare && f.Clock >= f.Hush:
 			var left []string
 			for _, w := range append(refused, waits...) {
 				left = append(left, w.Node)
@@ -446,9 +479,11 @@
 	Incarnation                   // a replaced incarnation gets no more time
 	NoWayBack                     // a node never goes back to an older version
 	Shadow                        // a version is tried before a node says that it is prepared
+	Generation                    // a restored group is a new generation, and nodes go by the newest they know
+	Proof                         // a group that nodes know more of than it does itself grants nothing
 )
 
-var guardNames = []string{"lease", "fence", "prepare-all", "decide-once", "incarnation", "no-way-back", "shadow"}
+var guardNames = []string{"lease", "fence", "prepare-all", "decide-once", "incarnation", "no-way-back", "shadow", "generation", "proof"}
 
 // Has tells whether a guard is out.
 func (g Guard) Has(one Guard) bool { return g&one != 0 }
@@ -460,8 +495,8 @@
 			return 1 << i, nil
 		}
 	}
-	return 0, fmt.Errorf("guard %q, expected one of %s", name, strings.Join(guardNames, ", "))
+	return 0, fmt.Errorf("guard %q, expected one of %s", name, strings.Join(GuardNames(), ", "))
 }
 
-// GuardNames lists them.
-func GuardNames() []string { return guardNames }
+// GuardNames lists those of a change of policy; generation and proof are a restored group's.
+func GuardNames() []string { return guardNames[:7] }
--- a/internal/steward/steward.go
+++ b/internal/steward/steward.go
@@ -4,9 +4,13 @@
 	"encoding/json"
 	"errors"
 	"fmt"
+	"slices"
+	"sort"
 
+	"umberwinch/internal/comeback"
 	"umberwinch/internal/fleet"
 	"umberwinch/internal/policy"
+	"umberwinch/internal/zones"
 )
 
 // Bounds of what the leader keeps in memory.
@@ -29,6 +33,9 @@
 // ErrBusy is told to who may ask again shortly.
 var ErrBusy = errors.New("too many nodes ask at once")
 
+// ErrLost is told to nodes and operators of a group that nodes have proved to be behind what it once agreed on.
+var ErrLost = errors.New("the group has lost state and grants nothing: umberctl control recover")
+
 // ErrNoLead is told to whoever asked an instance that does not lead.
 var ErrNoLead = errors.New("this instance does not lead")
 
@@ -51,9 +58,17 @@
 	done  func(policy.Result, error)
 }
 
+type zoneOpening struct {
+	op    zones.Op
+	since uint64
+	sent  bool
+	done  func(zones.Result, error)
+}
+
 // Steward is what a leader does about nodes. All of it is in memory: a new leader hears all nodes anew.
 type Steward struct {
-	Without policy.Guard
+	Without      policy.Guard
+	WithoutZones zones.Guard
 
 	cluster string
 	leads   bool
@@ -67,9 +82,19 @@
 	opAt    uint64 // when an op of the rules went out; 0: none is out
 	ops     []*opening
 	forgets []string
+	watch   *zones.Watch
+	zoneAt  uint64 // when an op about zones went out by the rules; 0: none is out
+	zoneOps []*zoneOpening
 	reports map[string]*told // by node
-	Beats   uint64           // sent by this instance
-	Bytes   uint64           // of them
+	Level   int              // the group's: what entries may carry
+	counts  counts
+	joins   map[uint32]uint64 // when leases were given here to nodes that were not told yet to take all
+	lacks   map[string]lack   // by node: what it was told that the state does not have
+	stopped bool              // the state was lost
+	ledAt   uint64            // when the lead began
+	names   map[string]bool   // nodes heard since; nil: the leader listens no more
+	Beats   uint64            // sent by this instance
+	Bytes   uint64            // of them
 }
 
 // told is a report and whose it is.
@@ -80,7 +105,7 @@
 
 // New gives a steward that does not lead.
 func New(without policy.Guard) *Steward {
-	return &Steward{Without: without, reports: map[string]*told{}}
+	return &Steward{Without: without, reports: map[string]*told{}, watch: zones.NewWatch()}
 }
 
 // Leads tells whether this instance does the work at present.
@@ -95,6 +120,31 @@
 	s.cluster, s.leads, s.term = cluster, leads, term
 	s.beatAt, s.sentAt, s.opAt, s.no = s.now, 0, 0, 0
 	s.reports, s.forgets = map[string]*told{}, nil
+	s.watch, s.zoneAt = zones.NewWatch(), 0
+	s.counts = counts{}
+	s.lacks, s.joins = map[string]lack{}, map[uint32]uint64{}
+	s.ledAt, s.names = s.now, map[string]bool{}
+}
+
+// listenMost is for how long a new leader listens at most before it grants and decides, in ms: in that time all nodes ask
+// whose group has gone on. It is a quarter of a lease at most, as nodes renew theirs when a quarter is over.
+const listenMost = 1500
+
+// listens tells whether the leader has not yet heard all nodes that are in: some may know what a state that was put back to
+// an older one lacks, and until then nothing that rests on it is granted or decided.
+func (s *Steward) listens(p *Part) bool {
+	if s.names == nil {
+		return false
+	}
+	if s.Level >= LevelGen && !s.Without.Has(policy.Proof) && s.now-s.ledAt < min(listenMost, p.grant().LeaseMS/4) {
+		for _, n := range p.Fleet.Nodes() {
+			if n.Out == "" && !s.names[n.Name] {
+				return true
+			}
+		}
+	}
+	s.names = nil
+	return false
 }
 
 // drop lets all askings go.
@@ -107,7 +157,10 @@
 	for _, o := range s.ops {
 		o.done(policy.Result{}, err)
 	}
-	s.waits, s.out, s.ops = nil, nil, nil
+	for _, o := range s.zoneOps {
+		o.done(zones.Result{}, err)
+	}
+	s.waits, s.out, s.ops, s.zoneOps = nil, nil, nil, nil
 }
 
 // Ask takes what a node says. done is called once, at once or after a beat.
@@ -121,9 +174,33 @@
 			done(fleet.Told{}, err)
 			return
 		}
+	}
+	if p.Fleet.Lost != "" {
+		done(fleet.Told{}, ErrLost)
+		return
+	}
+	if s.names != nil && len(s.names) < fleet.MaxNodes {
+		s.names[a.Name] = true
+	}
+	if h := a.Heard; h != nil && h.Group != "" && h.Group != s.cluster {
+		// A lease of another generation has a number that means another here, and what it heard last may be a later one. It is
+		// told whose this is, and begins anew if that is later than what it knows.
+		t := s.tell(p, fleet.Told{Gone: "it heard another generation of the group last"})
+		t.Before = p.Before
+		done(t, nil)
+		return
+	}
+	s.doubt(p, &a)
+	if s.Level < LevelGen {
+		a.Up = 0 // an older instance does not know it
+	}
+	if a.Lease == 0 {
 		s.wait(a, done)
 		return
 	}
+	if n := p.Fleet.In(a.Lease); n != nil && p.Policy.Grants().Zones.On() {
+		s.watch.Heard(s.now, n, a.Load, a.Seen)
+	}
 	n := p.Fleet.In(a.Lease)
 	if n == nil && !a.Bye {
 		done(s.tell(p, fleet.Told{Gone: "its lease ran out or its name began anew"}), nil)
@@ -140,13 +217,81 @@
 		return
 	}
 	// A promise that the state lacks goes through the log as well: a change waits for it.
-	if a.Renew || a.Bye || n.Lease.Floor < a.Floor && s.behind(p, n) {
+	if a.Renew || a.Bye || n.Lease.Floor < a.Floor && s.behind(p, n) ||
+		n.Lease.Zones < a.Zones && p.Zones.Settled < p.Zones.Epoch {
 		s.wait(a, done)
 		return
 	}
 	done(s.tell(p, fleet.Told{Lease: a.Lease}), nil)
 }
 
+// nodesToDoubt is how many nodes have to prove that the group has lost state before it stops: one alone may lie.
+const nodesToDoubt = 2
+
+// lackSpan is for how long a node's proof counts, in ms: some askings with their back-off. What two told an hour apart may be
+// the same node's lie under two names.
+const lackSpan = 10_000
+
+type lack struct {
+	what string
+	at   uint64
+}
+
+// doubt holds what a node was told against what the state has.
+func (s *Steward) doubt(p *Part, a *fleet.Ask) {
+	h := a.Heard
+	if h == nil || s.Without.Has(policy.Proof) {
+		return
+	}
+	have := comeback.Have{Group: s.cluster, Gen: p.Gen, Term: s.term, Index: p.Index, Need: p.Policy.Need, Epoch: p.Zones.Epoch,
+		HashOf: func(v uint64) string { return s.hashOf(p, v) }, SumOf: p.sumOf}
+	k := comeback.Kept{Group: h.Group, Gen: max(1, h.Gen), Term: h.Term, Index: h.Index, Sum: h.Sum, Version: a.Serves, Hash: h.Hash,
+		Floor: a.Floor, Epoch: a.Zones}
+	if what := have.Lacks(&k); what != "" {
+		if len(s.lacks) < fleet.MaxNodes {
+			s.lacks[a.Name] = lack{what, s.now}
+		}
+	} else {
+		delete(s.lacks, a.Name)
+	}
+}
+
+// hashOf gives the hash that the state has of a version that was in force, empty where it is not known any more.
+func (s *Steward) hashOf(p *Part, v uint64) string {
+	if v == p.Policy.Force {
+		return p.Policy.Hash
+	}
+	for _, c := range p.Policy.Past {
+		if c.Version == v && c.Step == policy.Settled {
+			return c.Hash
+		}
+	}
+	return ""
+}
+
+// lost tells what the group lacks, once enough nodes have proved it; empty: nothing.
+func (s *Steward) lost(p *Part) string {
+	if s.Level < LevelGen || len(s.lacks) == 0 {
+		return ""
+	}
+	var names []string
+	for n, l := range s.lacks { // in order below
+		if s.now-l.at <= lackSpan {
+			names = append(names, n)
+		} else {
+			delete(s.lacks, n)
+		}
+	}
+	if len(names) < max(1, min(nodesToDoubt, len(p.Fleet.Nodes()))) {
+		return ""
+	}
+	sort.Strings(names)
+	return fmt.Sprintf("%s was told of %s; %d nodes say so", names[0], s.lacks[names[0]].what, len(names))
+}
+
+// LevelGen is the level of a group from which on its entries tell of lost state.
+const LevelGen = 4
+
 // behind tells whether a change waits for this node's promise.
 func (s *Steward) behind(p *Part, n *fleet.Node) bool {
 	c := p.Policy.Now
@@ -163,11 +308,24 @@
 
 // tell fills in what holds now.
 func (s *Steward) tell(p *Part, t fleet.Told) fleet.Told {
-	t.Cluster, t.Term, t.Index, t.Clock = s.cluster, s.term, p.Index, p.Fleet.Clock
+	t.Cluster, t.Term, t.Index, t.Sum, t.Clock, t.Gen = s.cluster, s.term, p.Index, p.sum(), p.Fleet.Clock, p.Gen
 	t.Need, t.Force = p.Policy.Need, fleet.Named{Version: p.Policy.Force, Hash: p.Policy.Hash}
 	g := p.grant()
 	t.Alone = g.Alone
 	t.Again = g.LeaseMS / 4
+	if rules := p.Policy.Grants().Zones; rules.On() {
+		t.Again = min(t.Again, zones.Pace(len(p.Fleet.Nodes())))
+		if n := p.Fleet.In(t.Lease); n != nil {
+			o := p.Zones.Order(n.Zone, t.Lease, &rules, s.WithoutZones)
+			if rules.Small && s.young(p, n) && p.Zones.Probation(&o, n.Zone, n.Age(p.Fleet.Clock), p.Fleet.Clock, s.counts.zone[n.Zone],
+				&rules, s.WithoutZones) {
+				t.Again = min(t.Again, max(probationAsk, zones.Pace(len(p.Fleet.Nodes()))/2))
+			} else {
+				delete(s.joins, t.Lease) // who was told to take all is not held afterwards
+			}
+			t.Zone, t.Look = &o, s.watch.Looks(n.Name)
+		}
+	}
 	if c := p.Policy.Now; c != nil {
 		// While a change is under way whoever it waits for is heard soon; reports cost no entry.
 		t.Again = min(t.Again, max(200, uint64(len(p.Fleet.Nodes()))/5))
@@ -178,11 +336,63 @@
 	return t
 }
 
+// probationAsk is how soon a node is to ask again that has just begun, in ms: a lone start is told as one within a second.
+// In larger fleets it is longer, so that a fleet that restarts whole asks the group twice as often as ever at most.
+const probationAsk = 250
+
+// countEvery is how often the nodes are counted while some have just begun, in ms: with 5,000 of them each answer would
+// go through all otherwise.
+const countEvery = 100
+
+// counts is what is known of the nodes that are in.
+type counts struct {
+	at    uint64
+	known bool
+	in    int
+	zone  map[string]int
+	warm  []uint64 // when those that were up long before were heard last, the earliest first
+}
+
+func (s *Steward) count(p *Part) *counts {
+	c := &s.counts
+	if c.known && s.now-c.at < countEvery {
+		return c
+	}
+	*c = counts{at: s.now, known: true, zone: map[string]int{}, warm: c.warm[:0]}
+	for _, n := range p.Fleet.Nodes() {
+		if n.Out != "" {
+			continue
+		}
+		c.in++
+		c.zone[n.Zone]++
+		if at := s.watch.HeardAt(n); at > 0 && n.Age(p.Fleet.Clock) > comeback.Span {
+			c.warm = append(c.warm, at)
+		}
+	}
+	slices.Sort(c.warm)
+	return c
+}
+
+// young tells whether a node has just begun, and most of the others were not heard since: then the whole fleet may have, and
+// only the first of them are here yet.
+func (s *Steward) young(p *Part, n *fleet.Node) bool {
+	since, joined := s.joins[n.Lease.ID]
+	if !joined || n.Age(p.Fleet.Clock) > comeback.Span {
+		return false
+	}
+	c := s.count(p)
+	first, _ := slices.BinarySearch(c.warm, since)
+	warm, others := len(c.warm)-first, c.in-1
+	return others > 0 && 2*warm < others
+}
+
 // Op takes what an operator asks; done is called once it is applied here, or can't be.
 func (s *Steward) Op(op policy.Op, done func(policy.Result, error)) {
 	switch {
 	case !s.leads:
 		done(policy.Result{}, ErrNoLead)
+	case s.stopped:
+		done(policy.Result{}, ErrLost)
 	case len(s.ops) >= maxOps:
 		done(policy.Result{}, ErrBusy)
 	default:
@@ -190,11 +400,38 @@
 	}
 }
 
+// ZoneOp takes what an operator asks about a zone; done is called once it is applied here, or can't be.
+func (s *Steward) ZoneOp(p *Part, op zones.Op, done func(zones.Result, error)) {
+	switch {
+	case !s.leads:
+		done(zones.Result{}, ErrNoLead)
+	case s.stopped:
+		done(zones.Result{}, ErrLost)
+	case len(s.zoneOps) >= maxOps:
+		done(zones.Result{}, ErrBusy)
+	default:
+		if z := p.Zones.Find(op.Zone); op.Kind == "back" && z != nil && z.Step != zones.Returning {
+			done(zones.Result{Err: fmt.Sprintf("zone %s is %s, expected it returning", z.Name, z.Step)}, nil)
+			return
+		}
+		s.zoneOps = append(s.zoneOps, &zoneOpening{op: op, since: s.now, done: done})
+	}
+}
+
+// Views gives zones as the leader sees them.
+func (s *Steward) Views() []*zones.View { return s.watch.Views() }
+
+// All gives the whole fleet as the leader sees it, nil before its first look.
+func (s *Steward) All() *zones.View { return s.watch.All() }
+
 // Forget takes names off the list with the next beat.
 func (s *Steward) Forget(names ...string) error {
 	if !s.leads {
 		return ErrNoLead
 	}
+	if s.stopped {
+		return ErrLost
+	}
 	if len(s.forgets)+len(names) > maxOps {
 		return ErrBusy
 	}
@@ -233,9 +470,17 @@
 		s.waits, s.out = append(s.out, s.waits...), nil
 	}
 	since, each := s.now-s.beatAt, min(beatRest, max(beatChange, p.grant().LeaseMS/beatShare))
-	if s.sentAt == 0 && (since >= beatRest || since >= each && len(s.waits)+len(s.forgets) > 0 ||
+	if s.stopped = p.Fleet.Lost != ""; s.stopped {
+		return nil // nothing is decided on a state that is not the fleet's
+	}
+	lost := s.lost(p)
+	if lost == "" && s.listens(p) {
+		return nil
+	}
+	if s.sentAt == 0 && (lost != "" || since >= beatRest || since >= each && len(s.waits)+len(s.forgets) > 0 ||
 		p.Policy.Now != nil && since >= beatChange && len(s.waits) > 0) {
 		b := s.beat(p)
+		b.Lost = lost
 		s.sentAt = s.now
 		s.out, s.waits, s.forgets = s.waits, nil, nil
 		add(KindBeat, b)
@@ -251,6 +496,22 @@
 			add(KindPolicy, op)
 		}
 	}
+	if s.zoneAt != 0 && s.now-s.zoneAt > lostAfter {
+		s.zoneAt = 0
+	}
+	if rules := p.Policy.Grants().Zones; s.zoneAt == 0 && rules.On() {
+		if op := s.watch.Next(s.now, p.Zones, p.Fleet, &rules, s.WithoutZones); op != nil {
+			s.zoneAt = s.now
+			add(KindZones, op)
+		}
+	}
+	for _, o := range s.zoneOps {
+		if !o.sent || s.now-o.since > lostAfter {
+			o.sent, o.since = true, s.now
+			o.op.Epoch = p.Zones.Epoch
+			add(KindZones, &o.op)
+		}
+	}
 	for _, o := range s.ops {
 		if !o.sent || s.now-o.since > lostAfter {
 			o.sent, o.since = true, s.now
@@ -263,14 +524,15 @@
 // beat puts together what was asked since the last one.
 func (s *Steward) beat(p *Part) *fleet.Beat {
 	s.no++
-	b := &fleet.Beat{Term: s.term, No: s.no, After: p.Fleet.Beats, Span: s.now - s.beatAt, Floor: p.Policy.Need, Forget: s.forgets}
+	b := &fleet.Beat{Term: s.term, No: s.no, After: p.Fleet.Beats, Span: s.now - s.beatAt, Floor: p.Policy.Need,
+		Zones: p.grant().Zones, Forget: s.forgets}
 	for i := range s.waits {
 		switch a := &s.waits[i].ask; {
 		case a.Bye:
 			b.Bye = append(b.Bye, a.Lease)
 		case a.Lease == 0:
 			b.Join = append(b.Join, a.Join)
-		case a.Floor >= b.Floor:
+		case a.Floor >= b.Floor && a.Zones >= b.Zones:
 			b.Renew = append(b.Renew, a.Lease)
 		default:
 			b.Behind = append(b.Behind, a.Lease)
@@ -301,14 +563,37 @@
 		for i := range e.Joined {
 			joined[e.Joined[i].Nonce] = &e.Joined[i]
 		}
+		if p.Fleet.Lost != "" {
+			s.out = out
+			s.drop(ErrLost)
+			return
+		}
 		for _, o := range out {
 			o.done(s.answer(p, &o.ask, &e, joined))
 		}
+		for lease := range s.joins { // each is judged alone
+			if p.Fleet.In(lease) == nil {
+				delete(s.joins, lease)
+			}
+		}
 		for name, r := range s.reports { // no order is needed: each is judged alone
 			if p.Fleet.In(r.lease) == nil && !s.Without.Has(policy.Incarnation) {
 				delete(s.reports, name)
 			}
 		}
+	case zones.Result:
+		if e.Key == "" {
+			s.zoneAt = 0
+		}
+		kept := s.zoneOps[:0]
+		for _, o := range s.zoneOps {
+			if o.sent && e.Key == o.op.Key {
+				o.done(e, nil)
+			} else {
+				kept = append(kept, o)
+			}
+		}
+		s.zoneOps = kept
 	case policy.Result:
 		s.opAt = 0
 		kept := s.ops[:0]
@@ -341,6 +626,9 @@
 			return s.tell(p, t), nil
 		}
 		t.Lease = j.Lease
+		if p.Policy.Grants().Zones.Small && len(s.joins) < fleet.MaxNodes {
+			s.joins[t.Lease] = s.now
+		}
 	}
 	granted, known := e.Granted[t.Lease]
 	switch {
--- a/internal/steward/steward_test.go
+++ b/internal/steward/steward_test.go
@@ -5,8 +5,10 @@
 	"fmt"
 	"testing"
 
+	"umberwinch/internal/comeback"
 	"umberwinch/internal/fleet"
 	"umberwinch/internal/policy"
+	"umberwinch/internal/zones"
 )
 
 // group is a part with two instances' stewards, of which one leads at a time; the log is the test's.
@@ -234,3 +236,246 @@
 		t.Errorf("after it was called off: %+v", c)
 	}
 }
+
+// TestLostState: two nodes that were told what this group does not know stop it, one alone does not; another generation's
+// leases mean nothing here, whatever their numbers.
+func TestLostState(t *testing.T) {
+	g := start(t)
+	for _, s := range g.s {
+		s.Level = LevelGen
+	}
+	var got answers
+	for _, n := range []string{"a", "b", "c"} {
+		g.s[0].Ask(g.p, ask(n), got.take)
+	}
+	g.run(0, 1000)
+	heard := func(i int, name string, change func(h *fleet.Heard)) (t fleet.Told, err error) {
+		a := ask(name)
+		a.Lease, a.Renew, a.Echo = got[i].Lease, true, g.p.Fleet.Clock
+		a.Heard = &fleet.Heard{Group: "g", Gen: 1, Term: 1, Index: g.p.Index}
+		change(a.Heard)
+		g.s[0].Ask(g.p, a, func(x fleet.Told, e error) { t, err = x, e })
+		g.run(0, 1000)
+		return t, err
+	}
+	if told, err := heard(0, "a", func(*fleet.Heard) {}); err != nil || told.LeaseMS == 0 {
+		t.Fatalf("%+v, %v: expected a longer lease", told, err)
+	}
+	of := func(h *fleet.Heard) { h.Group, h.Gen = "g0", 1 }
+	if told, err := heard(1, "b", of); err != nil || told.Gone == "" || told.LeaseMS != 0 {
+		t.Fatalf("%+v, %v: a lease of another group counts", told, err)
+	}
+	ahead := func(h *fleet.Heard) { h.Index += 100 }
+	if _, err := heard(0, "a", ahead); err != nil || g.p.Fleet.Lost != "" {
+		t.Fatalf("%v, %q: one node stops the group", err, g.p.Fleet.Lost)
+	}
+	g.run(0, lackSpan)
+	heard(1, "b", ahead)
+	if g.p.Fleet.Lost != "" {
+		t.Fatal("what two nodes told long apart stops the group")
+	}
+	heard(0, "a", ahead)
+	if g.p.Fleet.Lost == "" {
+		t.Fatal("two nodes know of later entries, and the group goes on")
+	}
+	if _, err := heard(2, "c", func(*fleet.Heard) {}); err != ErrLost {
+		t.Fatalf("%v, expected %v", err, ErrLost)
+	}
+	if err := g.s[0].Forget("a"); err != ErrLost {
+		t.Errorf("%v, expected %v", err, ErrLost)
+	}
+	g.s[0].Op(policy.Op{Kind: "off"}, func(_ policy.Result, err error) {
+		if err != ErrLost {
+			t.Errorf("%v, expected %v", err, ErrLost)
+		}
+	})
+	if out := g.s[0].Tick(g.p, 5000); len(out) > 0 {
+		t.Fatalf("it adds %v to the log", out)
+	}
+	raw, err := g.p.Save()
+	if err != nil {
+		t.Fatal(err)
+	}
+	p := NewPart(0)
+	if err = p.Load(raw); err != nil || p.Fleet.Lost == "" {
+		t.Fatalf("%v: a snapshot forgets that state was lost", err)
+	}
+	// The next generation grants again, goes on after all epochs, and calls off what was under way.
+	if err = p.Restore(&comeback.Found{Whose: comeback.Whose{Group: "g", Gen: 1}, Version: 2, Hash: "h2", Epoch: 7, LeaseMS: 4000,
+		Kept: []comeback.Kept{{Name: "a", Zone: "z", Epoch: 7, Share: 256}, {Name: "k", Zone: "y", Epoch: 7, Share: 16}}}, g); err != nil {
+		t.Fatal(err)
+	}
+	if p.Gen != 2 || p.Fleet.Lost != "" || p.Policy.Force != 2 || p.Zones.Epoch != 8 || p.Zones.Settled != 7 || p.Fleet.Named("k") == nil {
+		t.Fatalf("generation %d, lost %q, version %d, epoch %d of %d", p.Gen, p.Fleet.Lost, p.Policy.Force, p.Zones.Settled, p.Zones.Epoch)
+	}
+	under := NewPart(0)
+	under.Policy.Now = &policy.Change{Number: 1, Version: 3, Step: policy.Preparing}
+	if err = under.Restore(&comeback.Found{Whose: comeback.Whose{Group: "g", Gen: 1}}, g); err != nil || under.Policy.Now != nil ||
+		under.Policy.Past[0].Step != policy.CalledOff || under.Policy.Need != 0 {
+		t.Errorf("%v: a first change that was under way is %+v", err, under.Policy.Now)
+	}
+	if step, share := p.Zones.StepOf("y"); step != zones.Out || share != 0 {
+		t.Errorf("a zone whose nodes took a sixteenth is %s at %d, expected it out", step, share)
+	}
+	if step, _ := p.Zones.StepOf("z"); step != zones.In {
+		t.Errorf("a zone whose nodes took all is %s", step)
+	}
+}
+
+// TestFirstOfMany: the first nodes of a fleet that restarts come before it can be told from a lone start. They take a share
+// until the others are heard, or have begun as well.
+func TestFirstOfMany(t *testing.T) {
+	g := start(t)
+	g.s[0].Level = LevelGen
+	rules := policy.Rules{LeaseMS: 4000, Zones: fleet.ZoneRules{Mode: fleet.ZonesAuto, First: 16, HoldMS: 1000, Small: true}}
+	g.p.Policy.Force, g.p.Policy.Need, g.p.Policy.Rules = 1, 1, rules
+	leases := map[string]uint32{}
+	each := func(names, nonce string, up uint64) map[string]*fleet.Told {
+		out := map[string]*fleet.Told{}
+		for _, n := range names {
+			a := ask(string(n))
+			a.Nonce, a.Up, a.Floor, a.Lease = string(n)+nonce, up, 1, leases[string(n)+nonce]
+			a.Renew, a.Echo = a.Lease != 0, g.p.Fleet.Clock
+			told := &fleet.Told{}
+			out[string(n)] = told
+			g.s[0].Ask(g.p, a, func(x fleet.Told, err error) { *told = x })
+		}
+		g.run(0, 1000)
+		for n, told := range out {
+			leases[n+nonce] = told.Lease
+		}
+		return out
+	}
+	each("abcdef", "-first-life", 60_000)
+	g.p.Zones.Zones = []*zones.Zone{{Name: "z", Step: zones.In, Share: fleet.Whole, Bore: zones.Bore{Runs: 96, Flight: 2, RunMS: 20}}}
+	each("abcdef", "-first-life", 61_000)
+	// One restarts: it takes a share until the others were heard after it, and all at once then.
+	if told := each("a", "-second-life", 0)["a"]; told.Zone == nil || told.Zone.Share != 16 || told.Zone.Rate != 1 || told.Again > 500 {
+		t.Fatalf("%+v: the first one of maybe many begins whole", told.Zone)
+	}
+	each("bcdef", "-first-life", 63_000)
+	if told := each("a", "-second-life", 2000)["a"]; told.Zone.Share != fleet.Whole || told.Zone.Capped {
+		t.Fatalf("%+v: a lone restart is held", told.Zone)
+	}
+	// All do, the first two before the others.
+	g.run(0, 20_000)
+	each("abcdef", "-third-life", 90_000)
+	each("abcdef", "-third-life", 91_000)
+	early := each("ab", "-fourth-life", 0)
+	if early["a"].Zone.Share != 16 || early["b"].Zone.Share != 16 || g.p.Zones.Find(zones.Fleet) != nil {
+		t.Fatalf("%+v and %+v: the first two of six begin whole", early["a"].Zone, early["b"].Zone)
+	}
+	late := each("cdef", "-fourth-life", 0)
+	if z := g.p.Zones.Find(zones.Fleet); z == nil || z.Step != zones.Returning || late["c"].Zone.Share != 16 {
+		t.Fatalf("%+v, %+v: six of six began, and the fleet does not come back", z, late["c"].Zone)
+	}
+}
+
+// TestOutgrown: a group that was put back to an older state, and whose log has grown past what nodes were told since, is
+// found all the same: by whoever was told of entries that are others there. One that lost nothing is found so by nobody, also
+// where an instance began to keep sums later than the others.
+func TestOutgrown(t *testing.T) {
+	g := start(t)
+	var got answers
+	for _, n := range []string{"a", "b"} {
+		g.s[0].Ask(g.p, ask(n), got.take)
+	}
+	g.run(0, 1000)
+	raw, err := g.p.Save()
+	if err != nil {
+		t.Fatal(err)
+	}
+	told := map[uint32]fleet.Told{}
+	for range 3 { // what is lost afterwards
+		for _, a := range got[:2] {
+			g.s[0].Ask(g.p, fleet.Ask{Join: fleet.Join{Name: "x"}, Lease: a.Lease, Echo: a.Clock, Renew: true}, func(t fleet.Told, err error) {
+				told[a.Lease] = t
+			})
+		}
+		g.run(0, 1000)
+	}
+	if len(told) != 2 || told[got[0].Lease].Index != 4 {
+		t.Fatalf("%+v, expected two nodes told of entry 4", told)
+	}
+	if err = g.p.Load(raw); err != nil || len(g.p.Sums) != 1 {
+		t.Fatalf("%v, sums %v", err, g.p.Sums)
+	}
+	g.index, g.s[1].Level = g.p.Index, LevelGen
+	g.lead(1)
+	for range 10 {
+		g.run(1, 1000)
+	}
+	if g.p.Index <= 4 || g.p.Fleet.Lost != "" {
+		t.Fatalf("entry %d, lost %q: expected it to have grown past what was lost", g.p.Index, g.p.Fleet.Lost)
+	}
+	for i, n := range []string{"a", "b"} {
+		is := told[got[i].Lease]
+		a := ask(n)
+		a.Lease, a.Echo, a.Heard = is.Lease, is.Clock, &fleet.Heard{Group: "g", Gen: 1, Term: is.Term, Index: is.Index, Sum: is.Sum}
+		g.s[1].Ask(g.p, a, func(fleet.Told, error) {})
+	}
+	if g.run(1, 1000); g.p.Fleet.Lost == "" {
+		t.Error("two nodes were told of entries that it lacks, and the group goes on")
+	}
+
+	g = start(t)
+	got = nil
+	for _, n := range []string{"a", "b"} {
+		g.s[0].Ask(g.p, ask(n), got.take)
+	}
+	g.run(0, 1000)
+	g.p.Sums = nil // as an older program's snapshot has none
+	g.lead(1)
+	g.s[1].Level = LevelGen
+	for i := range 2000 {
+		for k, a := range got[:2] {
+			q := ask([]string{"a", "b"}[k])
+			q.Lease, q.Echo, q.Renew = a.Lease, a.Clock, true
+			q.Heard = &fleet.Heard{Group: "g", Gen: 1, Term: a.Term, Index: a.Index, Sum: a.Sum}
+			if g.s[1].Ask(g.p, q, func(t fleet.Told, err error) { got[k] = t }); i%3 == 0 { // some are behind by a beat or two
+				break
+			}
+		}
+		if g.run(1, 1000); g.p.Fleet.Lost != "" {
+			t.Fatalf("after %d beats: %s", i, g.p.Fleet.Lost)
+		}
+	}
+	if n := len(g.p.Sums); n < maxSums || n > 2*maxSums {
+		t.Errorf("%d sums are kept, expected %d to %d", n, maxSums, 2*maxSums)
+	}
+}
+
+// TestNewLeaderListens: a new leader grants and decides nothing before it has heard all nodes that are in, or its time to
+// listen is over: who knows more than it does comes to word first.
+func TestNewLeaderListens(t *testing.T) {
+	for _, all := range []bool{true, false} {
+		g := start(t)
+		var got answers
+		for _, n := range []string{"a", "b"} {
+			g.s[0].Ask(g.p, ask(n), got.take)
+		}
+		g.run(0, 1000)
+		g.s[1].Level = LevelGen
+		g.lead(1)
+		granted := false
+		renew := func(i int, name string, done func(fleet.Told, error)) {
+			a := ask(name)
+			a.Lease, a.Echo, a.Renew = got[i].Lease, got[i].Clock, true
+			g.s[1].Ask(g.p, a, done)
+		}
+		renew(0, "a", func(t fleet.Told, err error) { granted = err == nil && t.LeaseMS > 0 })
+		g.run(1, 600)
+		if granted {
+			t.Fatal("it grants, and b was not heard")
+		}
+		if all {
+			renew(1, "b", func(fleet.Told, error) {})
+			g.run(1, 500)
+		} else {
+			g.run(1, listenMost)
+		}
+		if !granted {
+			t.Errorf("all heard %v: it grants nothing after that", all)
+		}
+	}
+}
--- a/internal/wal/wal.go
+++ b/internal/wal/wal.go
@@ -366,6 +366,27 @@
 	return data, nil
 }
 
+// Each gives all entries in order, segment by segment, as they were checked when the log was opened. It is for a start: nothing
+// else goes on meanwhile.
+func (l *Log) Each(f func(number uint64, data []byte) error) error {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	i := 0
+	for _, s := range l.segs {
+		raw := make([]byte, s.size)
+		if _, err := s.file.ReadAt(raw, 0); err != nil {
+			return &Damage{s.name, 0, "its records", err.Error()}
+		}
+		for ; i < len(l.at) && l.at[i].seg == s.seq; i++ {
+			p := l.at[i]
+			if err := f(l.base+uint64(i), raw[p.off+headBytes:p.off+headBytes+int64(p.len)]); err != nil {
+				return err
+			}
+		}
+	}
+	return nil
+}
+
 func (l *Log) segment(seq uint64) *segment { return l.segs[seq-l.segs[0].seq] }
 
 // Release lets entries up to a number go. Whole segments leave the disk; what shares a segment with later
--- /dev/null
+++ b/internal/zones/gate.go
@@ -0,0 +1,231 @@
+package zones
+
+import (
+	"encoding/binary"
+	"hash/crc32"
+	"math"
+
+	"umberwinch/internal/fleet"
+)
+
+// Gate is a node's side of its zone's order: whether it takes a req, and whether it opens a connection below. It is told
+// the time, in ms of a clock that nobody sets.
+type Gate struct {
+	seed   uint32
+	order  fleet.ZoneOrder
+	has    bool
+	runs   bucket
+	dials  bucket
+	retry  []bucket // by handler: first tries fill it, tries from elsewhere take from it
+	alone  uint64   // since when the node is without the group; 0: it is not
+	grown  uint64   // when the share was last raised by the node's own rule
+	pace   pace     // of the share's growth
+	Turned uint64   // by share, by ceiling and by the retry budget, in all
+}
+
+// pace is how a share has grown lately: so many times at the last step, that long after the step before.
+type pace struct {
+	at, span uint64
+	times    float64
+}
+
+// step takes a change of the share; one that does not raise it says nothing of when the next one will.
+func (p *pace) step(now uint64, was, is int) {
+	if was <= 0 || is <= was {
+		*p = pace{at: now}
+		return
+	}
+	if p.at != 0 {
+		p.span = max(now-p.at, 1)
+	}
+	p.at, p.times = now, min(float64(is)/float64(was), GrowMost)
+}
+
+// bucket holds tokens up to most.
+type bucket struct {
+	have, most float64
+	at         uint64
+}
+
+func (b *bucket) fill(now uint64, rate float64) {
+	if b.at == 0 {
+		b.at = now
+	}
+	// A fifth of a second's tokens may come at once: rounds are shorter, and a service below bears that much unevenness.
+	b.most = max(1, rate/5)
+	b.have = min(b.most, b.have+rate*float64(now-b.at)/1000)
+	b.at = now
+}
+
+func (b *bucket) take() bool {
+	if b.have < 1 {
+		return false
+	}
+	b.have--
+	return true
+}
+
+// NewGate begins with nothing turned away. seed is the node's own.
+func NewGate(handlers int, seed uint32) *Gate {
+	return &Gate{seed: seed, retry: make([]bucket, handlers)}
+}
+
+// part is a share of a token, from 0 to under 1, by the node's seed and the epoch.
+func (g *Gate) part(epoch uint64) float64 {
+	raw := binary.LittleEndian.AppendUint64(binary.LittleEndian.AppendUint32(nil, g.seed), epoch)
+	return float64(crc32.ChecksumIEEE(raw)) / (1 << 32)
+}
+
+// Order takes what the group says. A newer epoch never finds more at hand than it brings: what was saved up under an
+// older one is let go of.
+func (g *Gate) Order(now uint64, o *fleet.ZoneOrder) (changed bool) {
+	if o == nil { // nothing is decided about zones any more
+		changed = g.has
+		g.order, g.has, g.alone = fleet.ZoneOrder{Share: fleet.Whole}, false, 0
+		return changed
+	}
+	changed = !g.has || o.Epoch != g.order.Epoch || o.Share != g.order.Share
+	if was := g.Share(); was != o.Share {
+		g.pace.step(now, was, o.Share)
+	}
+	if changed {
+		// In a large fleet a node's part may be a run in many seconds. Each begins with another part of a token, so that all
+		// together take what they may from the first second on, and not all at the end of the same span.
+		g.runs, g.dials = bucket{at: now, have: g.part(o.Epoch)}, bucket{at: now, have: 1} // no run without a connection below
+	}
+	g.order, g.has, g.alone = *o, true, 0
+	return changed
+}
+
+// Alone tells that the node goes on without the group. Its order holds for the time that came with it. Then the share is
+// doubled each time that this time has gone by and the node's own reqs go well, and halved where they do not: a group
+// that is away for long must not keep a zone out for ever, and its services below had that time to get warm.
+func (g *Gate) Alone(now uint64, goesWell bool) (changed bool) {
+	if !g.has || g.order.Share >= fleet.Whole && g.order.Worth == 0 && !g.order.Capped {
+		return false
+	}
+	if g.alone == 0 {
+		g.alone, g.grown = now, now
+	}
+	if now-g.grown < max(g.order.Keep, 1000) {
+		return false
+	}
+	g.grown = now
+	o := &g.order
+	o.Worth, o.Retry = 0, 0
+	if !goesWell {
+		o.Share, o.Rate, o.Dials = max(1, o.Share/2), o.Rate/2, o.Dials/2
+		g.pace = pace{at: now}
+		return true
+	}
+	was := o.Share
+	o.Share = min(fleet.Whole, max(fleet.Whole/16, 2*o.Share))
+	g.pace.step(now, was, o.Share)
+	o.Rate, o.Dials = max(1, 2*o.Rate), max(1, 2*o.Dials)
+	if o.Share == fleet.Whole {
+		o.Capped = false
+	}
+	return true
+}
+
+// Begin has the node begin small by itself: it starts while the group is away, and can't tell whether most of the fleet
+// does so with it. The share grows by Alone from here, each hold that its reqs go well.
+func (g *Gate) Begin(now uint64, share int, hold uint64) {
+	if !g.has {
+		g.order = fleet.ZoneOrder{Share: fleet.Whole}
+	}
+	g.has, g.alone, g.grown = true, now, now
+	g.order.Share, g.order.Keep = min(g.order.Share, max(1, share)), hold
+}
+
+// Hash places a req among all, for the share: by its key where its handler is uniqued, else by whom it is for and who sent it.
+func Hash(key, tenant []byte, sender uint32) uint32 {
+	if key != nil {
+		return crc32.ChecksumIEEE(key)
+	}
+	return crc32.Update(crc32.ChecksumIEEE(binary.LittleEndian.AppendUint32(nil, sender)), crc32.IEEETable, tenant)
+}
+
+// Out tells that the node takes nothing at all.
+func (g *Gate) Out() bool { return g.has && g.order.Share == 0 }
+
+// Epoch and Share show the order.
+func (g *Gate) Epoch() uint64 { return g.order.Epoch }
+func (g *Gate) Share() int {
+	if !g.has {
+		return fleet.Whole
+	}
+	return g.order.Share
+}
+
+// Asked is a req that may be taken.
+type Asked struct {
+	Handler int
+	Value   float64
+	Hash    uint32 // of its key where it is uniqued, else of whom it is for: one that is in stays in while the share grows
+	Again   bool   // a further try
+	Known   bool   // its first try came here
+}
+
+// Take tells whether a req is taken. last tells that nobody in the fleet has room for it either.
+func (g *Gate) Take(now uint64, q Asked) (ok, last bool) {
+	if !g.has || q.Known { // what ran here is answered here, whatever the share
+		return true, false
+	}
+	o := &g.order
+	if !g.picks(q) {
+		g.Turned++
+		return false, o.Full && q.Again
+	}
+	if o.Capped {
+		if g.runs.fill(now, o.Rate); !g.runs.take() {
+			g.Turned++
+			return false, o.Full && q.Again
+		}
+	}
+	if o.Retry > 0 {
+		b := &g.retry[q.Handler]
+		if !q.Again {
+			b.have = min(retryMost, b.have+float64(o.Retry)/fleet.Whole)
+		} else if b.have < 1 {
+			g.Turned++
+			return false, o.Full
+		} else {
+			b.have--
+		}
+	}
+	return true, false
+}
+
+// Back is in how many ms a req that the share leaves out may be let in, if the share goes on growing as it did: all that
+// come again before that are turned away again, as who is let in goes by the same place in the share. 0 where nothing tells.
+func (g *Gate) Back(now uint64, q Asked) uint64 {
+	place, o, p := int(q.Hash>>16&(fleet.Whole-1)), &g.order, &g.pace
+	if !g.has || o.Share <= 0 || o.Worth > 0 || place < o.Share || p.times < growLeast || p.span == 0 {
+		return 0
+	}
+	steps := math.Ceil(math.Log(float64(place+1)/float64(o.Share))/math.Log(p.times) - 1e-9)
+	at, gone := uint64(max(steps, 1)*float64(p.span)), now-min(now, p.at)
+	return at - min(at, gone)
+}
+
+// retryMost is what a retry budget saves up at most: some tries, so that a calm second does not pay for a storm.
+const retryMost = 20
+
+func (g *Gate) picks(q Asked) bool {
+	o := &g.order
+	in := int(q.Hash>>16&(fleet.Whole-1)) < o.Share
+	if o.Worth > 0 {
+		return q.Value < o.Worth || q.Value == o.Worth && in
+	}
+	return in
+}
+
+// Dial tells whether a connection below may be opened.
+func (g *Gate) Dial(now uint64) bool {
+	if !g.has || !g.order.Capped {
+		return true
+	}
+	g.dials.fill(now, g.order.Dials)
+	return g.dials.take()
+}
--- /dev/null
+++ b/internal/zones/meter.go
@@ -0,0 +1,168 @@
+package zones
+
+import (
+	"sort"
+
+	"umberwinch/internal/fleet"
+)
+
+// Meter counts what a node reports of itself: fixed buckets in a ring, the last two seconds and what goes on.
+type Meter struct {
+	values  []float64 // of handlers
+	buckets [meterSlots]meterBucket
+	at      uint64 // number of the bucket in use, counted from time 0
+	born    uint64
+}
+
+// Two seconds of four buckets each: some reports' time, so that the next one has most of what the last one had and a
+// change shows within a second.
+const (
+	meterSlots = 8
+	meterMS    = 250
+)
+
+type meterBucket struct {
+	came, again, turned, done, late, shed, errored, runs, calls, bad, opened, gauges int
+	worth, got, runMS, callMS, onCores                                               float64
+	mix                                                                              []int
+}
+
+// NewMeter counts for handlers of these values.
+func NewMeter(now uint64, values []float64) *Meter {
+	m := &Meter{at: now / meterMS, born: now}
+	m.Values(values)
+	return m
+}
+
+// Values takes other values of the same handlers.
+func (m *Meter) Values(values []float64) {
+	m.values = values
+	for i := range m.buckets {
+		if len(m.buckets[i].mix) != len(values) {
+			m.buckets[i].mix = make([]int, len(values))
+		}
+	}
+}
+
+func (m *Meter) slot(now uint64) *meterBucket {
+	for n := now / meterMS; m.at < n; {
+		if n-m.at > meterSlots {
+			m.at = n - meterSlots
+		}
+		m.at++
+		b := &m.buckets[m.at%meterSlots]
+		mix := b.mix
+		clear(mix)
+		*b = meterBucket{mix: mix}
+	}
+	return &m.buckets[m.at%meterSlots]
+}
+
+// Came counts a req that was read; turned tells that the zone's order turned it away.
+func (m *Meter) Came(now uint64, handler int, again, turned bool) {
+	b := m.slot(now)
+	b.came++
+	if turned {
+		b.turned++
+	}
+	if again {
+		b.again++
+		return
+	}
+	b.worth += m.values[handler]
+	b.mix[handler]++
+}
+
+// Answered counts an answer. What was given up past its target is late, whatever it was answered: a service that is slow
+// ends as errors too, and must not look like one that fails.
+func (m *Meter) Answered(now uint64, handler, status int, inTime bool) {
+	b := m.slot(now)
+	switch {
+	case status == 200 && inTime:
+		b.done++
+		b.got += m.values[handler]
+	case status == 503:
+		b.shed++
+	case status == 200 || !inTime:
+		b.late++
+	default:
+		b.errored++
+	}
+}
+
+// Ran counts a run that ended, Called a call that was answered or given up; bad are those that were answered with an error or
+// not taken. One given up took its time at least, and nobody knows how it would have ended.
+func (m *Meter) Ran(now uint64, ms float64) {
+	b := m.slot(now)
+	b.runs++
+	b.runMS += ms
+}
+
+func (m *Meter) Called(now uint64, ms float64, bad bool) {
+	b := m.slot(now)
+	b.calls++
+	b.callMS += ms
+	if bad {
+		b.bad++
+	}
+}
+
+// Opened counts a connection below, Gauged takes what the cores did.
+func (m *Meter) Opened(now uint64) { m.slot(now).opened++ }
+func (m *Meter) Gauged(now uint64, onCores float64) {
+	b := m.slot(now)
+	b.gauges++
+	b.onCores += onCores
+}
+
+// Well tells whether the node's own reqs go well: nine in ten of those it took were done in time. Where none ended and none
+// is under way nothing shows harm: a node of which hardly anything is asked must not wait for ever for a sign.
+func (m *Meter) Well(now uint64, out int) bool {
+	l := m.Load(now, true, 1, out)
+	ended := l.Done + l.Late + l.Errored
+	return ended == 0 && out == 0 || 10*l.Done >= 9*ended && ended > 0
+}
+
+// Load gives the report.
+func (m *Meter) Load(now uint64, kernel bool, cores float64, out int) *fleet.Tally {
+	m.slot(now)
+	l := &fleet.Tally{Kernel: kernel, Cores: cores, Out: out}
+	// The bucket in use is not over yet: what lies before it, and as much of it as there is.
+	l.MS = int(min((meterSlots-1)*meterMS+now%meterMS, max(now-m.born, 1)))
+	gauges, runMS, callMS, onCores := 0, 0.0, 0.0, 0.0
+	mix := map[float64]int{}
+	for i := range m.buckets {
+		b := &m.buckets[i]
+		l.Came, l.Again, l.Turned = l.Came+b.came, l.Again+b.again, l.Turned+b.turned
+		l.Done, l.Late, l.Shed, l.Errored = l.Done+b.done, l.Late+b.late, l.Shed+b.shed, l.Errored+b.errored
+		l.Runs, l.Calls, l.Bad, l.Opened = l.Runs+b.runs, l.Calls+b.calls, l.Bad+b.bad, l.Opened+b.opened
+		l.Worth, l.Got = l.Worth+b.worth, l.Got+b.got
+		gauges, runMS, callMS, onCores = gauges+b.gauges, runMS+b.runMS, callMS+b.callMS, onCores+b.onCores
+		for h, n := range b.mix {
+			if n > 0 {
+				mix[m.values[h]] += n
+			}
+		}
+	}
+	if gauges > 0 {
+		l.OnCores = onCores / float64(gauges)
+	}
+	if l.Runs > 0 {
+		l.RunMS = runMS / float64(l.Runs)
+	}
+	if l.Calls > 0 {
+		l.CallMS = callMS / float64(l.Calls)
+	}
+	for value, came := range mix {
+		l.Mix = append(l.Mix, fleet.Worth{Value: value, Came: came})
+	}
+	sort.Slice(l.Mix, func(i, k int) bool { return l.Mix[i].Value < l.Mix[k].Value })
+	if len(l.Mix) > fleet.MaxMix { // those of least value count as the least of the rest
+		drop := len(l.Mix) - fleet.MaxMix
+		for _, w := range l.Mix[:drop] {
+			l.Mix[drop].Came += w.Came
+		}
+		l.Mix = l.Mix[drop:]
+	}
+	return l
+}
--- /dev/null
+++ b/internal/zones/restart_test.go
@@ -0,0 +1,234 @@
+package zones
+
+import (
+	"fmt"
+	"hash/crc32"
+	"testing"
+
+	"umberwinch/internal/fleet"
+)
+
+// TestWarmByCalls: a run has the node's own work in it, so that of a service that is still cold hardly shows there.
+func TestWarmByCalls(t *testing.T) {
+	bore := Bore{Runs: 100, RunMS: 20, CallMS: 4}
+	for _, c := range []struct {
+		run, call float64
+		warm      bool
+	}{{20, 4, true}, {25, 5, true}, {25, 9, false}, {30, 5, true}, {25, 0, true}, {30, 0, false}} {
+		if got := warm(&View{RunMS: c.run, CallMS: c.call}, &bore); got != c.warm {
+			t.Errorf("%.0f ms a run, %.0f ms a call: %v, expected %v", c.run, c.call, got, c.warm)
+		}
+	}
+}
+
+// look has the watch see a zone of two nodes that do so much, for some looks.
+func looked(w *Watch, f *fleet.State, s *State, from uint64, looks int, l fleet.Tally) uint64 {
+	for i := 0; i < looks; i++ {
+		from += lookEvery
+		for _, n := range f.Nodes() {
+			one := l
+			w.Heard(from, n, &one, nil)
+		}
+		w.look(from, s, f, 0)
+	}
+	return from
+}
+
+// TestJoinsAnew: nodes that were up all along and join anew, as after their lease ran out or the group was restored, are no
+// fleet that restarts.
+func TestJoinsAnew(t *testing.T) {
+	rules := fleet.ZoneRules{Mode: fleet.ZonesAuto, First: 16, Small: true}
+	for _, c := range []struct {
+		up    uint64
+		began bool
+	}{{0, true}, {5000, true}, {60_000, false}} {
+		f := fleet.New()
+		f.Clock = 100_000
+		f.Apply(&fleet.Beat{Term: 1, Join: []fleet.Join{{Name: "a", Zone: "z", Nonce: "nonce-of-a", Up: c.up}, {Name: "b", Zone: "z",
+			Nonce: "nonce-of-b", Up: c.up}}}, 1, fleet.Grant{LeaseMS: 5000})
+		s := &State{Zones: []*Zone{{Name: "z", Step: In, Share: fleet.Whole, Bore: Bore{Runs: 100, RunMS: 20, Flight: 2}}}}
+		if got := s.Began(f, &rules, 0); got != c.began {
+			t.Errorf("up for %d ms: %v, expected %v", c.up, got, c.began)
+		}
+	}
+}
+
+// TestLearnsWhatIsUsual: runs that stand are not what a service bore, and nothing is learned from a fleet on its way back.
+func TestLearnsWhatIsUsual(t *testing.T) {
+	f := fleet.New()
+	f.Apply(&fleet.Beat{Term: 1, Join: []fleet.Join{{Name: "a", Zone: "z", Nonce: "nonce-of-a"}, {Name: "b", Zone: "z", Nonce: "nonce-of-b"}}}, 1,
+		fleet.Grant{LeaseMS: 5000})
+	s, w := &State{}, NewWatch()
+	well := fleet.Tally{MS: 2000, Came: 200, Done: 200, Runs: 200, RunMS: 20, Calls: 200, CallMS: 10, Kernel: true, Cores: 4, OnCores: 1}
+	at := looked(w, f, s, 0, 30, well)
+	bore := w.Views()[0].usual
+	if bore.Runs < 190 || bore.Flight < 3.5 || bore.Flight > 4.5 {
+		t.Fatalf("bore %+v, expected 200 runs a second and 4 under way", bore)
+	}
+	stands := well
+	stands.Runs, stands.RunMS, stands.Calls, stands.CallMS, stands.Done, stands.Out, stands.MS = 0, 0, 0, 0, 0, 3, 800
+	at = looked(w, f, s, at, 12, stands)
+	if b := w.Views()[0].usual; b.Flight > 1.2*bore.Flight {
+		t.Errorf("%.1f runs that stood count as borne, expected %.1f at most", b.Flight, 1.2*bore.Flight)
+	}
+	at = looked(w, f, s, at, 12, well)
+	usual := w.Views()[0].usual
+	s.Zones = []*Zone{{Name: Fleet, Step: Returning, Share: 32}}
+	slow := well
+	slow.RunMS, slow.CallMS = 25, 15
+	looked(w, f, s, at, 40, slow)
+	if b := w.Views()[0].usual; b.CallMS != usual.CallMS || b.RunMS != usual.RunMS {
+		t.Errorf("a fleet on its way back has %.1f ms a call for usual, expected %.1f as before", b.CallMS, usual.CallMS)
+	}
+}
+
+// TestSlowAndFailing: where all services are slow, the zone in which runs fail for want of calls first is not taken for one
+// that fails by itself; one whose runs fail while its calls are as usual is left, and so is one that is slow and fails at
+// its usual pace.
+func TestSlowAndFailing(t *testing.T) {
+	f := fleet.New()
+	var joins []fleet.Join
+	for i, zone := range []string{"a", "a", "a", "b", "b", "b", "c", "c", "c"} {
+		joins = append(joins, fleet.Join{Name: fmt.Sprint("n", i), Zone: zone, Nonce: fmt.Sprint("nonce-of-", i)})
+	}
+	f.Apply(&fleet.Beat{Term: 1, Join: joins}, 1, fleet.Grant{LeaseMS: 5000})
+	rules := fleet.ZoneRules{Mode: fleet.ZonesAuto, HoldMS: 2000, WaitMS: 60_000, First: 16}
+	well := fleet.Tally{MS: 2000, Came: 100, Done: 100, Runs: 100, RunMS: 20, Calls: 100, CallMS: 10, Kernel: true, Cores: 4,
+		OnCores: 1, Worth: 100, Got: 100}
+	crawls, gaveUp, fails, paced, busy := well, well, well, well, well
+	busy.Runs, busy.Done, busy.Late, busy.RunMS, busy.Calls, busy.CallMS, busy.Got = 80, 40, 40, 150, 80, 140, 40
+	crawls.Runs, crawls.Done, crawls.Late, crawls.RunMS, crawls.Calls, crawls.CallMS, crawls.Got = 20, 0, 20, 150, 20, 140, 0
+	gaveUp.Runs, gaveUp.Done, gaveUp.Errored, gaveUp.RunMS, gaveUp.Calls, gaveUp.CallMS, gaveUp.Got = 16, 2, 14, 250, 16, 240, 2
+	fails.Done, fails.Errored, fails.Got = 40, 60, 40
+	paced.Done, paced.Errored, paced.CallMS, paced.Got = 10, 90, 60, 10
+	for _, c := range []struct {
+		name          string
+		first, others fleet.Tally
+		left          bool
+	}{{"all slow, one fails", gaveUp, crawls, false}, {"one fails", fails, well, true},
+		{"all slow, one fails, the others busy", gaveUp, busy, false},
+		{"one slow and failing", gaveUp, well, true}, {"one slow, and fails at its usual pace", paced, well, true}} {
+		s, w, now := &State{}, NewWatch(), uint64(0)
+		var op *Op
+		for look := 0; look < 60; look++ {
+			now += lookEvery
+			f.Clock = now
+			for _, n := range f.Nodes() {
+				l := well
+				if look >= 30 {
+					if l = c.others; n.Zone == "a" {
+						l = c.first
+					}
+				}
+				w.Heard(now, n, &l, nil)
+			}
+			if o := w.Next(now, s, f, &rules, 0); o != nil && o.Kind == "leave" && op == nil {
+				op = o
+			}
+		}
+		if left := op != nil; left != c.left || left && op.Zone != "a" {
+			t.Errorf("%s: %+v, expected a left: %v; %+v", c.name, op, c.left, w.Views()[0])
+		}
+	}
+}
+
+// TestPools: what thousands of nodes see together is told though each sees next to nothing, a few that lie move it little, and
+// the nodes of a small zone stand for themselves.
+func TestPools(t *testing.T) {
+	report := func(i, n int, perNode float64) *fleet.Tally {
+		runs := int(perNode) // and one more for some
+		if float64(crc32.ChecksumIEEE([]byte{byte(i), byte(i >> 8)}))/(1<<32) < perNode-float64(runs) {
+			runs++
+		}
+		return &fleet.Tally{MS: 2000, Kernel: true, Cores: 4, OnCores: 0.1, Runs: runs, Came: 3 * runs, Done: runs, RunMS: 50 * min(1, float64(runs)),
+			Calls: runs, CallMS: 20 * min(1, float64(runs))}
+	}
+	for _, c := range []struct {
+		n    int
+		each float64
+	}{{5000, 0.07}, {1667, 0.5}, {300, 3}, {300, 40}, {5, 12}} {
+		var all []*fleet.Tally
+		for i := range c.n {
+			all = append(all, report(i, c.n, c.each))
+		}
+		v := &View{In: c.n}
+		v.sum(all)
+		want := float64(c.n) * c.each / 2
+		if v.Runs < 0.7*want || v.Runs > 1.35*want || v.RunMS < 45 || v.RunMS > 55 || v.CallMS < 18 || v.Flight < 0.75*want*0.05 ||
+			v.Flight > 1.35*want*0.05 {
+			t.Errorf("%d nodes with %.2f runs each: %.1f runs a second, %.1f ms, %.2f under way; expected %.1f, 50, %.2f", c.n, c.each, v.Runs,
+				v.RunMS, v.Flight, want, want*0.05)
+		}
+		before := v.Runs
+		for i := range c.n / 200 { // one in two hundred lies
+			all[i*200].Runs, all[i*200].RunMS = 10_000, 1
+		}
+		v.sum(all)
+		if c.n >= 300 && (v.Runs > 3*before+1 || v.Runs < before/3) {
+			t.Errorf("%d nodes with %.2f runs each: %.1f runs a second, and %.1f once a few lie", c.n, c.each, before, v.Runs)
+		}
+	}
+	if got := len(pool(idle(17))); got != 17 {
+		t.Errorf("17 nodes in %d pools, expected each alone", got)
+	}
+}
+
+func idle(n int) (all []*fleet.Tally) {
+	for range n {
+		all = append(all, &fleet.Tally{MS: 2000})
+	}
+	return all
+}
+
+// TestLeastCeiling: a small zone may have a run a second and node in any case, a large one a part of what it bore at most.
+func TestLeastCeiling(t *testing.T) {
+	for _, c := range []struct {
+		bore      float64
+		share, in int
+		runs      float64
+	}{{60, 16, 3, 3.75}, {60, 4, 3, 3}, {1875, 16, 5000, 117.1875}, {1875, 4, 5000, 117.1875}, {0, 16, 5, 5}, {1875, 128, 5000, 937.5}} {
+		z := &Zone{Bore: Bore{Runs: c.bore}}
+		if runs, dials := z.bears(c.share, c.in); runs != c.runs || dials < runs {
+			t.Errorf("%+v: %.2f runs and %.2f connections a second, expected %.2f", c, runs, dials, c.runs)
+		}
+	}
+}
+
+// TestReturnEnds: at a share of all a return goes on while much is turned away, its ceiling goes up meanwhile, and it ends once
+// little is, or once the ceiling could not go up for a while.
+func TestReturnEnds(t *testing.T) {
+	f := fleet.New()
+	f.Apply(&fleet.Beat{Term: 1, Join: []fleet.Join{{Name: "a", Zone: "z", Nonce: "nonce-of-a"}, {Name: "b", Zone: "z", Nonce: "nonce-of-b"}}}, 1,
+		fleet.Grant{LeaseMS: 5000})
+	for _, n := range f.Nodes() {
+		n.Lease.Until = 1 << 40
+	}
+	rules := fleet.ZoneRules{Mode: fleet.ZonesAuto, HoldMS: 1000, WaitMS: 60_000, First: 16}
+	bore := Bore{Runs: 100, Flight: 2, RunMS: 20, CallMS: 10}
+	for _, c := range []struct {
+		name   string
+		turned int
+		runMS  float64
+		kind   string
+		after  uint64 // ms at the share
+	}{{"little is turned away", 10, 20, "in", 5000}, {"much is", 200, 20, "step", 5000}, {"much is, and all it bore is under way", 200, 24, "", 5000},
+		{"the same for long", 200, 24, "in", wideFor + 1000}} {
+		s := &State{Epoch: 7, Settled: 7, Zones: []*Zone{{Name: "z", Step: Returning, Share: fleet.Whole, Ceiling: 100, Dials: 100, Bore: bore, Had: 2,
+			Since: 100_000}}}
+		s.Zones[0].Parts = []Part{{f.Nodes()[0].Lease.ID, 50}, {f.Nodes()[1].Lease.ID, 50}}
+		w := NewWatch()
+		l := fleet.Tally{MS: 2000, Came: 100 + c.turned, Again: c.turned, Turned: c.turned, Done: 100, Runs: 100, RunMS: c.runMS, Calls: 100,
+			CallMS: c.runMS / 2, Kernel: true, Cores: 4, OnCores: 1, Worth: 100, Got: 100}
+		f.Clock = 100_000
+		at := looked(w, f, s, 100_000, int(c.after/lookEvery), l)
+		f.Clock = at
+		op := w.Next(at, s, f, &rules, 0)
+		kind := ""
+		if op != nil && op.Kind != "bore" {
+			kind = op.Kind
+		}
+		if kind != c.kind || kind == "step" && (op.Ceiling <= 100 || op.Ceiling > widenMost*100) {
+			t.Errorf("%s: %+v (%s), expected %q", c.name, op, w.Views()[0].Note, c.kind)
+		}
+	}
+}
--- /dev/null
+++ b/internal/zones/watch.go
@@ -0,0 +1,654 @@
+package zones
+
+import (
+	"fmt"
+	"math"
+	"sort"
+
+	"umberwinch/internal/fleet"
+)
+
+// Watch is what a leader saw of zones. All of it is in memory: a new leader sees anew, and holds nothing against
+// anybody for the time it did not look.
+type Watch struct {
+	pace  uint64 // ms between a node's askings
+	since uint64 // looks since
+	at    uint64 // the last one
+	nodes map[string]*report
+	seen  map[sightKey]sight
+	asked map[string]string // zones of the nodes that others look at, by name
+	looks map[string][]fleet.Look
+	views []*View // by zone
+	zones map[string]*View
+	fleet *View
+}
+
+type report struct {
+	lease uint32
+	at    uint64
+	load  fleet.Tally
+	has   bool
+}
+
+// sightKey is who looked at whom.
+type sightKey struct{ node, by string }
+
+type sight struct {
+	at uint64
+	is string
+}
+
+// View is a zone as it looks now, worked out from the reports of its nodes: sums are the median node's times the
+// nodes that are in, so that two in five that lie move them little.
+type View struct {
+	Zone  string  `json:"zone"`
+	In    int     `json:"in"`    // nodes
+	Quiet int     `json:"quiet"` // not heard for a while, counted out lately or not
+	Fresh int     `json:"fresh"` // heard lately, with a report
+	Sick  int     `json:"sick"`  // of them
+	Kind  string  `json:"kind,omitempty"`
+	Score float64 `json:"score"` // how sure it is that the zone fails; it is left at needScore
+	Cause string  `json:"cause,omitempty"`
+	Note  string  `json:"note,omitempty"`
+
+	Came   float64 `json:"came"`   // first tries a second, its order's turning away included
+	Took   float64 `json:"took"`   // first tries a second that were not turned away
+	Turned float64 `json:"turned"` // tries a second that were
+	Runs   float64 `json:"runs"`   // ended, a second
+	Worth  float64 `json:"worth"`  // value of first tries a second
+	Got    float64 `json:"got"`    // value done in time a second
+	Cap    float64 `json:"cap"`    // runs a second that it could do
+	Flight float64 `json:"flight"` // runs under way
+	RunMS  float64 `json:"run_ms"`
+	CallMS float64 `json:"call_ms"`
+	Bad    float64 `json:"bad"` // share of calls
+	Opened float64 `json:"opened"`
+	Kernel bool    `json:"kernel"` // half of its nodes or more have one
+
+	mix    []fleet.Worth
+	busy   bool // slow, and does nearly what it bore at most
+	usual  Bore
+	told   Bore       // what the log has
+	toldA  uint64     // when
+	trail  []Bore     // of the last looks at which it was well
+	common uint64     // when it was sick with all others last
+	over   int        // looks in a row at which more was under way than it bore
+	loads  [3]float64 // runs under way over what it bore, at the last looks
+}
+
+// NewWatch begins to look.
+func NewWatch() *Watch {
+	return &Watch{nodes: map[string]*report{}, seen: map[sightKey]sight{}, asked: map[string]string{}, looks: map[string][]fleet.Look{},
+		zones: map[string]*View{}}
+}
+
+// Pace is how often a node should ask while zones are looked at, in ms: once a second, in larger fleets so that the
+// group is asked 2,500 times a second at most (as measured, half of a core).
+func Pace(nodes int) uint64 { return max(1000, uint64(nodes)*2/5) }
+
+// Heard takes what a node told. A report that can't be is not looked at, as if none had come.
+func (w *Watch) Heard(now uint64, n *fleet.Node, l *fleet.Tally, seen []fleet.Seen) {
+	r := w.nodes[n.Name]
+	if r == nil || r.lease != n.Lease.ID {
+		r = &report{lease: n.Lease.ID}
+		w.nodes[n.Name] = r
+	}
+	r.at = now
+	if l != nil && sane(l) {
+		r.load, r.has = *l, true
+	}
+	if len(seen) > fleet.MaxSeen {
+		seen = seen[:fleet.MaxSeen]
+	}
+	for _, s := range seen {
+		if w.asked[s.Name] != "" {
+			w.seen[sightKey{s.Name, n.Name}] = sight{now, s.Is}
+		}
+	}
+}
+
+// sane tells whether a report can be true.
+func sane(l *fleet.Tally) bool {
+	for _, f := range []float64{l.Worth, l.Got, l.Cores, l.OnCores, l.RunMS, l.CallMS} {
+		if math.IsNaN(f) || math.IsInf(f, 0) || f < 0 || f > 1e9 {
+			return false
+		}
+	}
+	for _, n := range []int{l.MS, l.Came, l.Again, l.Turned, l.Done, l.Late, l.Shed, l.Errored, l.Runs, l.Calls, l.Bad,
+		l.Opened, l.Out} {
+		if n < 0 || n > 1e7 {
+			return false
+		}
+	}
+	return l.MS >= 200 && l.MS <= 60_000 && l.Bad <= l.Calls && len(l.Mix) <= fleet.MaxMix && l.Cores > 0
+}
+
+// HeardAt tells when a node's present incarnation was heard last, 0: not by this leader.
+func (w *Watch) HeardAt(n *fleet.Node) uint64 {
+	if r := w.nodes[n.Name]; r != nil && r.lease == n.Lease.ID {
+		return r.at
+	}
+	return 0
+}
+
+// Looks gives what a node should look at, for the leader's next answer to it.
+func (w *Watch) Looks(node string) []fleet.Look { return w.looks[node] }
+
+// Views gives all zones as of the last look. They belong to the watch.
+func (w *Watch) Views() []*View { return w.views }
+
+// All gives the whole fleet as of the last look, nil before the first.
+func (w *Watch) All() *View { return w.fleet }
+
+// Sizes of a look. Four looks at which a zone is sick, 500 ms apart, are as many reports of each node: shorter let
+// noise through, longer cost a second of service each. A look at which it is well takes two off.
+const (
+	lookEvery = 500
+	needScore = 4.0
+	mostScore = 6.0
+	wellStep  = 2.0
+	commonFor = 10_000
+)
+
+// look works the views out, once each lookEvery.
+func (w *Watch) look(now uint64, s *State, f *fleet.State, without Guard) {
+	if w.since == 0 {
+		w.since = now
+	}
+	w.pace = Pace(len(f.Nodes()))
+	w.at = now
+	by := map[string]*View{}
+	var order []string
+	loads := map[string][]*fleet.Tally{}
+	for _, n := range f.Nodes() {
+		v := by[n.Zone]
+		if v == nil {
+			v = &View{Zone: n.Zone}
+			by[n.Zone] = v
+			order = append(order, n.Zone)
+		}
+		r := w.nodes[n.Name]
+		if r != nil && r.lease != n.Lease.ID {
+			r = nil
+		}
+		heard := w.since
+		if r != nil {
+			heard = max(heard, r.at)
+		}
+		switch quiet := now-heard > w.quietAfter(); {
+		case n.Out == fleet.Left:
+		case n.Out != "":
+			if f.Clock-n.OutAt < 60_000 {
+				v.Quiet++
+			}
+		default:
+			v.In++
+			if quiet {
+				v.Quiet++
+			}
+			if r != nil && r.has && now-r.at <= w.freshFor() {
+				v.Fresh++
+				loads[n.Zone] = append(loads[n.Zone], &r.load)
+			}
+		}
+	}
+	for name := range w.nodes { // each is judged alone
+		if f.Named(name) == nil {
+			delete(w.nodes, name)
+		}
+	}
+	sort.Strings(order)
+	w.views = w.views[:0]
+	for _, name := range order {
+		v, was := by[name], w.zones[name]
+		if was != nil {
+			v.usual, v.Score, v.told, v.toldA, v.over = was.usual, was.Score, was.told, was.toldA, was.over
+			v.common, v.trail = was.common, was.trail
+			copy(v.loads[1:], was.loads[:])
+		} else if z := s.Find(name); z != nil { // what the leader before had learned
+			v.usual, v.told, v.toldA = z.Bore, z.Bore, now
+		}
+		v.sum(loads[name])
+		w.views = append(w.views, v)
+	}
+	w.zones = by
+	w.whole(f)
+	w.probe(now, f)
+	for _, v := range w.views {
+		w.judge(now, s, v, without)
+	}
+}
+
+// whole adds up the zones to a view of the fleet, for its own return.
+func (w *Watch) whole(f *fleet.State) {
+	all := &View{Zone: Fleet, Kernel: true}
+	if w.fleet != nil {
+		all.over = w.fleet.over
+		copy(all.loads[1:], w.fleet.loads[:])
+	}
+	kernels, ms, calls := 0, 0.0, 0.0
+	for _, v := range w.views {
+		all.In, all.Quiet, all.Fresh, all.Sick = all.In+v.In, all.Quiet+v.Quiet, all.Fresh+v.Fresh, all.Sick+v.Sick
+		all.Came, all.Took, all.Turned = all.Came+v.Came, all.Took+v.Took, all.Turned+v.Turned
+		all.Runs, all.Worth = all.Runs+v.Runs, all.Worth+v.Worth
+		all.Got, all.Cap, all.Flight = all.Got+v.Got, all.Cap+v.Cap, all.Flight+v.Flight
+		ms, calls = ms+v.Runs*v.RunMS, calls+v.Runs*v.CallMS
+		if v.Kernel {
+			kernels += v.In
+		}
+		if v.Sick > 0 {
+			all.Kind = v.Kind
+		}
+	}
+	if all.Runs > 0 {
+		all.RunMS, all.CallMS = ms/all.Runs, calls/all.Runs
+	}
+	all.Kernel = 2*kernels >= all.In
+	w.fleet = all
+}
+
+// quietAfter is how long a node may be silent before it counts as quiet: one asking lost, with its answer's time.
+func (w *Watch) quietAfter() uint64 { return w.pace*3/2 + 800 }
+
+// freshFor is how long a report counts.
+func (w *Watch) freshFor() uint64 { return 2*w.pace + 500 }
+
+// median gives the middle of some figures.
+func median(x []float64) float64 {
+	if len(x) == 0 {
+		return 0
+	}
+	sort.Float64s(x)
+	if n := len(x); n%2 == 0 {
+		return (x[n/2-1] + x[n/2]) / 2
+	}
+	return x[len(x)/2]
+}
+
+// Pooling. Where a node sees a few reqs in a report's time, as each of thousands does, or all do at a small share, most reports
+// say none, and the median of them says none too. So nodes are pooled, in turn, until a pool sees poolRuns runs, in poolLeast pools
+// at least, and the median is that of pools. A zone of fewer than twice as many nodes is not pooled: two of five that lie must
+// not reach every pool.
+const (
+	poolRuns  = 8
+	poolLeast = 9
+)
+
+// pooled is some nodes' reports as one: counts are sums, times are weighed by what they are of, MS is their mean.
+type pooled struct {
+	fleet.Tally
+	nodes []*fleet.Tally
+}
+
+// pool puts reports together; of each node alone where it sees enough.
+func pool(all []*fleet.Tally) []pooled {
+	n := len(all)
+	pools := n
+	if n >= 2*poolLeast {
+		each := 0.0
+		for _, l := range all { // none counts for more than is enough: a few that lie don't decide what is
+			each += min(poolRuns, float64(l.Runs)) / float64(n)
+		}
+		if each < poolRuns/2 {
+			pools = max(poolLeast, int(float64(n)*each/poolRuns))
+		}
+	}
+	out := make([]pooled, pools)
+	for i, l := range all {
+		out[i%pools].nodes = append(out[i%pools].nodes, l)
+	}
+	for i := range out {
+		out[i].add()
+	}
+	return out
+}
+
+func (p *pooled) add() {
+	if len(p.nodes) == 1 {
+		p.Tally = *p.nodes[0]
+		return
+	}
+	up := 0
+	for _, l := range p.nodes {
+		p.MS, p.Came, p.Again, p.Turned = p.MS+l.MS, p.Came+l.Came, p.Again+l.Again, p.Turned+l.Turned
+		p.Done, p.Late, p.Shed, p.Errored = p.Done+l.Done, p.Late+l.Late, p.Shed+l.Shed, p.Errored+l.Errored
+		p.Runs, p.Calls, p.Bad, p.Opened, p.Out = p.Runs+l.Runs, p.Calls+l.Calls, p.Bad+l.Bad, p.Opened+l.Opened, p.Out+l.Out
+		p.Worth, p.Got, p.Cores, p.OnCores = p.Worth+l.Worth, p.Got+l.Got, p.Cores+l.Cores, p.OnCores+l.OnCores
+		p.RunMS, p.CallMS = p.RunMS+l.RunMS*float64(l.Runs), p.CallMS+l.CallMS*float64(l.Calls)
+		if l.Kernel {
+			up++
+		}
+	}
+	p.MS /= len(p.nodes)
+	p.RunMS, p.CallMS = p.RunMS/float64(max(1, p.Runs)), p.CallMS/float64(max(1, p.Calls))
+	p.Kernel = 2*up >= len(p.nodes)
+}
+
+// sum makes a view of the reports of a zone's nodes.
+func (v *View) sum(all []*fleet.Tally) {
+	if len(all) == 0 {
+		return
+	}
+	pools := pool(all)
+	of := func(f func(l *fleet.Tally) float64) float64 {
+		x := make([]float64, 0, len(pools))
+		for i := range pools {
+			x = append(x, f(&pools[i].Tally))
+		}
+		return median(x)
+	}
+	per := func(f func(l *fleet.Tally) float64) float64 { // a second, over all nodes that are in
+		x := make([]float64, 0, len(pools))
+		for i := range pools {
+			x = append(x, f(&pools[i].Tally)*1000/float64(pools[i].MS)/float64(len(pools[i].nodes)))
+		}
+		return float64(v.In) * median(x)
+	}
+	v.Came = per(func(l *fleet.Tally) float64 { return float64(l.Came - l.Again) })
+	v.Took = per(func(l *fleet.Tally) float64 { return float64(max(0, l.Came-l.Again-l.Turned)) })
+	v.Turned = per(func(l *fleet.Tally) float64 { return float64(l.Turned) })
+	v.Runs = per(func(l *fleet.Tally) float64 { return float64(l.Runs) })
+	v.Worth = per(func(l *fleet.Tally) float64 { return l.Worth })
+	v.Got = per(func(l *fleet.Tally) float64 { return l.Got })
+	v.Opened = per(func(l *fleet.Tally) float64 { return float64(l.Opened) })
+	v.Cap = per(func(l *fleet.Tally) float64 {
+		// A core never quite idles: under a twentieth a node is taken to have twenty times what it does.
+		return float64(l.Runs) / min(1, max(0.05, l.OnCores/l.Cores))
+	})
+	v.RunMS = of(func(l *fleet.Tally) float64 { return l.RunMS })
+	v.CallMS = of(func(l *fleet.Tally) float64 { return l.CallMS })
+	v.Bad = of(func(l *fleet.Tally) float64 { return float64(l.Bad) / max(1, float64(l.Calls)) })
+	v.Flight = per(func(l *fleet.Tally) float64 {
+		if l.Runs == 0 {
+			return float64(l.Out) * float64(l.MS) / 1000 // they are not a second's
+		}
+		return float64(l.Runs) * l.RunMS / 1000 // Little's law
+	})
+	up := 0
+	for _, l := range all {
+		if l.Kernel {
+			up++
+		}
+	}
+	v.Kernel = 2*up >= len(all)
+	v.sick(pools)
+	v.mix = mixOf(all)
+}
+
+// Kinds of sickness, as a node's report shows them.
+const (
+	kindKernel = "kernels" // no link, or runs that stand
+	kindBelow  = "calls below that fail"
+	kindCrawl  = "calls below that crawl"
+	kindErrors = "runs that fail"
+	kindLate   = "lateness"
+	kindSlow   = "slowness" // runs take far longer than usual
+)
+
+var kinds = []string{kindKernel, kindBelow, kindErrors, kindCrawl, kindLate, kindSlow}
+
+// cold tells whether this is what a service that has just come back shows: slow, and nothing else.
+func cold(kind string) bool { return kind == kindCrawl || kind == kindSlow || kind == kindLate }
+
+// Bounds of sickness. Three times the usual is past what load alone does to a run while run slots are bounded; three in
+// ten is past any noise seen at ten samples.
+const (
+	slowTimes  = 3.0
+	badShare   = 0.3
+	leastRuns  = 3
+	leastEnded = 5
+	// A zone that is slow and does nearly what it bore at most is asked for too much: to leave it would lose just that.
+	busyShare = 0.7
+)
+
+// kindOf tells what ails a node, if anything does.
+func (v *View) kindOf(l *fleet.Tally) string {
+	ended := l.Done + l.Late + l.Errored
+	switch {
+	case !l.Kernel:
+		return kindKernel
+	case l.Calls >= leastRuns && float64(l.Bad) >= badShare*float64(l.Calls):
+		return kindBelow
+	case float64(l.Out) >= l.Cores && l.Runs == 0 && l.MS >= 900 && v.usual.RunMS > 0 && float64(l.MS) > 4*v.usual.RunMS:
+		return kindKernel
+	case l.Calls >= leastRuns && v.usual.CallMS > 0 && l.CallMS > slowTimes*v.usual.CallMS+5:
+		return kindCrawl // runs fail for want of them, in one zone sooner than in another
+	case ended >= leastEnded && float64(l.Errored) >= badShare*float64(ended):
+		return kindErrors
+	case ended >= leastEnded && float64(l.Late+l.Errored) >= badShare*float64(ended):
+		return kindLate
+	case l.Runs >= leastRuns && v.usual.RunMS > 0 && l.RunMS > slowTimes*v.usual.RunMS+5:
+		return kindSlow
+	}
+	return ""
+}
+
+// sick counts the nodes that are: each by its own report, and all of a pool that shows it where their reports alone say too
+// little.
+func (v *View) sick(pools []pooled) {
+	count := map[string]int{}
+	var failed []float64
+	for i := range pools {
+		p := &pools[i]
+		failed = append(failed, float64(p.Errored)/float64(max(1, p.Done+p.Late+p.Errored)))
+		together := ""
+		if len(p.nodes) > 1 && p.Kernel {
+			together = v.kindOf(&p.Tally)
+		}
+		for _, l := range p.nodes {
+			k := v.kindOf(l)
+			if k == "" {
+				k = together
+			}
+			if k != "" {
+				v.Sick++
+				count[k]++
+			}
+		}
+	}
+	for _, k := range kinds {
+		if count[k] > count[v.Kind] {
+			v.Kind = k
+		}
+	}
+	if ran := v.Runs * (1 - median(failed)); cold(v.Kind) && v.usual.Runs > 0 && ran >= busyShare*v.usual.Runs {
+		v.Note = fmt.Sprintf("%d of %d nodes heard are slow (%s), but it does %.0f runs a second and bore %.0f: busy, not sick",
+			v.Sick, v.Fresh, v.Kind, v.Runs, v.usual.Runs)
+		v.Sick, v.Kind, v.busy = 0, "", true
+	}
+}
+
+// mixOf adds up what came by value.
+func mixOf(all []*fleet.Tally) (out []fleet.Worth) {
+	sum := map[float64]int{}
+	for _, l := range all {
+		for _, m := range l.Mix {
+			if m.Came > 0 && m.Value >= 0 {
+				sum[m.Value] += m.Came
+			}
+		}
+	}
+	for value, came := range sum {
+		out = append(out, fleet.Worth{Value: value, Came: came})
+	}
+	sort.Slice(out, func(i, k int) bool { return out[i].Value < out[k].Value })
+	return out
+}
+
+// quorum tells whether enough of a zone's nodes are heard to say anything of it: a third of those that are in, so that
+// with half of the reports missing there is one.
+func (v *View) quorum() bool { return v.Fresh > 0 && 3*v.Fresh >= v.In }
+
+// share is how much of what is heard is sick.
+func (v *View) share() float64 { return float64(v.Sick) / float64(max(1, v.Fresh)) }
+
+// Most of a zone's nodes have to be sick for it to be the zone that is: at a majority one bad node, or two that lie in
+// five, leave it in. A zone is well where hardly any is.
+const (
+	sickShare = 0.6
+	wellShare = 0.25
+)
+
+// Silent tells that nobody of a zone is heard.
+func (v *View) silent() bool {
+	return v.Quiet > 0 && v.Quiet*10 >= 9*max(v.In, v.Quiet)
+}
+
+// judge keeps the score: how long and how surely a zone fails, over several looks.
+func (w *Watch) judge(now uint64, s *State, v *View, without Guard) {
+	step, _ := s.StepOf(v.Zone)
+	switch {
+	case v.silent():
+		serves, sheds, nobody := w.sights(now, v.Zone)
+		switch all := serves + sheds + nobody; {
+		case all > 0 && 2*serves >= all:
+			v.Score = max(0, v.Score-wellStep)
+			v.Note = fmt.Sprintf("not heard, but %d of %d looks at its nodes found them serving: cut off from the group alone",
+				serves, all)
+		case all >= 2:
+			v.Cause, v.Note = "dead", fmt.Sprintf("not heard, and %d of %d looks at its nodes had no answer", nobody, all)
+			if sheds > nobody {
+				v.Cause, v.Note = "cut off", "not heard, and its nodes take nothing as others see them"
+			}
+			v.Score = min(mostScore, v.Score+needScore/2) // two looks: silence and sights took their time already
+		default:
+			v.Note = "not heard; nobody has looked yet"
+		}
+		return
+	case !v.quorum():
+		v.Note = fmt.Sprintf("%d of %d nodes heard: nothing can be told", v.Fresh, v.In)
+		return
+	case v.share() >= sickShare && !w.othersWell(s, v) && !without.Has(CommonCause):
+		v.Score, v.common = max(0, v.Score-1), now
+		v.Note = fmt.Sprintf("%d of %d sick (%s), and no other zone is well: a common cause, nobody leaves", v.Sick, v.Fresh,
+			v.Kind)
+	case v.share() >= sickShare:
+		// What ailed all may end a little sooner elsewhere: it takes twice as long to be sure of one zone then.
+		if v.Cause = v.Kind; v.common != 0 && now-v.common < commonFor {
+			v.Score = min(mostScore, v.Score+0.5)
+		} else {
+			v.Score = min(mostScore, v.Score+1)
+		}
+	case v.share() <= wellShare:
+		v.Score = max(0, v.Score-wellStep)
+	default:
+		v.Score = max(0, v.Score-wellStep/4)
+	}
+	if v.Sick > 0 && v.share() < sickShare {
+		v.Note = fmt.Sprintf("%d of %d nodes heard are sick (%s): not the zone", v.Sick, v.Fresh, v.Kind)
+	}
+	if v.usual.Came > 1 && v.Came < v.usual.Came/20 && step == In {
+		v.Note = "hardly any callers reach it: nothing is won by leaving it"
+	}
+	// Guards against taking what a fleet shows on its way back from a restart, cold and held, for what is usual.
+	if all, _ := s.StepOf(Fleet); step == In && all == In && v.Score == 0 && v.Sick == 0 && 2*v.Fresh >= v.In {
+		v.learn()
+	} else {
+		v.trail = v.trail[:0]
+	}
+}
+
+// othersWell tells whether half or more of the other zones that are in, and one at least, are heard and well.
+func (w *Watch) othersWell(s *State, v *View) bool {
+	well, in := 0, 0
+	for _, o := range w.views {
+		if step, _ := s.StepOf(o.Zone); o == v || step != In || o.silent() {
+			continue
+		}
+		in++
+		// What is slow may be slow for the same cause as others that are; what fails, only as others that fail.
+		if o.quorum() && (o.share() <= wellShare && !(o.busy && cold(v.Kind)) || cold(o.Kind) && !cold(v.Kind)) {
+			well++
+		}
+	}
+	return well > 0 && 2*well >= in
+}
+
+// learn keeps what is usual. A peak falls by a tenth in a quarter of an hour, so that a fleet that shrank is not asked
+// for what it once bore; what is usual follows within a minute.
+//
+// What is seen counts four seconds later, if the zone was well all the while: the first seconds of a trouble show runs
+// that pile up before anything is sick, and that is not what a service bore.
+func (v *View) learn() {
+	const fall, follow, trail = 0.99994, 1.0 / 64, 8
+	v.trail = append(v.trail, Bore{v.Runs, v.Flight, v.RunMS, v.CallMS, v.Opened, v.Came})
+	if len(v.trail) <= trail {
+		return
+	}
+	is, u := v.trail[0], &v.usual
+	v.trail = append(v.trail[:0], v.trail[1:]...)
+	if u.RunMS > 0 && is.RunMS > warmTimes*u.RunMS {
+		is.Flight = 0 // slower than usual: it bore that, but hardly
+	}
+	// By Little's law no more can be under way than come in the time that one takes: what is beyond that are runs that stand,
+	// and a service that is held to have borne them is asked for far too much on its way back.
+	if u.RunMS > 0 {
+		is.Flight = min(is.Flight, warmTimes*is.Runs*u.RunMS/1000)
+	}
+	near := func(x *float64, is float64) {
+		if *x == 0 {
+			*x = is
+		} else {
+			*x += follow * (is - *x)
+		}
+	}
+	u.Runs, u.Flight = max(u.Runs*fall, is.Runs), max(u.Flight*fall, is.Flight)
+	u.Opened = max(u.Opened*fall, is.Opened)
+	if is.Runs > 0 {
+		near(&u.RunMS, is.RunMS)
+	}
+	if is.CallMS > 0 {
+		near(&u.CallMS, is.CallMS)
+	}
+	near(&u.Came, is.Came)
+}
+
+// probe chooses who looks at the nodes of a silent zone: three of its nodes, by two nodes of each other zone.
+func (w *Watch) probe(now uint64, f *fleet.State) {
+	w.looks, w.asked = map[string][]fleet.Look{}, map[string]string{}
+	for _, v := range w.views {
+		if !v.silent() {
+			continue
+		}
+		var at []fleet.Look
+		for _, n := range f.Nodes() {
+			if n.Zone == v.Zone && n.Out != fleet.Left && n.Addr != "" && len(at) < 3 {
+				at = append(at, fleet.Look{Name: n.Name, Addr: n.Addr})
+				w.asked[n.Name] = v.Zone
+			}
+		}
+		n := map[string]int{}
+		for _, node := range f.Nodes() {
+			r, of := w.nodes[node.Name], w.zones[node.Zone]
+			if node.Zone == v.Zone || of.silent() || n[node.Zone] >= 2 || r == nil || r.lease != node.Lease.ID ||
+				now-r.at > w.freshFor() || len(w.looks[node.Name])+len(at) > fleet.MaxSeen {
+				continue
+			}
+			n[node.Zone]++
+			w.looks[node.Name] = append(w.looks[node.Name], at...)
+		}
+	}
+	for k, s := range w.seen { // each is judged alone
+		if w.asked[k.node] == "" || now-s.at > 3*w.pace+1000 {
+			delete(w.seen, k)
+		}
+	}
+}
+
+// sights counts what others lately saw of a silent zone's nodes.
+func (w *Watch) sights(now uint64, zone string) (serves, sheds, nobody int) {
+	for k, s := range w.seen { // order does not matter to sums
+		if w.asked[k.node] != zone || now-s.at > 3*w.pace+1000 {
+			continue
+		}
+		switch s.is {
+		case fleet.SeenServes:
+			serves++
+		case fleet.SeenSheds:
+			sheds++
+		default:
+			nobody++
+		}
+	}
+	return serves, sheds, nobody
+}
