A turned-over bit in the sum before a log's last flush is damage, not a torn tail

The flush behind it could not be verified by that sum, so the last two flushes were cut off as if never synced: for a group's log that is state lost without a word. The record's own bytes tell which sum it should have, and if the next flush begins with it, what stands there was durable. The test flips each byte with one and more flushes in the last segment, and fails without it.

--- a/internal/wal/segment.go
+++ b/internal/wal/segment.go
@@ -104,6 +104,21 @@
 	return false
 }
 
+// vouched tells whether only the stored sum of the record at the start of raw is wrong: the one behind it takes in the sum that it
+// should have. next is that one's kind: where it begins a flush, what stands before it was durable.
+func vouched(raw []byte, before uint32) (kind byte, number uint64, data []byte, next byte, ok bool) {
+	if len(raw) < headBytes+sumBytes {
+		return 0, 0, nil, 0, false
+	}
+	n := binary.LittleEndian.Uint32(raw)
+	if k := raw[4] & kindBits; n > MaxRecord || k < kindEntry || k > kindCut || int(n) > len(raw)-headBytes-sumBytes {
+		return 0, 0, nil, 0, false
+	}
+	end := headBytes + int(n)
+	next, _, _, ok = check(raw[end+sumBytes:], crc32.Update(before, castagnoli, raw[:end]))
+	return raw[4], binary.LittleEndian.Uint64(raw[5:]), raw[headBytes:end], next, ok
+}
+
 // Open reads a folder's log, or begins one in an empty folder. A torn tail is cut off and told of; damage is
 // an error of type *Damage and leaves the folder as it is.
 func Open(fs FS, sizes Sizes) (*Log, Found, error) {
@@ -293,7 +308,7 @@
 		return l.settle(s, newest)
 	}
 	what := fmt.Sprintf("the record of entry %d or a mark before it", next)
-	if !newest || begun(raw, off) {
+	if _, _, _, after, ok := vouched(raw[off:], sum); !newest || begun(raw, off) || ok && after&firstOne != 0 {
 		if bad == "" {
 			bad = "the flush it belongs to has no end"
 		}
--- a/internal/wal/wal_test.go
+++ b/internal/wal/wal_test.go
@@ -87,11 +87,11 @@
 // TestDamageInTheMiddle flips each byte in turn. Before the last flush that is damage, told with its place,
 // and the folder is left as it was; within the last flush it can't be told from a torn tail.
 func TestDamageInTheMiddle(t *testing.T) {
-	fill := func() (*Mem, int64) {
+	fill := func(flushes int) (*Mem, int64) {
 		disk := NewMem()
 		l := open(t, disk, Sizes{Segment: 300, Bound: 1 << 20})
 		last := int64(0)
-		for i := 0; i < 12; i++ {
+		for i := 0; i < flushes; i++ {
 			was := len(l.segs)
 			last = l.segs[was-1].size
 			commit(t, l, Batch{Entries: [][]byte{[]byte(fmt.Sprint("entry ", i))},
@@ -103,30 +103,32 @@
 		l.Close()
 		return disk, last
 	}
-	disk, lastFlush := fill()
-	names, _ := disk.List()
-	if len(names) < 3 {
-		t.Fatalf("%d segments, expected some", len(names))
-	}
-	for i, name := range names {
-		f, _ := disk.Open(name)
-		size, _ := f.Size()
-		for off := int64(0); off < size; off++ {
-			disk, _ := fill()
-			disk.Flip(name, off, 0x10)
-			l, found, err := Open(disk, small)
-			var damage *Damage
-			if i == len(names)-1 && off >= lastFlush {
-				if err != nil || found.Torn == "" || l.Next() != 12 {
-					t.Fatalf("%s byte %d: %v, expected the last flush cut off", name, off, err)
+	for flushes := 12; flushes <= 14; flushes++ { // the last segment has one flush, or some
+		disk, lastFlush := fill(flushes)
+		names, _ := disk.List()
+		if len(names) < 3 {
+			t.Fatalf("%d segments, expected some", len(names))
+		}
+		for i, name := range names {
+			f, _ := disk.Open(name)
+			size, _ := f.Size()
+			for off := int64(0); off < size; off++ {
+				disk, _ := fill(flushes)
+				disk.Flip(name, off, 0x10)
+				l, found, err := Open(disk, small)
+				var damage *Damage
+				if i == len(names)-1 && off >= lastFlush {
+					if err != nil || found.Torn == "" || l.Next() != uint64(flushes) {
+						t.Fatalf("%s byte %d: %v, expected the last flush cut off", name, off, err)
+					}
+					continue
+				}
+				if !errors.As(err, &damage) || damage.File == "" || !strings.Contains(err.Error(), "at byte") {
+					t.Fatalf("%s byte %d: %v, expected damage told with its place", name, off, err)
+				}
+				if after, _ := disk.List(); len(after) != len(names) {
+					t.Fatalf("%s byte %d: %d files left of %d", name, off, len(after), len(names))
 				}
-				continue
-			}
-			if !errors.As(err, &damage) || damage.File == "" || !strings.Contains(err.Error(), "at byte") {
-				t.Fatalf("%s byte %d: %v, expected damage told with its place", name, off, err)
-			}
-			if after, _ := disk.List(); len(after) != len(names) {
-				t.Fatalf("%s byte %d: %d files left of %d", name, off, len(after), len(names))
 			}
 		}
 	}
