--- a/internal/backend/deadlines.go
+++ b/internal/backend/deadlines.go
@@ -20,6 +20,7 @@
 	dueKey
 	dueLeave
 	dueFleet
+	dueKept
 )
 
 // deadline names what is due, and for which slot.
--- a/internal/backend/fleet.go
+++ b/internal/backend/fleet.go
@@ -60,7 +60,7 @@
 	retired  []bool
 	armed    uint64 // a deadline is set for then
 	alone    bool
-	spread   uint32 // counts the times to come back that were told
+	spread   spread
 	gate     *zones.Gate
 	meter    *zones.Meter
 	look     *agent
@@ -296,7 +296,7 @@
 	f := l.fleet
 	for h, i := l.reqs.next(0); h != 0; h, i = l.reqs.next(i) {
 		r := l.reqs.get(h)
-		if r.answered || r.gone || r.run != runNot || r.paused {
+		if r.answered || r.gone || r.run != runNot || r.paused || r.kept != nil && r.kept.stand == keptReads {
 			continue
 		}
 		if e := l.keys.find(r.key); r.waits && e != nil && e.fate == fateRuns {
@@ -304,22 +304,25 @@
 		}
 		r.waits = false
 		l.next().Gone = append(l.next().Gone, uint32(h))
-		l.answer(h, r, proto.Answer{Status: 503, BackOff: f.comeBack(l.prof.MaxPause, 0)})
+		l.answer(h, r, proto.Answer{Status: 503, BackOff: f.spread.comeBack(l.prof.MaxPause, 0)})
 	}
 }
 
+// spread counts the times to come back that were told.
+type spread uint32
+
 // comeBack is when a caller that is turned away may try again, in ms: within the bound of the settings, spread so that
 // they don't all come at once. Two seconds are some renewals: by then the node serves or its health has told. Where it is
 // known to be in vain for longer, as the share has to grow first, half as long again is what that is spread over.
-func (f *fleetPart) comeBack(most admission.Time, after uint64) int64 {
+func (s *spread) comeBack(most admission.Time, after uint64) int64 {
 	if most <= 0 {
 		return 0
 	}
-	f.spread++
+	*s++
 	bound := int64(most) / 10
 	ms := min(bound, max(2000, int64(min(after, 1e9))*3/2))
 	least := min(max(ms/2, int64(min(after, 1e9))), ms/2+ms/4)
-	return least + int64(f.spread*2654435761%1024)*(ms-least)/1024
+	return least + int64(*s*2654435761%1024)*(ms-least)/1024
 }
 
 // takeOver has the module go on under another version. It is between two rounds here.
@@ -610,7 +613,7 @@
 	switch {
 	case f.fenced:
 		l.count.FenceShed++
-		a.BackOff = f.comeBack(l.prof.MaxPause, 0)
+		a.BackOff = f.spread.comeBack(l.prof.MaxPause, 0)
 		return 503
 	case f.retired[handler]:
 		a.Final = true
@@ -626,7 +629,7 @@
 	if !ok {
 		l.count.Turned++
 		f.meter.Came(now, handler, q.Again, true)
-		a.Final, a.BackOff = last, f.comeBack(l.prof.MaxPause, f.gate.Back(now, asked))
+		a.Final, a.BackOff = last, f.spread.comeBack(l.prof.MaxPause, f.gate.Back(now, asked))
 		return 503
 	}
 	return 0
--- a/internal/backend/front.go
+++ b/internal/backend/front.go
@@ -315,6 +315,9 @@
 		if a.Status = 200; !l.good {
 			a.Status = 503
 		}
+		if l.kept != nil && l.kept.mode != keptWell {
+			a.Body = []byte("kept results: " + l.kept.mode + "\n")
+		}
 	case len(path) > 5 && path[:5] == "/rpc/" && method == "POST":
 		if a.Status = l.take(c, e, path[5:], &a); a.Status != 400 {
 			c.said = saidReq
--- /dev/null
+++ b/internal/backend/kept_test.go
@@ -0,0 +1,186 @@
+package backend
+
+import (
+	"errors"
+	"io"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/sirupsen/logrus"
+
+	"umberwinch/admission"
+	"umberwinch/internal/kept"
+	"umberwinch/internal/operator"
+	"umberwinch/internal/profile"
+	"umberwinch/internal/wal"
+)
+
+// heldDisk holds each sync until it is let go on, or fails it.
+type heldDisk struct {
+	wal.FS
+	gate  chan struct{} // nil: nothing is held
+	fails atomic.Bool
+}
+
+func (d *heldDisk) Create(name string) (wal.File, error) {
+	f, err := d.FS.Create(name)
+	return heldFile{f, d}, err
+}
+
+func (d *heldDisk) Open(name string) (wal.File, error) {
+	f, err := d.FS.Open(name)
+	return heldFile{f, d}, err
+}
+
+type heldFile struct {
+	wal.File
+	d *heldDisk
+}
+
+func (f heldFile) Sync() error {
+	if f.d.gate != nil {
+		<-f.d.gate
+	}
+	if f.d.fails.Load() {
+		return errors.New("input/output error")
+	}
+	return f.File.Sync()
+}
+
+// keptLoop is a loop without sockets over a store on such a disk, as far as this part needs one.
+func keptLoop(t *testing.T, d *heldDisk) *loop {
+	log := logrus.New()
+	log.SetOutput(io.Discard)
+	l := &loop{now: clock(), log: log, in: make(chan event, 64), reqs: newTable[req](8), conns: newTable[conn](2), names: []string{"put"},
+		keys: newKeys(10, 1000, 50), lim: NewLimits(1, 64, 256), prof: &profile.Profile{
+			Deployment: &admission.Deployment{MaxPause: 5 * admission.Second, Handlers: []admission.Handler{{Window: admission.Second, Repeat: admission.Uniqued}}}}}
+	l.kept = &keptPart{own: &operator.Kept{Entries: 100, MB: 1, Result: 100}, reads: make(chan func(), 1)}
+	store, book, found, err := kept.Open(d, wal.Sizes{Segment: 1 << 16, Bound: 1 << 20}, kept.Bounds{Entries: 100, Bytes: 1 << 18, Result: 100},
+		steadyMS(), "boot")
+	if err != nil {
+		t.Fatal(err)
+	}
+	l.keptOpened(store, book, found, nil)
+	return l
+}
+
+// takes is a try that has its slot.
+func (l *loop) takes(key string) (handle, *req) {
+	h, r, _ := l.reqs.take()
+	*r = req{kept: keptName("put", []byte(key), []byte("body")), run: runGoes, came: l.now, due: l.now + admission.Second}
+	return h, r
+}
+
+// hears has the loop take the next word of the disk.
+func (l *loop) hears(t *testing.T) {
+	t.Helper()
+	select {
+	case e := <-l.in:
+		l.handle(e)
+	case <-time.After(patience):
+		t.Fatal("the disk says nothing")
+	}
+}
+
+// TestDiskStalls: while a record waits too long new keys are shed; what is durable only after its req was answered does not run;
+// then all is well again.
+func TestDiskStalls(t *testing.T) {
+	d := &heldDisk{FS: wal.NewMem()}
+	l := keptLoop(t, d)
+	d.gate = make(chan struct{})
+	h, r := l.takes("a")
+	l.intend(h, r)
+	if r.schedNo != 0 || r.kept.stand != keptIntends {
+		t.Fatal("it went to the kernel before its intent was durable")
+	}
+	l.now += keptStall + 1
+	l.watchKept()
+	h2, new := l.takes("b")
+	if l.keptWord(h2, new); l.kept.mode != keptStalled || !new.answered || l.count.Shed != 1 {
+		t.Errorf("%s, and a new key is not shed", l.kept.mode)
+	}
+	l.Fail(uint32(h)) // the module: its time is over
+	close(d.gate)
+	l.hears(t)
+	r = l.reqs.get(h) // the table may have grown
+	if r.schedNo != 0 || r.run != runOver || len(l.next().Ended) != 1 || l.next().Ended[0].How != admission.Unrun {
+		t.Errorf("what was answered meanwhile ran: %+v, ends %v", r, l.next().Ended)
+	}
+	l.hears(t) // its intent is closed
+	if s := l.kept.book.Find(steadyMS(), r.kept.key); s != kept.Unknown || l.kept.mode != keptWell {
+		t.Errorf("%s, %s afterwards, expected it unknown and well", s, l.kept.mode)
+	}
+}
+
+// TestDiskFails: what waits for a write that fails is shed and does not run, a result that is lost is errored; new keys are shed
+// until the disk is well again, by itself.
+func TestDiskFails(t *testing.T) {
+	d := &heldDisk{FS: wal.NewMem()}
+	l := keptLoop(t, d)
+	h, r := l.takes("ran")
+	l.intend(h, r)
+	l.hears(t)
+	if r.schedNo == 0 {
+		t.Fatal("its intent is durable, and it did not go out")
+	}
+	d.fails.Store(true)
+	l.runEnded(h, r, admission.OK, 1, []byte("result"))
+	if r.answered {
+		t.Fatal("answered before its result was durable")
+	}
+	l.hears(t)
+	if l.count.Errored != 1 || l.count.Done != 0 || l.kept.book.Find(steadyMS(), r.kept.key) != kept.May {
+		t.Errorf("%d errored, %d done, key %s", l.count.Errored, l.count.Done, l.kept.book.Find(steadyMS(), r.kept.key))
+	}
+	h2, new := l.takes("new")
+	if l.keptWord(h2, new); l.kept.mode != keptFailed || l.count.Shed != 1 {
+		t.Errorf("%s, and a new key is not shed", l.kept.mode)
+	}
+	h3, held := l.takes("held") // it passed the door before
+	l.intend(h3, held)
+	if held.schedNo != 0 || held.run != runOver || l.count.Shed != 2 {
+		t.Error("it ran on a disk that fails")
+	}
+	d.fails.Store(false)
+	for end := time.Now().Add(patience); l.kept.mode != keptWell; time.Sleep(10 * time.Millisecond) {
+		l.now = clock()
+		if l.watchKept(); time.Now().After(end) {
+			t.Fatalf("still %s, and the disk is well", l.kept.mode)
+		}
+	}
+	h4, again := l.takes("new")
+	if l.intend(h4, again); again.kept.stand != keptIntends {
+		t.Fatal("not let in")
+	}
+	l.hears(t)
+	if again.schedNo == 0 {
+		t.Error("it does not run, and the disk is well")
+	}
+}
+
+// TestLastMoment: a result that is not durable as its req is due, or the node has to leave, is answered errored, once.
+func TestLastMoment(t *testing.T) {
+	d := &heldDisk{FS: wal.NewMem()}
+	l := keptLoop(t, d)
+	h, r := l.takes("a")
+	l.intend(h, r)
+	l.hears(t)
+	d.gate = make(chan struct{})
+	l.runEnded(h, r, admission.OK, 1, []byte("result"))
+	l.drains, l.kill = true, l.now+admission.Second/10
+	l.keptLeaves()
+	l.now = l.kill - keptSpare
+	l.fire()
+	if !r.answered || l.count.Errored != 1 {
+		t.Fatal("not answered before the kill")
+	}
+	close(d.gate)
+	l.hears(t)
+	if l.count.Done+l.count.Errored != 1 {
+		t.Errorf("%d answers", l.count.Done+l.count.Errored)
+	}
+	if l.kept.book.Find(steadyMS(), r.kept.key) != kept.Done {
+		t.Error("its result is durable, and not known")
+	}
+}
--- a/internal/backend/link.go
+++ b/internal/backend/link.go
@@ -11,6 +11,7 @@
 	"github.com/cloudwego/netpoll"
 
 	"umberwinch/admission"
+	"umberwinch/internal/operator"
 )
 
 var (
@@ -238,5 +239,9 @@
 		l.log.Warn("operator's file: [fleet] can't change while the program serves and stays as it was")
 		c.own.Fleet = l.told.own.Fleet
 	}
+	if !operator.SameKept(c.own.Kept, l.told.own.Kept) {
+		l.log.Warn("operator's file: [kept] can't change while the program serves and stays as it was")
+		c.own.Kept = l.told.own.Kept
+	}
 	l.movePools(c)
 }
--- a/internal/backend/loop.go
+++ b/internal/backend/loop.go
@@ -39,6 +39,7 @@
 	newsCount
 	newsReload
 	newsFleet
+	newsKept
 )
 
 var errAhead = errors.New("too many requests ahead of their answers")
@@ -57,11 +58,13 @@
 	status proto.Response
 	node   *Node
 	job    *jobEnd
+	then   func() // of the disk
 }
 
 type loop struct {
 	pools *pools.Pools // nil: none
 	fleet *fleetPart   // nil: the node serves alone
+	kept  *keptPart    // nil: results are kept in memory alone
 	lim   Limits
 	log   *logrus.Logger
 	in    chan event
@@ -171,6 +174,7 @@
 	if err != nil {
 		return fmt.Errorf("listen on %s: %w", c.Listen, err)
 	}
+	l.keepResults()
 	l.serve(d)
 	go func() {
 		for s := range signals {
@@ -186,6 +190,7 @@
 		}
 	}()
 	l.run()
+	l.closeKept()
 	return nil
 }
 
@@ -282,6 +287,8 @@
 		l.reload(e.node, e.err)
 	case newsFleet:
 		l.fleetNews(e.job)
+	case newsKept:
+		e.then()
 	default:
 		l.lined(e)
 	}
@@ -321,6 +328,7 @@
 		case dueSweep:
 			l.sweep(d.at)
 			l.sweepWires()
+			l.sweepKept()
 			l.due.set(l.now+l.lim.Sweep, dueSweep, 0)
 		case dueKey:
 			for _, h := range l.keys.expire(d.who, l.now, &l.due) {
@@ -328,6 +336,8 @@
 			}
 		case dueLeave:
 			l.leave()
+		case dueKept:
+			l.keptLate(d.who)
 		case dueFleet: // whatever has come is seen by steer
 		}
 	}
@@ -369,6 +379,7 @@
 	l.next().Drain, l.next().Kill = true, l.kill
 	l.Health(false)
 	l.due.set(l.now, dueLeave, 0)
+	l.keptLeaves()
 }
 
 // leave sees whether nobody sends here any more, or the kill is near: then idle connections are closed, what
--- a/internal/backend/req.go
+++ b/internal/backend/req.go
@@ -42,7 +42,8 @@
 	conn     handle
 	close    bool // its connection is not to be used again
 	handler  int
-	buf      *buffer // the message, of which body is a part
+	kept     *keptReq // nil: its end is not kept
+	buf      *buffer  // the message, of which body is a part
 	body     []byte
 	key      string // of repeats; empty if it has none
 	came     admission.Time
@@ -124,22 +125,38 @@
 		r.due = came + hd.Timeout
 	}
 	c.open = h
+	if l.kept != nil && hd.Repeat == admission.Uniqued {
+		r.kept = keptName(name, q.OnceKey, q.Body)
+	}
 	l.tasks[r.task] = h
 	l.count.Reqs++
 	if q.Again {
 		l.count.Again++
 	}
 	l.trace(r, "came %.1f ms ago, handler %s, sender %d, again %v", inMS(l.now-came), name, q.SentBy, q.Again)
-	l.next().Arrived = append(l.next().Arrived, admission.Req{ID: uint32(h), Handler: i,
-		Tenant: tenant, Came: came, Due: due, Hint: admission.Time(q.Estimate * 10),
-		KB: q.KB, Again: q.Again, Caller: q.SentBy})
 	if l.fleet != nil {
 		l.fleet.meter.Came(steadyMS(), i, q.Again, false)
-		l.fleet.rec.Came(l.now, &l.next().Arrived[len(l.next().Arrived)-1])
 	}
+	admit := admission.Req{ID: uint32(h), Handler: i, Tenant: tenant, Came: came, Due: due,
+		Hint: admission.Time(q.Estimate * 10), KB: q.KB, Again: q.Again, Caller: q.SentBy}
+	if r.kept != nil {
+		r.kept.admit = admit
+		if l.keptWord(h, r) {
+			return 0
+		}
+	}
+	l.admit(&admit)
 	return 0
 }
 
+// admit has the module hear of a req in the next round.
+func (l *loop) admit(q *admission.Req) {
+	l.next().Arrived = append(l.next().Arrived, *q)
+	if l.fleet != nil {
+		l.fleet.rec.Came(l.now, q)
+	}
+}
+
 // bad counts and logs what is no request for this server; it never comes before the module.
 func (l *loop) bad(format string, args ...any) int {
 	l.count.Bad++
@@ -213,7 +230,6 @@
 	l.count.Ends++
 	l.dropCall(h, r)
 	l.spent = append(l.spent, h)
-	wait := l.keys.ended(r.key, uint32(h), how == admission.OK, result)
 	l.next().Ended = append(l.next().Ended,
 		admission.End{ID: uint32(h), How: how, Ran: admission.Time(ms * 10)})
 	if l.fleet != nil && (how == admission.OK || how == admission.Errored) {
@@ -222,8 +238,16 @@
 	if l.fleet != nil && how == admission.OK {
 		l.fleet.rec.Ran(uint32(h), admission.Time(ms*10))
 	}
+	ok := how == admission.OK
+	if r.kept != nil {
+		var waits bool
+		if waits, ok = l.keptEnd(h, r, how, result); waits {
+			return
+		}
+	}
+	wait := l.keys.ended(r.key, uint32(h), ok, result)
 	switch {
-	case how == admission.OK:
+	case ok:
 		l.answer(h, r, proto.Answer{Status: 200, Body: result})
 	case how == admission.Unrun:
 		l.answer(h, r, proto.Answer{Status: 400})
@@ -231,7 +255,7 @@
 		l.answer(h, r, proto.Answer{Status: 500})
 	}
 	for _, k := range wait {
-		l.shareEnded(k, how == admission.OK, result)
+		l.shareEnded(k, ok, result)
 	}
 }
 
@@ -275,6 +299,8 @@
 	r := l.reqs.get(handle(id))
 	switch {
 	case r == nil || r.run != runNot && !r.paused:
+	case r.paused && r.kept != nil && r.kept.stand == keptIntends:
+		r.run, r.paused = runGoes, false
 	case r.paused && l.prof.Stop == admission.StopPause:
 		r.run = runGoes
 		l.resched(r)
@@ -283,6 +309,10 @@
 		l.count.Runs++
 		l.trace(r, "run")
 		l.keys.runs(r.key, id)
+		if r.kept != nil {
+			l.intend(handle(id), r)
+			return
+		}
 		l.sched(r)
 	}
 }
@@ -291,8 +321,9 @@
 	if r := l.reqs.get(handle(id)); r != nil && r.run == runGoes {
 		l.trace(r, "pause")
 		l.count.Pauses++
-		r.paused = true
-		l.preempt(r)
+		if r.paused = true; r.kept == nil || r.kept.stand != keptIntends { // else it is told with the run
+			l.preempt(r)
+		}
 	}
 }
 
--- a/internal/cli/kept_test.go
+++ b/internal/cli/kept_test.go
@@ -47,6 +47,9 @@
 		t.Errorf("expected two keys in\n%s", out)
 	}
 	want(t, 0, `"states": {`, "kept", "stat", dir, "--json")
+	want(t, 0, "whole: 5 records, 4 keys, 2 that may have run", "kept", "verify", dir)
+	want(t, 0, "bytes", "kept", "compact", dir)
+	want(t, 0, "whole: 5 records", "kept", "verify", dir) // every window goes on
 	logs, _ := filepath.Glob(filepath.Join(dir, "*.seg"))
 	raw, err := os.ReadFile(logs[0])
 	if err != nil {
@@ -57,6 +60,8 @@
 		t.Fatal(err)
 	}
 	want(t, 1, "damaged", "kept", "stat", dir)
+	want(t, 1, "damaged", "kept", "verify", dir)
+	want(t, 1, "damaged", "kept", "compact", dir)
 	if is, _ := os.ReadFile(logs[0]); string(is) != string(raw) {
 		t.Error("a damaged folder was changed")
 	}
--- a/internal/cli/lab.go
+++ b/internal/cli/lab.go
@@ -15,7 +15,8 @@
 
 func newLab() *cobra.Command {
 	c := &cobra.Command{Use: "lab", Short: "The laboratory: the real code under faults and load"}
-	c.AddCommand(newLabRaft(), newLabPools(), newLabPolicy(), newLabZones(), newLabComeback())
+	c.AddCommand(newLabRaft(), newLabPools(), newLabPolicy(), newLabZones(), newLabComeback(),
+		newLabKept())
 	return c
 }
 
@@ -91,6 +92,41 @@
 	return c
 }
 
+func newLabKept() *cobra.Command {
+	r := &lab.KeptLab{}
+	c := &cobra.Command{Use: "kept", Short: "Keyed results: a node killed over and over while callers repeat their keys", Args: exact(0),
+		Long: `Nodes with [kept], each with an emulated kernel that outlives it and counts runs by key, and callers that repeat
+their keys inside the window and outside. Each is killed with SIGKILL at named points and at random ones, at times in its
+start, sometimes with part of a write left at its log's end, and started again on its folder. Then what a uniqued req costs
+beside one that is kept in memory alone. The last line says "kept: kept" or "kept: broken: WHAT"; a broken promise is exit
+status 1.`,
+		RunE: func(cmd *cobra.Command, _ []string) error {
+			if r.Without != "" && !slices.Contains(lab.KeptGuards, r.Without) {
+				return usage(fmt.Errorf("--without: found %q, expected one of %v", r.Without, lab.KeptGuards))
+			}
+			if r.Only != "" && r.Only != "kills" && r.Only != "costs" {
+				return usage(fmt.Errorf("--only: found %q, expected kills or costs", r.Only))
+			}
+			var err error
+			if r.Program, err = os.Executable(); err != nil {
+				return err
+			}
+			rep, err := r.Run(cmd.Context(), cmd.OutOrStdout())
+			if err == nil && rep.Broken != "" {
+				err = errors.New("a promise was broken")
+			}
+			return err
+		}}
+	f := c.Flags()
+	f.Int64Var(&r.Seed, "seed", 1, "all chance comes from it, but for what processes do at one time")
+	f.BoolVar(&r.Quick, "quick", false, "under 50 s on four cores")
+	f.IntVar(&r.Kills, "kills", 0, "kills in all; 0 for 120 with --quick, 5000 without")
+	f.StringVar(&r.Out, "out", "", "folder for report.html and result.json")
+	f.StringVar(&r.Only, "only", "", "kills or costs")
+	f.StringVar(&r.Without, "without", "", "a guard taken out of the node: "+strings.Join(lab.KeptGuards, ", "))
+	return c
+}
+
 func newLabPools() *cobra.Command {
 	r := &lab.Pools{}
 	c := &cobra.Command{Use: "pools", Short: "Pools of run slots: scenarios of overload in virtual time, four ways side by side",
--- /dev/null
+++ b/internal/kept/salvage_test.go
@@ -0,0 +1,106 @@
+package kept
+
+import (
+	"bytes"
+	"errors"
+	"fmt"
+	"math/rand"
+	"strings"
+	"testing"
+
+	"umberwinch/internal/wal"
+)
+
+// TestSalvage: bits of a log turn over, and its being written anew is interrupted at any step. What can be read is known as
+// before; no further try of any key runs for a window, and a key's result is its own or none.
+func TestSalvage(t *testing.T) {
+	const window, keys = 5000, 120
+	sizes := wal.Sizes{Segment: 2048, Bound: 1 << 20}
+	room := Bounds{Entries: 500, Bytes: 1 << 19, Result: 64, Window: window}
+	lost, whole, cuts := 0, 0, 0
+	for seed := int64(1); seed <= 200; seed++ {
+		r := rand.New(rand.NewSource(seed))
+		disk, now := wal.NewMem(), uint64(1000)
+		s, b, _, err := Open(disk, sizes, room, now, "boot")
+		if err != nil {
+			t.Fatal(err)
+		}
+		put := func(rec Record) {
+			done := make(chan error, 1)
+			s.Put(rec, func(place uint64, err error) { b.Durable(&rec, place); done <- err })
+			if err := <-done; err != nil {
+				t.Fatal(err)
+			}
+		}
+		for k := range keys {
+			now += uint64(r.Intn(10))
+			put(b.Intend(now, key(k), 1, window))
+			if k%10 == 0 {
+				continue // it may have run
+			}
+			rec, _ := b.Ran(now, key(k), k%10 != 1, []byte(fmt.Sprint("result ", k)))
+			put(rec)
+		}
+		s.Close()
+		var segs []string
+		names, _ := disk.List()
+		for _, n := range names {
+			if strings.HasSuffix(n, ".seg") {
+				segs = append(segs, n)
+			}
+		}
+		for range 1 + r.Intn(3) { // not in the last one: what stands there may be a torn tail
+			disk.Flip(segs[r.Intn(len(segs)-1)], int64(r.Intn(1500)), byte(1<<r.Intn(8)))
+		}
+		for cut := 0; r.Intn(3) > 0; cut++ { // its start dies at some step
+			left := r.Intn(60)
+			disk.Hook = func(string, string) (int, error) {
+				if left--; left < 0 {
+					return 0, errors.New("killed")
+				}
+				return 0, nil
+			}
+			s, _, _, err = Open(disk, sizes, room, now, "boot")
+			disk.Hook = nil
+			if err == nil {
+				s.Close()
+				break
+			}
+			cuts++
+			disk = disk.Crash(r.Intn)
+		}
+		boots := [2]string{"boot", fmt.Sprint("boot ", seed%2)} // the machine may have been restarted, too
+		for life, boot := range boots {
+			if boot != "boot" {
+				now = 10
+			}
+			s, b, _, err = Open(disk, sizes, room, now, boot)
+			if err != nil {
+				t.Fatalf("seed %d, life %d: %v", seed, life, err)
+			}
+			if !b.Doubts(now) || !b.Doubts(now+window-1) && boot == "boot" || b.Doubts(now+window) {
+				t.Fatalf("seed %d, life %d: further tries are not doubted for a window: %d at %d", seed, life, b.doubt, now)
+			}
+			for k := range keys {
+				v, place := b.Try(now, key(k), 1)
+				switch {
+				case v == Run:
+					lost++ // no first try comes of what was one before
+				case v == Answer:
+					got, err := s.Result(place)
+					if err != nil || !bytes.Equal(got, []byte(fmt.Sprint("result ", k))) {
+						t.Fatalf("seed %d: key %d has %q, %v", seed, k, got, err)
+					}
+					whole++
+				case v != Err:
+					t.Fatalf("seed %d: key %d gets %s", seed, k, v)
+				}
+			}
+			s.Close()
+		}
+	}
+	t.Logf("%d results whole, %d keys lost, %d starts cut short", whole, lost, cuts)
+	if lost == 0 || lost > whole/20 || cuts < 50 {
+		t.Errorf("%d results whole, %d keys lost, %d starts cut short: too little was damaged, or too much lost", whole, lost, cuts)
+	}
+}
--- a/internal/kept/store.go
+++ b/internal/kept/store.go
@@ -25,6 +25,8 @@
 	bad  error // why nothing can be written at present
 	gone bool
 
+	Each  bool   // a sync for each record, for measurements
+	Point func() // called before each write, for the laboratory; nil: none
 	jobs  chan job
 	ended chan struct{}
 	work  sync.WaitGroup // a reopening
@@ -50,6 +52,8 @@
 // ErrBusy says that as many records wait for the disk as may.
 var ErrBusy = errors.New("too many records wait for the disk")
 
+var errSalvaging = errors.New("a damaged log is being written anew: a node's start ends that")
+
 // Opened tells what a start found.
 type Opened struct {
 	Records int
@@ -58,6 +62,7 @@
 	Same    bool // the clock goes on from the life before
 	Torn    string
 	Took    time.Duration
+	Gaps    int // places of a damaged log that can't be read; what stands elsewhere was written anew
 }
 
 // load reads a folder's log into a book.
@@ -67,6 +72,9 @@
 		return nil, nil, o, err
 	}
 	began := time.Now()
+	if going, err := wal.Salvaging(fs); err != nil || going {
+		return nil, nil, o, errors.Join(err, errSalvaging)
+	}
 	log, found, err := wal.Open(fs, sizes)
 	if err != nil {
 		return nil, nil, o, err
@@ -77,7 +85,7 @@
 		r, err := ReadRecord(data)
 		if err == nil {
 			o.Records++
-			err = book.Replay(now, o.Same, &r, number)
+			err = book.Replay(&r, number)
 		}
 		if err != nil {
 			return fmt.Errorf("entry %d: %w", number, err)
@@ -86,6 +94,7 @@
 	}); err != nil {
 		return nil, nil, o, errors.Join(err, log.Close())
 	}
+	book.Resume(now, o.Same)
 	book.Each(now, func(_ Key, state State, _ uint64) {
 		if o.Keys++; state == May {
 			o.May++
@@ -98,12 +107,14 @@
 // Open reads a folder, or begins one. now is ms of a clock that goes on while the process is stopped, boot names what it
 // counts from: where the folder has another, the times in it mean nothing here.
 func Open(fs wal.FS, sizes wal.Sizes, bounds Bounds, now uint64, boot string) (*Store, *Book, Opened, error) {
-	log, book, o, err := load(fs, sizes, bounds, now, boot)
-	if err != nil {
+	log, book, o, gaps, err := start(fs, sizes, bounds, now, boot)
+	if o.Gaps = gaps; err != nil {
 		return nil, nil, o, err
 	}
 	if !o.Same {
-		if _, err = log.Commit(wal.Batch{Marks: []wal.Mark{{Kind: markBoot, Data: []byte(boot)}}}); err != nil {
+		first := Record{Kind: Boot, At: now}
+		if _, err = log.Commit(wal.Batch{Entries: [][]byte{first.Append(nil)}, Marks: []wal.Mark{{Kind: markBoot,
+			Data: []byte(boot)}}}); err != nil {
 			return nil, nil, o, errors.Join(err, log.Close())
 		}
 	}
@@ -112,6 +123,81 @@
 	return s, book, o, nil
 }
 
+// start reads a folder, and salvages what can be of one that is damaged.
+func start(fs wal.FS, sizes wal.Sizes, bounds Bounds, now uint64, boot string) (*wal.Log, *Book, Opened, int, error) {
+	if err := bounds.Valid(); err != nil {
+		return nil, nil, Opened{}, 0, err
+	}
+	left, err := wal.Aside(fs, false)
+	if err != nil {
+		return nil, nil, Opened{}, 0, err
+	}
+	if !left {
+		log, book, o, err := load(fs, sizes, bounds, now, boot)
+		if damage := (*wal.Damage)(nil); !errors.As(err, &damage) {
+			return log, book, o, 0, err
+		}
+		if _, err = wal.Aside(fs, true); err != nil {
+			return nil, nil, o, 0, err
+		}
+	}
+	gaps, err := salvage(fs, sizes, bounds, now, boot)
+	if err != nil {
+		return nil, nil, Opened{}, gaps, fmt.Errorf("what is left of a damaged log can't be written anew: %w", err)
+	}
+	log, book, o, err := load(fs, sizes, bounds, now, boot)
+	return log, book, o, gaps, err
+}
+
+// salvage writes anew what can be read of a damaged log. A gap may have been the record of another boot's clock: windows go on
+// from the record before it at the one behind, which is never too early. Behind all stands that something is missing.
+func salvage(fs wal.FS, sizes wal.Sizes, bounds Bounds, now uint64, boot string) (gaps int, err error) {
+	log, _, err := wal.Open(fs, sizes)
+	if err != nil {
+		return 0, err
+	}
+	var batch [][]byte
+	flush := func(marks ...wal.Mark) error {
+		_, err := log.Commit(wal.Batch{Entries: batch, Marks: marks})
+		batch = batch[:0]
+		return err
+	}
+	lost, gap := 0, false
+	gaps, err = wal.Salvage(fs, func(s wal.Salvaged) error {
+		switch {
+		case s.Gap:
+			gap = true
+			return nil
+		case s.Mark:
+			return nil
+		}
+		r, err := ReadRecord(s.Data)
+		if err != nil {
+			gap, lost = true, lost+1
+			return nil
+		}
+		if gap {
+			gap = false
+			first := Record{Kind: Boot, At: r.At}
+			batch = append(batch, first.Append(nil))
+		}
+		if batch = append(batch, bytes.Clone(s.Data)); len(batch) < batchMost {
+			return nil
+		}
+		return flush()
+	})
+	gaps += lost
+	if err == nil {
+		here, doubt := Record{Kind: Boot, At: now}, Record{Kind: Doubt, At: now, Window: bounds.Window}
+		batch = append(batch, here.Append(nil), doubt.Append(nil))
+		err = flush(wal.Mark{Kind: markBoot, Data: []byte(boot)})
+	}
+	if err = errors.Join(err, log.Close()); err != nil {
+		return gaps, err
+	}
+	return gaps, wal.SalvageDone(fs)
+}
+
 // Inspect reads a folder that no node uses, as a start would, and lets go of it: what each key's state would be, and the bytes
 // on disk.
 func Inspect(fs wal.FS, sizes wal.Sizes, bounds Bounds, now uint64, boot string) (*Book, Opened, int64, error) {
@@ -123,6 +209,26 @@
 	return book, o, used, log.Close()
 }
 
+// Compact lets go of what is over in a folder that no node uses, as a node does by and by: whole segments, from the front.
+func Compact(fs wal.FS, sizes wal.Sizes, bounds Bounds, now uint64, boot string) (before, after int64, err error) {
+	log, book, o, err := load(fs, sizes, bounds, now, boot)
+	if err != nil {
+		return 0, 0, err
+	}
+	before = log.Usage()
+	if o.Same { // in another boot each window has only just begun
+		first := uint64(0)
+		for first == 0 {
+			_, first = book.Age(now, log.Next())
+		}
+		if first > log.First() {
+			err = log.Release(min(first, log.Next()) - 1)
+		}
+	}
+	after = log.Usage()
+	return before, after, errors.Join(err, log.Close())
+}
+
 // Clock gives ms of the clock that windows run by, and names the boot that it counts from.
 func Clock() (now uint64, boot string, err error) {
 	var t unix.Timespec
@@ -155,7 +261,7 @@
 	for j := range s.jobs {
 		batch = append(batch[:0], j)
 	more:
-		for len(batch) < batchMost {
+		for len(batch) < batchMost && !s.Each {
 			select {
 			case k, open := <-s.jobs:
 				if !open {
@@ -170,6 +276,9 @@
 		for i := range batch {
 			b.Entries[i] = batch[i].rec.Append(nil)
 		}
+		if s.Point != nil {
+			s.Point()
+		}
 		first, err := s.commit(b)
 		for i := range batch {
 			batch[i].done(first+uint64(i), err)
--- /dev/null
+++ b/internal/lab/kept.go
@@ -0,0 +1,529 @@
+package lab
+
+import (
+	"bytes"
+	"context"
+	"fmt"
+	"io"
+	"math/rand"
+	"net"
+	"net/http"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"slices"
+	"strconv"
+	"strings"
+	"sync"
+	"time"
+
+	"github.com/HdrHistogram/hdrhistogram-go"
+)
+
+// kept.go kills a node that keeps results, over and over, at named points and at random ones, and starts it again on its
+// folder, while clients repeat their keys at random. The emulated kernel outlives it and counts runs by key.
+
+// KeptLab is `lab kept`.
+type KeptLab struct {
+	Seed    int64
+	Quick   bool
+	Kills   int
+	Out     string
+	Only    string // "kills" or "costs"; empty: both
+	Without string
+	Program string
+}
+
+// KeptGuards can be taken out of the node; with one of them the run ends broken.
+var KeptGuards = []string{"proof", "intent", "result"}
+
+// keptPoints are where a node can be told to die.
+var keptPoints = []string{"intent", "sync", "durable", "sched", "reap", "result", "answer"}
+
+// A short window, so that repeats come inside it and outside; a run takes some ms.
+const (
+	keptWindow  = 1500 * time.Millisecond
+	keptClients = 4
+	keptRepeat  = 0.6
+	keptSlack   = 300 * time.Millisecond
+	keptClasses = `cores 4
+tenants 1
+class view work=1 share=1 tail=0 target=300 timeout=1500 value=1
+class submit work=3 share=1 tail=0.5 target=600 timeout=1500 value=20
+cheapest view
+dearest submit`
+)
+
+// keptRun is one run that the kernel began.
+type keptRun struct {
+	at     time.Time
+	result string
+}
+
+// keptRig is one node, killed over and over.
+type keptRig struct {
+	dir, listen     string
+	program         string
+	env             []string
+	kernel          *Kernel
+	control         net.Listener
+	client          *http.Client
+	chance          *rand.Rand
+	mu              sync.Mutex
+	runs            map[string][]keptRun
+	told            map[string]time.Time // when a result was told last
+	life            int                  // counts deaths
+	up              bool
+	broken          string
+	kills, torn     int
+	at              string // the one point at which it dies; empty: any, and at random
+	points          map[string]int
+	asked, answered int
+	done, repeats   int
+	cut, unsent     int
+	errored, shed   int
+	seq             int
+}
+
+func newKeptRig(dir, program string, seed int64, window time.Duration, own, without string) (*keptRig, error) {
+	r := &keptRig{dir: dir, program: program, listen: loopback(8080), runs: map[string][]keptRun{}, told: map[string]time.Time{},
+		points: map[string]int{},
+		chance: rand.New(rand.NewSource(seed)), client: &http.Client{Timeout: 4 * time.Second,
+			Transport: &http.Transport{MaxIdleConnsPerHost: 64, IdleConnTimeout: 5 * time.Second}}}
+	s, err := readScenario("kept", keptClasses)
+	if err != nil {
+		return nil, err
+	}
+	if r.kernel, err = NewKernel(loopback(7400), seed, float64(s.cores), s.classes, kernelStep); err != nil {
+		return nil, err
+	}
+	r.kernel.begins = r.begins
+	if r.control, err = net.Listen("tcp", loopback(7500)); err != nil {
+		return nil, err
+	}
+	go http.Serve(r.control, http.HandlerFunc(func(w http.ResponseWriter, q *http.Request) {
+		io.Copy(io.Discard, q.Body)
+		w.WriteHeader(http.StatusNoContent)
+	}))
+	raw, err := nodeConfig("kept", r.listen, r.kernel.ln.Addr().String(), "", r.control.Addr().String(), s.cores, s.tenants,
+		s.classes, "submit")
+	if err != nil {
+		return nil, err
+	}
+	raw = bytes.Replace(raw, []byte(`"window":20000000`), []byte(fmt.Sprintf(`"window":%d`, window.Microseconds())), 1)
+	folder := filepath.Join(dir, "folder")
+	if err = os.MkdirAll(folder, 0o700); err != nil {
+		return nil, err
+	}
+	if own != "" {
+		own = strings.ReplaceAll(own, "DIR", folder)
+	}
+	if err = os.WriteFile(filepath.Join(dir, "node.json"), raw, 0o600); err != nil {
+		return nil, err
+	}
+	r.env = append(os.Environ(), "NODE_CONFIG="+filepath.Join(dir, "node.json"), "UMBERWINCH_FILE="+filepath.Join(dir, "node.ini"))
+	if without != "" {
+		r.env = append(r.env, WithoutEnv+"=kept-"+without)
+	}
+	return r, os.WriteFile(filepath.Join(dir, "node.ini"), []byte("[log]\nform = json\nfrom = warning\n"+own), 0o600)
+}
+
+func (r *keptRig) close() {
+	r.kernel.Close()
+	r.control.Close()
+	r.client.CloseIdleConnections()
+}
+
+// begins is told each run by the kernel, and holds it against those before.
+func (r *keptRig) begins(body []byte) []byte {
+	key, now := string(body), time.Now()
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	before := r.runs[key]
+	if n := len(before); n > 0 && now.Sub(before[n-1].at) < keptWindow {
+		r.fail("%s ran again %v after its last run began, expected %v at least", key, now.Sub(before[n-1].at), keptWindow)
+	}
+	result := fmt.Sprintf("%s#%d\x00\xff", key, len(before)+1)
+	r.runs[key] = append(before, keptRun{now, result})
+	return []byte(result)
+}
+
+func (r *keptRig) fail(format string, args ...any) {
+	if r.broken == "" {
+		r.broken = fmt.Sprintf(format, args...)
+	}
+}
+
+// start runs the node; die names a point and a count, or is empty.
+func (r *keptRig) start(die string) (*exec.Cmd, chan struct{}, error) {
+	program, args := filepath.Join(filepath.Dir(r.program), "umberwinch"), []string{}
+	if _, err := os.Stat(program); err != nil {
+		program, args = r.program, []string{"node"}
+	}
+	cmd := exec.Command(program, args...)
+	cmd.Env = append(slices.Clip(r.env), "UMBERWINCH_DIE_AT="+die)
+	log, err := os.OpenFile(filepath.Join(r.dir, "node.log"), os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o600)
+	if err != nil {
+		return nil, nil, err
+	}
+	defer log.Close()
+	cmd.Stderr = log
+	if err = cmd.Start(); err != nil {
+		return nil, nil, err
+	}
+	ended := make(chan struct{})
+	go func() { cmd.Wait(); close(ended) }()
+	return cmd, ended, nil
+}
+
+// send is one try. code 0: no answer came; read tells whether the node may have read it.
+func (r *keptRig) send(ctx context.Context, class, key string, again bool) (code int, body string, read bool) {
+	req, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+r.listen+"/rpc/"+class, strings.NewReader(key))
+	if err != nil {
+		return 0, "", false
+	}
+	for k, v := range map[string]string{"Request-Id": newKey()[:16], "Sent-By": "1", "Account": "t0", "Footprint-Kb": "8.0",
+		"Received-At": strconv.FormatInt(time.Now().UnixMilli(), 10), "Priority-Rank": "0.5000"} {
+		req.Header.Set(k, v)
+	}
+	if class == "submit" {
+		req.Header.Set("Once-Key", key)
+	}
+	if again {
+		req.Header.Set("Attempt-Again", "1")
+	}
+	res, err := r.client.Do(req)
+	if err != nil {
+		return 0, "", !strings.Contains(err.Error(), "connection refused")
+	}
+	defer res.Body.Close()
+	raw, err := io.ReadAll(res.Body)
+	if err != nil {
+		return 0, "", true
+	}
+	return res.StatusCode, string(raw), true
+}
+
+// caller asks until the context ends: new keys, and old ones again, inside the window and outside.
+func (r *keptRig) caller(ctx context.Context, chance *rand.Rand, name string) {
+	var mine []string
+	for n := 0; ctx.Err() == nil; n++ {
+		r.mu.Lock()
+		life, up := r.life, r.up
+		r.mu.Unlock()
+		if !up {
+			time.Sleep(2 * time.Millisecond)
+			continue
+		}
+		key, again := fmt.Sprintf("%s-%d", name, n), false
+		if len(mine) > 0 && chance.Float64() < keptRepeat {
+			back := int(chance.ExpFloat64() * 8)
+			if chance.Float64() < 0.05 { // long ago, most often outside the window
+				back = chance.Intn(len(mine))
+			}
+			key, again = mine[max(0, len(mine)-1-back)], true
+		} else {
+			mine = append(mine, key)
+		}
+		began := time.Now()
+		code, body, read := r.send(ctx, "submit", key, again)
+		if ctx.Err() != nil {
+			return
+		}
+		took := time.Since(began)
+		for end := time.Now().Add(2 * time.Second); code == 0 && read && time.Now().Before(end); time.Sleep(time.Millisecond) {
+			if r.mu.Lock(); r.life != life { // its death is seen only now
+				end = time.Time{}
+			}
+			r.mu.Unlock()
+		}
+		r.note(life, key, code, body, again, read, took)
+	}
+}
+
+// note holds an answer against what ran.
+func (r *keptRig) note(life int, key string, code int, body string, again, read bool, took time.Duration) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.asked++
+	switch code {
+	case 0:
+		if r.cut++; !read {
+			r.cut, r.unsent = r.cut-1, r.unsent+1
+		}
+		if r.life == life && r.up && read {
+			r.fail("%s got no answer, and its node was not killed", key)
+		}
+		return
+	case http.StatusOK:
+		r.done++
+		if again {
+			r.repeats++
+		}
+		if !slices.ContainsFunc(r.runs[key], func(o keptRun) bool { return o.result == body }) {
+			r.fail("%s was answered by %q, which no run of it gave", key, body)
+		}
+		r.told[key] = time.Now()
+	case http.StatusServiceUnavailable:
+		r.shed++
+	case http.StatusInternalServerError:
+		r.errored++
+		// One that waited for the disk until it was due is errored too, whatever is known.
+		if since := time.Since(r.told[key]); since < keptWindow-keptSlack && took < keptSlack {
+			r.fail("%s was errored %v after its result was told", key, since)
+		}
+	default:
+		r.fail("%s was answered %d", key, code)
+	}
+	r.answered++
+}
+
+// tear leaves part of a write that was never synced at the log's end.
+func (r *keptRig) tear() error {
+	logs, _ := filepath.Glob(filepath.Join(r.dir, "folder", "*.seg"))
+	if len(logs) == 0 {
+		return nil
+	}
+	slices.Sort(logs)
+	f, err := os.OpenFile(logs[len(logs)-1], os.O_APPEND|os.O_WRONLY, 0o600)
+	if err != nil {
+		return err
+	}
+	defer f.Close()
+	part := make([]byte, 1+r.chance.Intn(200))
+	r.chance.Read(part)
+	_, err = f.Write(part)
+	r.torn++
+	return err
+}
+
+// play kills so many times.
+func (r *keptRig) play(ctx context.Context, kills int) error {
+	ctx, end := context.WithCancel(ctx)
+	var callers sync.WaitGroup
+	for i := range keptClients {
+		callers.Add(1)
+		chance := rand.New(rand.NewSource(r.chance.Int63()))
+		go func() { defer callers.Done(); r.caller(ctx, chance, fmt.Sprintf("%c", 'a'+i)) }()
+	}
+	defer callers.Wait()
+	defer end()
+	for r.kills < kills && ctx.Err() == nil && r.broken == "" {
+		die, at := "", time.Duration(0)
+		switch x := r.chance.Float64(); {
+		case x < 0.6 || r.at != "":
+			point := r.at
+			if point == "" {
+				point = keptPoints[r.chance.Intn(len(keptPoints))]
+			}
+			die = fmt.Sprintf("%s:%d", point, 1+r.chance.Intn(20))
+			r.points[point]++
+		case x < 0.7: // in the middle of its start
+			at = time.Duration(r.chance.Intn(15_000)) * time.Microsecond
+		default:
+			at = time.Duration(30+r.chance.Intn(170)) * time.Millisecond
+		}
+		cmd, ended, err := r.start(die)
+		if err != nil {
+			return err
+		}
+		r.mu.Lock()
+		r.up = true
+		r.mu.Unlock()
+		wait := time.After(at)
+		if die != "" {
+			wait = time.After(3 * time.Second) // so many runs may not come
+		}
+		select {
+		case <-ended:
+			if at > 0 {
+				return fmt.Errorf("the node ended by itself; the end of its log: %s", r.tail())
+			}
+		case <-wait:
+		case <-ctx.Done():
+		}
+		r.mu.Lock()
+		r.life, r.up = r.life+1, false
+		r.mu.Unlock()
+		cmd.Process.Kill()
+		<-ended
+		r.kills++
+		if r.chance.Float64() < 0.2 {
+			if err = r.tear(); err != nil {
+				return err
+			}
+		}
+	}
+	return ctx.Err()
+}
+
+func (r *keptRig) tail() string {
+	raw, _ := os.ReadFile(filepath.Join(r.dir, "node.log"))
+	return string(raw[max(0, len(raw)-600):])
+}
+
+// keptRigs at one time: a life is mostly waits.
+const keptRigs = 6
+
+// Run plays all and writes the report.
+func (k *KeptLab) Run(ctx context.Context, w io.Writer) (*Report, error) {
+	if k.Kills == 0 {
+		if k.Kills = 5000; k.Quick {
+			k.Kills = 120
+		}
+	}
+	rep := &Report{Name: "kept", Title: "Keyed results across restarts", Head: []string{"case", "kills", "reqs", "done", "repeats done",
+		"errored", "shed", "cut by a kill", "torn"}}
+	if k.Only != "costs" {
+		if err := k.kills(ctx, rep); err != nil {
+			return nil, err
+		}
+	}
+	if k.Only != "kills" && k.Without == "" {
+		if err := k.costs(ctx, rep); err != nil {
+			return nil, err
+		}
+	}
+	if err := rep.Print(w); err != nil {
+		return nil, err
+	}
+	if k.Out != "" {
+		return rep, rep.Save(k.Out)
+	}
+	return rep, nil
+}
+
+func (k *KeptLab) kills(ctx context.Context, rep *Report) error {
+	rigs, errs := make([]*keptRig, keptRigs), make([]error, keptRigs)
+	var all sync.WaitGroup
+	for i := range rigs {
+		dir, err := os.MkdirTemp("", "kept-")
+		if err != nil {
+			return err
+		}
+		defer os.RemoveAll(dir)
+		if rigs[i], err = newKeptRig(dir, k.Program, k.Seed*100+int64(i), keptWindow, "[kept]\nfolder = DIR\nentries = 4000\nmb = 8\n",
+			k.Without); err != nil {
+			return err
+		}
+		defer rigs[i].close()
+		all.Add(1)
+		go func() { defer all.Done(); errs[i] = rigs[i].play(ctx, (k.Kills+keptRigs-1)/keptRigs) }()
+	}
+	all.Wait()
+	sum := &keptRig{points: map[string]int{}}
+	keys, runs := 0, 0
+	for i, r := range rigs {
+		if errs[i] != nil {
+			return errs[i]
+		}
+		if r.broken != "" {
+			rep.Break("node %d, kill %d: %s", i+1, r.kills, r.broken)
+		}
+		sum.kills, sum.asked, sum.done, sum.repeats = sum.kills+r.kills, sum.asked+r.asked-r.unsent, sum.done+r.done, sum.repeats+r.repeats
+		sum.errored, sum.shed, sum.cut, sum.torn = sum.errored+r.errored, sum.shed+r.shed, sum.cut+r.cut, sum.torn+r.torn
+		for _, o := range r.runs {
+			keys, runs = keys+1, runs+len(o)
+		}
+		for p, n := range r.points {
+			sum.points[p] += n
+		}
+	}
+	rep.Rows = append(rep.Rows, []string{"kills", fmt.Sprint(sum.kills), fmt.Sprint(sum.asked), fmt.Sprint(sum.done), fmt.Sprint(sum.repeats),
+		fmt.Sprint(sum.errored), fmt.Sprint(sum.shed), fmt.Sprint(sum.cut), fmt.Sprint(sum.torn)})
+	for _, p := range keptPoints {
+		rep.Add("kills_"+p, "%d", sum.points[p])
+	}
+	rep.Add("kills", "%d", sum.kills)
+	rep.Add("keys_run", "%d", keys)
+	rep.Add("runs_after_the_window", "%d", runs-keys)
+	rep.Add("repeats_done", "%d", sum.repeats)
+	if rep.Broken == "" && (sum.repeats == 0 || sum.done == 0) {
+		rep.Break("nothing was shown: %d done, %d repeats of them", sum.done, sum.repeats)
+	}
+	return nil
+}
+
+// keptWays are what is compared: what a uniqued req takes more, and what others notice of it.
+var keptWays = []struct{ name, own, without string }{{"kept, one sync for all that wait", "[kept]\nfolder = DIR\n", ""},
+	{"kept, a sync each", "[kept]\nfolder = DIR\n", "group"}, {"in memory", "", ""}}
+
+// costs has as many callers as the cores bear ask without a pause, uniqued reqs and others, in turn.
+func (k *KeptLab) costs(ctx context.Context, rep *Report) error {
+	span := 8 * time.Second
+	if k.Quick {
+		span = 2 * time.Second
+	}
+	for _, way := range keptWays {
+		for _, callers := range []int{1, 32} {
+			dir, err := os.MkdirTemp("", "kept-")
+			if err != nil {
+				return err
+			}
+			defer os.RemoveAll(dir)
+			r, err := newKeptRig(dir, k.Program, k.Seed, time.Minute, way.own, way.without)
+			if err != nil {
+				return err
+			}
+			if err = r.cost(ctx, rep, way.name, callers, span); err != nil {
+				return err
+			}
+		}
+	}
+	return nil
+}
+
+func (r *keptRig) cost(ctx context.Context, rep *Report, name string, callers int, span time.Duration) error {
+	defer r.close()
+	r.kernel.begins = nil
+	r.kernel.Set(func(classes map[string]*vclass, cores *float64) {
+		for _, c := range classes {
+			c.work, c.tail = 1, 0 // a tenth of a ms: what is measured is the node's own part
+		}
+		*cores = 1000
+	})
+	cmd, ended, err := r.start("")
+	if err != nil {
+		return err
+	}
+	defer func() { cmd.Process.Kill(); <-ended }()
+	for end := time.Now().Add(5 * time.Second); ; {
+		if code, _, _ := r.send(ctx, "submit", newKey(), false); code == http.StatusOK {
+			break
+		}
+		if time.Now().After(end) {
+			return fmt.Errorf("%s: the node is not ready after 5 s: %s", name, r.tail())
+		}
+		time.Sleep(5 * time.Millisecond)
+	}
+	for _, class := range []string{"submit", "view"} {
+		took, done := hdrhistogram.New(1, 10_000_000, 3), 0
+		var mu sync.Mutex
+		var all sync.WaitGroup
+		began := time.Now()
+		cpu, _ := cpuOf(cmd.Process.Pid)
+		for range callers {
+			all.Add(1)
+			go func() {
+				defer all.Done()
+				for time.Since(began) < span && ctx.Err() == nil {
+					at := time.Now()
+					code, _, _ := r.send(ctx, class, newKey(), false)
+					mu.Lock()
+					if code == http.StatusOK {
+						done++
+						took.RecordValue(time.Since(at).Microseconds())
+					}
+					mu.Unlock()
+				}
+			}()
+		}
+		all.Wait()
+		after, _ := cpuOf(cmd.Process.Pid)
+		key := fmt.Sprintf("%s, %d callers, %s", name, callers, class)
+		rep.Add(key, "%.0f a second, median %.2f ms, 99th %.2f ms, %.0f us of CPU each", float64(done)/time.Since(began).Seconds(),
+			float64(took.ValueAtQuantile(50))/1000, float64(took.ValueAtQuantile(99))/1000,
+			(after-cpu).Seconds()*1e6/float64(max(done, 1)))
+	}
+	return nil
+}
--- a/internal/lab/kernel.go
+++ b/internal/lab/kernel.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"encoding/base64"
 	"encoding/json"
 	"fmt"
 	"math"
@@ -28,7 +29,8 @@
 	at      time.Time
 	step    time.Duration // between looks at what has ended
 	stop    chan struct{}
-	calls   bool // each run calls below once, in the middle of its work
+	calls   bool                     // each run calls below once, in the middle of its work
+	begins  func(body []byte) []byte // told each run as it begins, and gives its result; nil: "done" for all
 	dead    bool
 }
 
@@ -37,6 +39,7 @@
 	call  float64 // it calls below when so much is left; 0: not, or not any more
 	away  bool    // it stands at that call
 	began time.Time
+	gives []byte
 }
 
 const (
@@ -191,6 +194,9 @@
 			if k.calls {
 				r.call = r.left / 2
 			}
+			if r.gives = []byte("done"); k.begins != nil {
+				r.gives = k.begins(m.Bytes)
+			}
 			k.runs[m.Task] = r
 			k.order = append(k.order, m.Task)
 		}
@@ -272,7 +278,7 @@
 	}
 	body := ""
 	if how == "OK" {
-		body = "ZG9uZQ==" // "done"
+		body = base64.StdEncoding.EncodeToString(r.gives)
 	}
 	k.tell(fmt.Sprintf("{\"verb\":\"REAP\",\"index\":%d,\"task\":%q,\"outcome\":%q,\"spent\":%.1f,\"bytes\":%q}\n",
 		k.first+len(k.notices), id, how, float64(time.Since(r.began))/float64(time.Millisecond), body))
--- a/internal/operator/node.go
+++ b/internal/operator/node.go
@@ -13,6 +13,7 @@
 	Pools   []Pool // none: no pools
 	Reserve bool   // the class with the least work takes a slot first while it waits
 	Fleet   *Fleet // nil: the node serves alone
+	Kept    *Kept  // nil: results outlast no restart
 
 	text *Text
 }
@@ -37,7 +38,7 @@
 func readNode(t *Text) (*Node, error) {
 	n := &Node{LogForm: t.Choice("log", "form", "text", "text", "json"),
 		LogFrom: t.Choice("log", "from", "info", "debug", "info", "warning", "error"),
-		Reserve: t.Flag("pools", "reserve", true), Fleet: readFleet(t), text: t}
+		Reserve: t.Flag("pools", "reserve", true), Fleet: readFleet(t), Kept: readKept(t), text: t}
 	floors := 0.0
 	for _, name := range t.Names("pool") {
 		s := "pool " + name
--- a/internal/operator/operator_test.go
+++ b/internal/operator/operator_test.go
@@ -123,6 +123,31 @@
 	}
 }
 
+// TestKeptSection: what the [kept] section of a node's file may say.
+func TestKeptSection(t *testing.T) {
+	dir := t.TempDir()
+	n, err := readNode(Parse("node.ini", []byte("[kept]\nfolder = "+dir+"\n")))
+	if err != nil || n.Kept.Folder != dir || n.Kept.Entries != 100_000 || n.Kept.MB != 512 || n.Kept.Result != 8<<10 {
+		t.Fatalf("%+v %v", n, err)
+	}
+	o, err := readNode(Parse("node.ini", nil))
+	if err != nil || o.Kept != nil || SameKept(n.Kept, o.Kept) || !SameKept(n.Kept, n.Kept) {
+		t.Errorf("without a section: %+v %v", o, err)
+	}
+	for text, want := range map[string]string{
+		"[kept]\n":                    "node.ini:1: kept.folder: found nothing",
+		"[kept]\nfolder = /no/such\n": "node.ini:2: kept.folder: found \"/no/such\"",
+		"[kept]\nfolder = " + dir + "\nentries = 4\n":              "node.ini:3: kept.entries: found \"4\"",
+		"[kept]\nfolder = " + dir + "\nmb = no\n":                  "node.ini:3: kept.mb: found \"no\"",
+		"[kept]\nfolder = " + dir + "\nmb = 1\nresult = 1000000\n": "node.ini:3: kept.mb: found 1, expected room",
+		"[kept]\nfolder = " + dir + "\nwindow = 2s\n":              "node.ini:3: kept.window: found a key that is not known",
+	} {
+		if _, err := readNode(Parse("node.ini", []byte(text))); err == nil || !strings.Contains(err.Error(), want) {
+			t.Errorf("%q: found %v, expected %q", text, err, want)
+		}
+	}
+}
+
 // TestFleetSection: what the [fleet] section of a node's file may say.
 func TestFleetSection(t *testing.T) {
 	n, err := readNode(Parse("node.ini", []byte("[fleet]\ncontrol = 127.0.0.1:7201, 127.0.0.1:7202\nzone = north\n")))
