--- a/internal/lab/kept.go
+++ b/internal/lab/kept.go
@@ -66,11 +66,13 @@
 	program         string
 	env             []string
 	kernel          *Kernel
+	store           *Store
 	control         net.Listener
 	client          *http.Client
 	chance          *rand.Rand
 	mu              sync.Mutex
 	runs            map[string][]keptRun
+	effects         map[string]int       // calls that the service below carried out, by key
 	told            map[string]time.Time // when a result was told last
 	life            int                  // counts deaths
 	up              bool
@@ -86,7 +88,7 @@
 }
 
 func newKeptRig(dir, program string, seed int64, window time.Duration, own, without string) (*keptRig, error) {
-	r := &keptRig{dir: dir, program: program, listen: loopback(8080), runs: map[string][]keptRun{}, told: map[string]time.Time{},
+	r := &keptRig{dir: dir, program: program, listen: loopback(8080), runs: map[string][]keptRun{}, told: map[string]time.Time{}, effects: map[string]int{},
 		points: map[string]int{},
 		chance: rand.New(rand.NewSource(seed)), client: &http.Client{Timeout: 4 * time.Second,
 			Transport: &http.Transport{MaxIdleConnsPerHost: 64, IdleConnTimeout: 5 * time.Second}}}
@@ -98,6 +100,10 @@
 		return nil, err
 	}
 	r.kernel.begins = r.begins
+	if r.store, err = NewStore(loopback(9042), seed, 8, 2*time.Millisecond, 1, 1); err != nil {
+		return nil, err
+	}
+	r.store.heard, r.kernel.calls = r.acts, true
 	if r.control, err = net.Listen("tcp", loopback(7500)); err != nil {
 		return nil, err
 	}
@@ -105,7 +111,7 @@
 		io.Copy(io.Discard, q.Body)
 		w.WriteHeader(http.StatusNoContent)
 	}))
-	raw, err := nodeConfig("kept", r.listen, r.kernel.ln.Addr().String(), "", r.control.Addr().String(), s.cores, s.tenants,
+	raw, err := nodeConfig("kept", r.listen, r.kernel.ln.Addr().String(), r.store.ln.Addr().String(), r.control.Addr().String(), s.cores, s.tenants,
 		s.classes, "submit")
 	if err != nil {
 		return nil, err
@@ -130,6 +136,7 @@
 
 func (r *keptRig) close() {
 	r.kernel.Close()
+	r.store.Close()
 	r.control.Close()
 	r.client.CloseIdleConnections()
 }
@@ -148,6 +155,16 @@
 	return []byte(result)
 }
 
+// acts is told each call that the service below carries out: an effect that nobody can take back, one a run at most.
+func (r *keptRig) acts(body []byte) {
+	key := string(body)
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.effects[key]++; r.effects[key] > len(r.runs[key]) {
+		r.fail("%s had its effect %d times in %d runs", key, r.effects[key], len(r.runs[key]))
+	}
+}
+
 func (r *keptRig) fail(format string, args ...any) {
 	if r.broken == "" {
 		r.broken = fmt.Sprintf(format, args...)
@@ -412,7 +429,7 @@
 	}
 	all.Wait()
 	sum := &keptRig{points: map[string]int{}}
-	keys, runs := 0, 0
+	keys, runs, effects := 0, 0, 0
 	for i, r := range rigs {
 		if errs[i] != nil {
 			return errs[i]
@@ -425,6 +442,9 @@
 		for _, o := range r.runs {
 			keys, runs = keys+1, runs+len(o)
 		}
+		for _, n := range r.effects {
+			effects += n
+		}
 		for p, n := range r.points {
 			sum.points[p] += n
 		}
@@ -437,6 +457,7 @@
 	rep.Add("kills", "%d", sum.kills)
 	rep.Add("keys_run", "%d", keys)
 	rep.Add("runs_after_the_window", "%d", runs-keys)
+	rep.Add("effects", "%d", effects)
 	rep.Add("repeats_done", "%d", sum.repeats)
 	if rep.Broken == "" && (sum.repeats == 0 || sum.done == 0) {
 		rep.Break("nothing was shown: %d done, %d repeats of them", sum.done, sum.repeats)
@@ -475,7 +496,7 @@
 
 func (r *keptRig) cost(ctx context.Context, rep *Report, name string, callers int, span time.Duration) error {
 	defer r.close()
-	r.kernel.begins = nil
+	r.kernel.begins, r.kernel.calls = nil, false
 	r.kernel.Set(func(classes map[string]*vclass, cores *float64) {
 		for _, c := range classes {
 			c.work, c.tail = 1, 0 // a tenth of a ms: what is measured is the node's own part
--- a/internal/lab/kept_test.go
+++ b/internal/lab/kept_test.go
@@ -44,6 +44,7 @@
 		play func(r *keptRig)
 	}{
 		{"a second run", func(r *keptRig) { r.begins([]byte("a")); r.begins([]byte("a")) }},
+		{"a second effect", func(r *keptRig) { r.begins([]byte("a")); r.acts([]byte("a")); r.acts([]byte("a")) }},
 		{"another's result", func(r *keptRig) { r.begins([]byte("a")); r.note(0, "b", 200, "a#1\x00\xff", true, true, 0) }},
 		{"a changed result", func(r *keptRig) { r.begins([]byte("a")); r.note(0, "a", 200, "a#1\x00", true, true, 0) }},
 		{"no answer", func(r *keptRig) { r.up = true; r.note(0, "a", 0, "", false, true, 0) }},
@@ -53,12 +54,12 @@
 		}},
 		{"an answer of no kind", func(r *keptRig) { r.note(0, "a", 404, "", false, true, 0) }},
 	} {
-		r := &keptRig{runs: map[string][]keptRun{}, told: map[string]time.Time{}}
+		r := &keptRig{runs: map[string][]keptRun{}, told: map[string]time.Time{}, effects: map[string]int{}}
 		if c.play(r); r.broken == "" {
 			t.Errorf("%s: not found", c.name)
 		}
 	}
-	r := &keptRig{runs: map[string][]keptRun{}, told: map[string]time.Time{}, up: true}
+	r := &keptRig{runs: map[string][]keptRun{}, told: map[string]time.Time{}, effects: map[string]int{}, up: true}
 	r.note(0, "a", 200, string(r.begins([]byte("a"))), false, true, 0)
 	r.note(0, "b", 0, "", false, false, 0)
 	r.life++
--- a/internal/lab/kernel.go
+++ b/internal/lab/kernel.go
@@ -40,6 +40,7 @@
 	away  bool    // it stands at that call
 	began time.Time
 	gives []byte
+	asks  []byte // the body of its call
 }
 
 const (
@@ -194,8 +195,8 @@
 			if k.calls {
 				r.call = r.left / 2
 			}
-			if r.gives = []byte("done"); k.begins != nil {
-				r.gives = k.begins(m.Bytes)
+			if r.gives, r.asks = []byte("done"), []byte("ask"); k.begins != nil {
+				r.gives, r.asks = k.begins(m.Bytes), m.Bytes
 			}
 			k.runs[m.Task] = r
 			k.order = append(k.order, m.Task)
@@ -255,7 +256,8 @@
 				}
 				if r.left -= part; r.call > 0 && r.left <= r.call {
 					r.call, r.away = 0, true
-					k.tell(fmt.Sprintf("{\"verb\":\"IOREQ\",\"index\":%d,\"task\":%q,\"bytes\":\"YXNr\"}\n", k.first+len(k.notices), id))
+					k.tell(fmt.Sprintf("{\"verb\":\"IOREQ\",\"index\":%d,\"task\":%q,\"bytes\":%q}\n", k.first+len(k.notices), id,
+						base64.StdEncoding.EncodeToString(r.asks)))
 				} else if r.left <= 0 {
 					k.over(id, "OK")
 					i--
--- a/internal/lab/store.go
+++ b/internal/lab/store.go
@@ -30,6 +30,7 @@
 	asked []float64 // worker time asked for, by tenth of a second since from, over what there is
 	calls int
 	opens int
+	heard func(body []byte) // told each call that is carried out; nil: nobody is
 }
 
 // openCost is what a new connection takes of a worker: some calls' time, as a handshake and a session do.
@@ -151,7 +152,8 @@
 		case verb != "CALL" || size < 0 || size > 1<<20:
 			return
 		}
-		if _, err = lines.Discard(size + 2); err != nil {
+		body := make([]byte, size+2)
+		if _, err = io.ReadFull(lines, body); err != nil {
 			return
 		}
 		s.mu.Lock()
@@ -170,6 +172,9 @@
 			s.warm = min(1, s.warm+1/s.fill)
 			gone := s.gone[id]
 			delete(s.gone, id)
+			if s.heard != nil && !gone && !fails {
+				s.heard(body[:size])
+			}
 			s.mu.Unlock()
 			switch {
 			case gone:
