--- a/internal/backend/kept.go
+++ b/internal/backend/kept.go
@@ -60,8 +60,9 @@
 	keptSpare = admission.Second / 50
 	// A folder that can't be opened is tried again so often.
 	keptReopen = time.Second
-	// Slots of the index that are looked at in one sweep, in steps of some microseconds.
-	keptSteps = 8
+	// All keys are looked at over so many sweeps, some seconds, by steps of some microseconds; so many a sweep at most.
+	keptSweeps = 40
+	keptSteps  = 128
 	// Results that wait to be read; past it a known key's try is errored.
 	keptReaders = 256
 	// Of a segment; what is over goes by whole ones.
@@ -482,7 +483,11 @@
 		return
 	}
 	l.watchKept()
-	for n := 0; k.book != nil && n < keptSteps; n++ {
+	steps := 0
+	if k.book != nil {
+		steps = min(keptSteps, max(1, k.book.Steps()/keptSweeps))
+	}
+	for range steps {
 		_, first := k.book.Age(steadyMS(), k.next)
 		if first == 0 {
 			continue
--- a/internal/kept/bench_test.go
+++ b/internal/kept/bench_test.go
@@ -23,17 +23,18 @@
 func BenchmarkIndex(b *testing.B) {
 	b.Run("table", func(b *testing.B) {
 		before := heap()
-		t := newTable(64)
+		t := newTable(benchKeys)
 		for i := range benchKeys {
 			*t.put(key(i)) = entry{key: key(i), state: Done}
 		}
-		b.ReportMetric(float64(heap()-before)/benchKeys, "bytes/key")
+		each := float64(heap()-before) / benchKeys
 		b.ResetTimer()
 		for i := 0; i < b.N; i++ {
 			if t.find(key(i%benchKeys)) == nil {
 				b.Fatal("not there")
 			}
 		}
+		b.ReportMetric(each, "bytes/key")
 	})
 	b.Run("map", func(b *testing.B) {
 		before := heap()
@@ -41,13 +42,14 @@
 		for i := range benchKeys {
 			m[key(i)] = entry{state: Done}
 		}
-		b.ReportMetric(float64(heap()-before)/benchKeys, "bytes/key")
+		each := float64(heap()-before) / benchKeys
 		b.ResetTimer()
 		for i := 0; i < b.N; i++ {
 			if m[key(i%benchKeys)].state != Done {
 				b.Fatal("not there")
 			}
 		}
+		b.ReportMetric(each, "bytes/key")
 	})
 }
 
--- a/internal/kept/kept.go
+++ b/internal/kept/kept.go
@@ -96,11 +96,14 @@
 
 // NewBook begins with nothing known.
 func NewBook(b Bounds) *Book {
-	return &Book{bounds: b, tab: newTable(min(b.Entries, 1024))}
+	return &Book{bounds: b, tab: newTable(b.Entries)}
 }
 
 const never = ^uint64(0)
 
+// windowMost is the longest that a key is kept, 49 days.
+const windowMost = 1<<32 - 1
+
 // Len gives the number of keys, Used the bytes that their records have and may still have.
 func (b *Book) Len() int    { return b.tab.n }
 func (b *Book) Used() int64 { return b.used + b.aside }
@@ -154,8 +157,8 @@
 	if e := b.tab.find(k); e != nil { // its window was over
 		b.drop(e)
 	}
-	e := b.tab.put(k)
-	*e = entry{key: k, body: body, state: Intended, until: now + window, window: window, place: never}
+	e, window := b.tab.put(k), min(window, windowMost)
+	*e = entry{key: k, body: body, state: Intended, until: now + window, window: uint32(window), place: never}
 	b.aside += 2 * recordMost(b.bounds.Result)
 	return Record{Kind: Intent, Key: k, Body: body, At: now, Window: window}
 }
@@ -172,7 +175,8 @@
 		return
 	}
 	n := r.size()
-	b.used, b.aside, e.bytes = b.used+n, b.aside-recordMost(b.bounds.Result), e.bytes+uint32(n)
+	b.used, b.aside = b.used+n, b.aside-recordMost(b.bounds.Result)
+	e.add(n)
 	switch {
 	case r.Kind == Intent && e.state == Intended:
 		e.state, e.place = Started, place
@@ -208,8 +212,8 @@
 	if e == nil || e.state != Started {
 		return Record{}, false
 	}
-	e.state, e.until = Ended, now+e.window
-	r := Record{Kind: Fault, Key: k, Body: e.body, At: now, Window: e.window}
+	e.state, e.until = Ended, now+uint64(e.window)
+	r := Record{Kind: Fault, Key: k, Body: e.body, At: now, Window: uint64(e.window)}
 	if ok && len(result) <= b.bounds.Result {
 		r.Kind, r.Result = Result, result
 	}
@@ -226,13 +230,13 @@
 	if e.state == May { // nothing was set aside for it in this life
 		b.aside += recordMost(b.bounds.Result)
 	}
-	r := Record{Kind: Unrun, Key: k, Body: e.body, At: now, Window: e.window}
+	r := Record{Kind: Unrun, Key: k, Body: e.body, At: now, Window: uint64(e.window)}
 	b.drop(e)
 	return r, true
 }
 
 func (b *Book) drop(e *entry) {
-	b.used -= int64(e.bytes)
+	b.used -= e.bytes()
 	b.tab.drop(e.key)
 }
 
@@ -267,7 +271,8 @@
 	}
 	n := r.size()
 	b.used += n
-	e.body, e.window, e.bytes, e.until = r.Body, r.Window, e.bytes+uint32(n), r.At+r.Window
+	e.body, e.window, e.until = r.Body, uint32(min(r.Window, windowMost)), r.At+r.Window
+	e.add(n)
 	switch r.Kind {
 	case Intent:
 		e.state, e.place = May, place
@@ -330,6 +335,9 @@
 // sweepSlots is how many slots one Age looks at: some microseconds.
 const sweepSlots = 512
 
+// Steps is how many times Age has to be called to go through all keys once.
+func (b *Book) Steps() int { return (len(b.tab.slots) + sweepSlots - 1) / sweepSlots }
+
 // Age lets go of some keys whose window is over. Once it has gone through all it gives the first place of the log that is
 // still needed, else 0. next is the place that the log's next entry gets. It is called often and does little.
 func (b *Book) Age(now, next uint64) (gone int, first uint64) {
--- a/internal/kept/kept_test.go
+++ b/internal/kept/kept_test.go
@@ -5,6 +5,7 @@
 	"encoding/binary"
 	"errors"
 	"fmt"
+	"math/bits"
 	"math/rand"
 	"sync/atomic"
 	"testing"
@@ -28,7 +29,7 @@
 	rapid.Check(t, func(r *rapid.T) {
 		tab, is := newTable(8), map[Key]uint64{}
 		for range rapid.IntRange(1, 400).Draw(r, "steps") {
-			k := Key{0: byte(rapid.IntRange(0, 7).Draw(r, "home") * 9), 15: byte(rapid.IntRange(0, 30).Draw(r, "key"))}
+			k := Key{0: byte(rapid.IntRange(0, 7).Draw(r, "home") * 36), 15: byte(rapid.IntRange(0, 30).Draw(r, "key"))}
 			if _, there := is[k]; there && rapid.Bool().Draw(r, "drop") {
 				tab.drop(k)
 				delete(is, k)
@@ -258,7 +259,8 @@
 func TestAgeSeesMoves(t *testing.T) {
 	b := NewBook(Bounds{Entries: 4000, Bytes: 1 << 30, Result: 8})
 	near := func(n byte) (k Key) { // all at home two slots before the first step of a pass ends
-		binary.LittleEndian.PutUint64(k[:], sweepSlots-2)
+		at, _ := bits.Div64(sweepSlots-2, 0, uint64(len(b.tab.slots)))
+		binary.BigEndian.PutUint64(k[:], at+1)
 		k[15] = n
 		return k
 	}
--- a/internal/lab/comeback.go
+++ b/internal/lab/comeback.go
@@ -463,7 +463,7 @@
 }
 
 // ComebackGuards are the guards of coming back.
-var ComebackGuards = []string{"small-start", "generation", "proof"}
+var ComebackGuards = []string{"small-start", "generation", "proof", "listen-first"}
 
 // ComebackCases names the cases.
 func ComebackCases() (names []string) {
--- a/internal/lab/demo.go
+++ b/internal/lab/demo.go
@@ -6,7 +6,6 @@
 	"fmt"
 	"io"
 	mrand "math/rand"
-	"net"
 	"net/http"
 	"os"
 	"path/filepath"
@@ -109,16 +108,12 @@
 			}
 		})
 	}
-	control, err := net.Listen("tcp", loopback(7500))
+	control, err := newReadiness()
 	if err != nil {
 		return nil, err
 	}
-	defer control.Close()
-	go http.Serve(control, http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
-		io.Copy(io.Discard, r.Body)
-		w.WriteHeader(http.StatusNoContent)
-	}))
-	signals, ended, err := o.startNode(control.Addr().String(), below)
+	defer control.ln.Close()
+	signals, ended, err := o.startNode(control.ln.Addr().String(), below)
 	if err != nil {
 		return nil, err
 	}
--- a/internal/lab/fleet.go
+++ b/internal/lab/fleet.go
@@ -266,14 +266,22 @@
 	return n, nil
 }
 
+// nodeCommand runs a node: by the program beside umberctl, or by umberctl's hidden command.
+func nodeCommand(umberctl string) *exec.Cmd {
+	if program := filepath.Join(filepath.Dir(umberctl), "umberwinch"); fileThere(program) {
+		return exec.Command(program)
+	}
+	return exec.Command(umberctl, "node")
+}
+
+func fileThere(path string) bool {
+	_, err := os.Stat(path)
+	return err == nil
+}
+
 // start runs the node's program.
 func (n *rigNode) start() error {
-	program := filepath.Join(filepath.Dir(n.r.Program), "umberwinch")
-	args := []string{}
-	if _, err := os.Stat(program); err != nil {
-		program, args = n.r.Program, []string{"node"}
-	}
-	n.cmd = exec.Command(program, args...)
+	n.cmd = nodeCommand(n.r.Program)
 	n.cmd.Stderr = n.log
 	n.cmd.Env = append(os.Environ(), "NODE_CONFIG="+n.config, "UMBERWINCH_FILE="+n.ini, WithoutEnv+"="+n.r.Without)
 	n.ended, n.down, n.stopped = make(chan struct{}), false, false
--- a/internal/lab/kept.go
+++ b/internal/lab/kept.go
@@ -6,13 +6,11 @@
 	"fmt"
 	"io"
 	"math/rand"
-	"net"
 	"net/http"
 	"os"
 	"os/exec"
 	"path/filepath"
 	"slices"
-	"strconv"
 	"strings"
 	"sync"
 	"time"
@@ -67,7 +65,7 @@
 	env             []string
 	kernel          *Kernel
 	store           *Store
-	control         net.Listener
+	control         *readiness
 	client          *http.Client
 	chance          *rand.Rand
 	mu              sync.Mutex
@@ -104,15 +102,11 @@
 		return nil, err
 	}
 	r.store.heard, r.kernel.calls = r.acts, true
-	if r.control, err = net.Listen("tcp", loopback(7500)); err != nil {
+	if r.control, err = newReadiness(); err != nil {
 		return nil, err
 	}
-	go http.Serve(r.control, http.HandlerFunc(func(w http.ResponseWriter, q *http.Request) {
-		io.Copy(io.Discard, q.Body)
-		w.WriteHeader(http.StatusNoContent)
-	}))
-	raw, err := nodeConfig("kept", r.listen, r.kernel.ln.Addr().String(), r.store.ln.Addr().String(), r.control.Addr().String(), s.cores, s.tenants,
-		s.classes, "submit")
+	raw, err := nodeConfig("kept", r.listen, r.kernel.ln.Addr().String(), r.store.ln.Addr().String(),
+		r.control.ln.Addr().String(), s.cores, s.tenants, s.classes, "submit")
 	if err != nil {
 		return nil, err
 	}
@@ -137,7 +131,7 @@
 func (r *keptRig) close() {
 	r.kernel.Close()
 	r.store.Close()
-	r.control.Close()
+	r.control.ln.Close()
 	r.client.CloseIdleConnections()
 }
 
@@ -173,11 +167,7 @@
 
 // start runs the node; die names a point and a count, or is empty.
 func (r *keptRig) start(die string) (*exec.Cmd, chan struct{}, error) {
-	program, args := filepath.Join(filepath.Dir(r.program), "umberwinch"), []string{}
-	if _, err := os.Stat(program); err != nil {
-		program, args = r.program, []string{"node"}
-	}
-	cmd := exec.Command(program, args...)
+	cmd := nodeCommand(r.program)
 	cmd.Env = append(slices.Clip(r.env), "UMBERWINCH_DIE_AT="+die)
 	log, err := os.OpenFile(filepath.Join(r.dir, "node.log"), os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o600)
 	if err != nil {
@@ -195,30 +185,12 @@
 
 // send is one try. code 0: no answer came; read tells whether the node may have read it.
 func (r *keptRig) send(ctx context.Context, class, key string, again bool) (code int, body string, read bool) {
-	req, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+r.listen+"/rpc/"+class, strings.NewReader(key))
-	if err != nil {
-		return 0, "", false
-	}
-	for k, v := range map[string]string{"Request-Id": newKey()[:16], "Sent-By": "1", "Account": "t0", "Footprint-Kb": "8.0",
-		"Received-At": strconv.FormatInt(time.Now().UnixMilli(), 10), "Priority-Rank": "0.5000"} {
-		req.Header.Set(k, v)
-	}
+	once := ""
 	if class == "submit" {
-		req.Header.Set("Once-Key", key)
-	}
-	if again {
-		req.Header.Set("Attempt-Again", "1")
-	}
-	res, err := r.client.Do(req)
-	if err != nil {
-		return 0, "", !strings.Contains(err.Error(), "connection refused")
-	}
-	defer res.Body.Close()
-	raw, err := io.ReadAll(res.Body)
-	if err != nil {
-		return 0, "", true
+		once = key
 	}
-	return res.StatusCode, string(raw), true
+	code, body, _, err := tryBody(ctx, r.client, r.listen, class, 0, 1, once, again, key)
+	return code, body, err == nil || !strings.Contains(err.Error(), "connection refused")
 }
 
 // caller asks until the context ends: new keys, and old ones again, inside the window and outside.
@@ -482,7 +454,7 @@
 				return err
 			}
 			defer os.RemoveAll(dir)
-			r, err := newKeptRig(dir, k.Program, k.Seed, time.Minute, way.own, way.without)
+			r, err := newKeptRig(dir, k.Program, k.Seed, time.Second, way.own, way.without)
 			if err != nil {
 				return err
 			}
--- a/internal/lab/sidecar.go
+++ b/internal/lab/sidecar.go
@@ -1,7 +1,6 @@
 package lab
 
 import (
-	"bytes"
 	"context"
 	"crypto/rand"
 	"encoding/hex"
@@ -10,6 +9,7 @@
 	"io"
 	"net/http"
 	"strconv"
+	"strings"
 	"time"
 )
 
@@ -49,12 +49,17 @@
 
 // tryReq sends one try of a req and gives its status, 0 where none came, and for how long to keep away.
 func tryReq(ctx context.Context, client *http.Client, addr, class string, tenant, sender int, key string,
-	again bool) (code int,
-	backOff time.Duration) {
-	req, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+addr+"/rpc/"+class,
-		bytes.NewReader([]byte("body")))
+	again bool) (code int, backOff time.Duration) {
+	code, _, backOff, _ = tryBody(ctx, client, addr, class, tenant, sender, key, again, "body")
+	return code, backOff
+}
+
+// tryBody is tryReq with a body, and the answer's.
+func tryBody(ctx context.Context, client *http.Client, addr, class string, tenant, sender int, key string, again bool,
+	body string) (code int, answer string, backOff time.Duration, err error) {
+	req, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+addr+"/rpc/"+class, strings.NewReader(body))
 	if err != nil {
-		return 0, 0
+		return 0, "", 0, err
 	}
 	for k, v := range map[string]string{"Request-Id": newKey()[:16], "Sent-By": strconv.Itoa(sender),
 		"Received-At": strconv.FormatInt(time.Now().UnixMilli(), 10), "Account": fmt.Sprint("t", tenant),
@@ -69,12 +74,13 @@
 	}
 	res, err := client.Do(req)
 	if err != nil {
-		return 0, 0
+		return 0, "", 0, err
 	}
 	defer res.Body.Close()
-	if _, err = io.Copy(io.Discard, res.Body); err != nil {
-		return 0, 0
+	raw, err := io.ReadAll(res.Body)
+	if err != nil {
+		return 0, "", 0, err
 	}
 	ms, _ := strconv.Atoi(res.Header.Get("Back-Off-Ms"))
-	return res.StatusCode, time.Duration(ms) * time.Millisecond
+	return res.StatusCode, string(raw), time.Duration(ms) * time.Millisecond, nil
 }
--- a/internal/lab/vlost_test.go
+++ b/internal/lab/vlost_test.go
@@ -34,7 +34,7 @@
 
 // TestLostGuards takes the guards of a restored group out: a promise has to break on some schedule.
 func TestLostGuards(t *testing.T) {
-	for _, g := range []policy.Guard{policy.Generation, policy.Proof} {
+	for _, g := range []policy.Guard{policy.Generation, policy.Proof, policy.ListenFirst} {
 		broken := ""
 		for seed := int64(1); seed <= 100 && broken == ""; seed++ {
 			w := NewVFleet(DrawLost(seed, g))
--- a/internal/policy/policy.go
+++ b/internal/policy/policy.go
@@ -481,9 +481,11 @@
 	Shadow                        // a version is tried before a node says that it is prepared
 	Generation                    // a restored group is a new generation, and nodes go by the newest they know
 	Proof                         // a group that nodes know more of than it does itself grants nothing
+	ListenFirst                   // and a new leader hears the nodes before it grants
 )
 
-var guardNames = []string{"lease", "fence", "prepare-all", "decide-once", "incarnation", "no-way-back", "shadow", "generation", "proof"}
+var guardNames = []string{"lease", "fence", "prepare-all", "decide-once", "incarnation", "no-way-back", "shadow", "generation", "proof",
+	"listen-first"}
 
 // Has tells whether a guard is out.
 func (g Guard) Has(one Guard) bool { return g&one != 0 }
@@ -498,5 +500,5 @@
 	return 0, fmt.Errorf("guard %q, expected one of %s", name, strings.Join(GuardNames(), ", "))
 }
 
-// GuardNames lists those of a change of policy; generation and proof are a restored group's.
+// GuardNames lists those of a change of policy; generation, proof and listen-first are a restored group's.
 func GuardNames() []string { return guardNames[:7] }
--- a/internal/steward/steward.go
+++ b/internal/steward/steward.go
@@ -136,7 +136,7 @@
 	if s.names == nil {
 		return false
 	}
-	if s.Level >= LevelGen && !s.Without.Has(policy.Proof) && s.now-s.ledAt < min(listenMost, p.grant().LeaseMS/4) {
+	if s.Level >= LevelGen && !s.Without.Has(policy.ListenFirst) && s.now-s.ledAt < min(listenMost, p.grant().LeaseMS/4) {
 		for _, n := range p.Fleet.Nodes() {
 			if n.Out == "" && !s.names[n.Name] {
 				return true
