While the folder can't be read, further tries of uniqued reqs are errored, not shed

Nobody knows then whether a first try ran; shed, it would be tried elsewhere and might run again. First tries are shed as before.

--- a/internal/backend/kept.go
+++ b/internal/backend/kept.go
@@ -198,7 +198,7 @@
 	return v, place
 }
 
-// keptShut tells whether no new key may be let in, as the disk is not well.
+// shut tells whether no new key may be let in, as the disk is not well.
 func (k *keptPart) shut(now admission.Time) bool {
 	return k.book == nil || k.store.Bad() != nil || k.stalls(now) || k.fullAt > 0 && now-k.fullAt < keptRest
 }
@@ -217,7 +217,7 @@
 			l.due.set(min(l.now+keptPatience, l.lastMoment(r)), dueKept, h)
 			return 0
 		}
-		return l.keptShed(a)
+		return l.keptBlind(q, a)
 	}
 	v, place := l.keptTry(q)
 	if v == kept.Answer {
@@ -255,6 +255,15 @@
 	return 503
 }
 
+// keptBlind is for a try while the folder can't be read: nobody knows whether a first one ran.
+func (l *loop) keptBlind(q *keptReq, a *proto.Answer) int {
+	if q.admit.Again {
+		l.kept.errs++
+		return 500
+	}
+	return l.keptShed(a)
+}
+
 // lastMoment is by when a req has its answer that waits for the disk.
 func (l *loop) lastMoment(r *req) admission.Time {
 	at := r.due
@@ -311,7 +320,7 @@
 	case keptEarly:
 		r.kept.stand = keptFree
 		a := proto.Answer{}
-		a.Status = l.keptShed(&a)
+		a.Status = l.keptBlind(r.kept, &a)
 		l.answer(h, r, a)
 	case keptReads, keptEnds: // it ran
 		l.kept.errs++
--- a/internal/backend/kept_test.go
+++ b/internal/backend/kept_test.go
@@ -219,4 +219,9 @@
 	if !l.reqs.get(h).answered || l.count.Shed != 2 || k.mode != keptFailed {
 		t.Errorf("%s, and it still waits for a folder that can't be opened", k.mode)
 	}
+	h, r = l.takes("d")
+	r.kept.admit.Again = true // nobody knows whether its first try ran: shed, it would be tried elsewhere
+	if l.keptWord(h, r); !r.answered || l.count.Errored != 1 || l.count.Shed != 2 {
+		t.Error("a further try of a key that nobody can know of is shed")
+	}
 }
