A try whose key is taken as it gets its slot closes nothing of the run that has it

Two tries of one key with different bodies, both held: the second found the key taken at its slot, and its end as "unrun" closed the first one's intent, so a repeat could have run again. Only the try whose own intent is durable says what becomes of the key now. Found by reading; the new test fails without it.

--- a/internal/backend/kept.go
+++ b/internal/backend/kept.go
@@ -37,6 +37,7 @@
 	key   kept.Key
 	body  uint64
 	stand keptStand
+	runs  bool          // its own intent is durable: what becomes of the key is its to say
 	admit admission.Req // while it is early
 }
 
@@ -418,8 +419,10 @@
 		a.Status = l.keptShed(&a)
 		l.unrun(h, r, a)
 	case r.answered: // what could not be made durable in time does not run
+		r.kept.runs = true
 		l.unrun(h, r, proto.Answer{Status: 500})
 	default:
+		r.kept.runs = true
 		l.kept.point("durable")
 		l.sched(r)
 		l.kept.point("sched")
@@ -433,6 +436,9 @@
 // tell.
 func (l *loop) keptEnd(h handle, r *req, how admission.Outcome, result []byte) (waits, ok bool) {
 	k, q := l.kept, r.kept
+	if !q.runs { // it never ran, and another try of its key may run, or have run
+		return false, false
+	}
 	now := steadyMS()
 	switch how {
 	case admission.Unrun, admission.Moot: // nothing was started
--- a/internal/backend/kept_test.go
+++ b/internal/backend/kept_test.go
@@ -225,3 +225,31 @@
 		t.Error("a further try of a key that nobody can know of is shed")
 	}
 }
+
+// TestSlotLooksAgain: a try that passed the door and finds its key taken as it gets its slot does not run, by the same body or
+// another, and harms nothing of the one that does.
+func TestSlotLooksAgain(t *testing.T) {
+	l := keptLoop(t, &heldDisk{FS: wal.NewMem()})
+	h, r := l.takes("a")
+	l.intend(h, r)
+	l.hears(t)
+	first := l.kept.book.Find(steadyMS(), r.kept.key)
+	for _, c := range []struct {
+		body         string
+		shed, failed uint64
+	}{{"body", 0, 1}, {"another", 1, 1}} {
+		h, r := l.takes("a")
+		r.kept = keptName("put", []byte("a"), []byte(c.body))
+		l.intend(h, r)
+		if r.schedNo != 0 || r.run != runOver || l.count.Shed != c.shed || l.count.Errored != c.failed {
+			t.Errorf("%s: sent as %d, %d shed, %d errored, expected %d, %d", c.body, r.schedNo, l.count.Shed, l.count.Errored, c.shed, c.failed)
+		}
+		if is := l.kept.book.Find(steadyMS(), r.kept.key); is != first || is != kept.Started {
+			t.Errorf("%s: the one that runs is %s, expected it %s", c.body, is, first)
+		}
+	}
+	l.runEnded(h, l.reqs.get(h), admission.OK, 1, []byte("result"))
+	if l.hears(t); l.count.Done != 1 {
+		t.Errorf("%d done, expected the first", l.count.Done)
+	}
+}
