--- a/internal/cli/fleet.go
+++ b/internal/cli/fleet.go
@@ -95,24 +95,14 @@
 cuts between them, a load on top. What happened is held against the promises of docs/design/policy.md. The last line says
 "policy: kept" or "policy: broken: WHAT"; a broken promise is exit status 1.`,
 		RunE: func(cmd *cobra.Command, _ []string) error {
-			if r.Words != "" {
-				for _, name := range strings.Split(r.Words, ",") {
-					g, err := policy.GuardNamed(name)
-					if err != nil {
-						return usage(err)
-					}
-					r.Without |= g
-				}
-			}
 			var err error
-			if r.Program, err = rigged(r.Mode, r.Only, lab.PolicyCases(), r.Size); err != nil {
+			if r.Without, err = guards(r.Words, policy.GuardNamed); err != nil {
 				return err
 			}
-			rep, err := r.Run(cmd.Context(), cmd.OutOrStdout())
-			if err == nil && rep.Broken != "" {
-				err = errors.New("a promise was broken")
+			if r.Program, err = rigged(r.Mode, r.Only, lab.PolicyCases(), r.Size); err != nil {
+				return err
 			}
-			return err
+			return verdict(r.Run(cmd.Context(), cmd.OutOrStdout()))
 		}}
 	f := c.Flags()
 	f.Int64Var(&r.Seed, "seed", 1, "all chance comes from it")
--- a/internal/cli/lab.go
+++ b/internal/cli/lab.go
@@ -33,6 +33,29 @@
 	return os.Executable()
 }
 
+// guards reads the guards that --without names, parted by commas.
+func guards[G ~uint](words string, named func(string) (G, error)) (out G, err error) {
+	if words == "" {
+		return 0, nil
+	}
+	for _, name := range strings.Split(words, ",") {
+		g, err := named(name)
+		if err != nil {
+			return 0, usage(err)
+		}
+		out |= g
+	}
+	return out, nil
+}
+
+// verdict makes a broken promise the command's error.
+func verdict(rep *lab.Report, err error) error {
+	if err == nil && rep.Broken != "" {
+		return errors.New("a promise was broken")
+	}
+	return err
+}
+
 func newLabRaft() *cobra.Command {
 	r := &lab.Raft{}
 	var without string
@@ -43,14 +66,9 @@
 for linearizability. Real: processes on loopback whose leader is killed between any two of persist, send, apply and
 answer. The last line says "raft: kept" or "raft: broken: WHAT"; a broken promise is exit status 1.`,
 		RunE: func(cmd *cobra.Command, _ []string) error {
-			if without != "" {
-				for _, name := range strings.Split(without, ",") {
-					g, err := consensus.GuardNamed(name)
-					if err != nil {
-						return usage(err)
-					}
-					r.Without |= g
-				}
+			var err error
+			if r.Without, err = guards(without, consensus.GuardNamed); err != nil {
+				return err
 			}
 			if r.Mode != "both" && r.Mode != "virtual" && r.Mode != "real" {
 				return usage(fmt.Errorf("--mode: found %q, expected virtual, real or both", r.Mode))
@@ -68,15 +86,10 @@
 				}
 				return nil
 			}
-			var err error
 			if r.Program, err = os.Executable(); err != nil {
 				return err
 			}
-			rep, err := r.Run(cmd.Context(), cmd.OutOrStdout())
-			if err == nil && rep.Broken != "" {
-				err = errors.New("a promise was broken")
-			}
-			return err
+			return verdict(r.Run(cmd.Context(), cmd.OutOrStdout()))
 		}}
 	f := c.Flags()
 	f.Int64Var(&r.Seed, "seed", 1, "all chance comes from it")
@@ -111,11 +124,7 @@
 			if r.Program, err = os.Executable(); err != nil {
 				return err
 			}
-			rep, err := r.Run(cmd.Context(), cmd.OutOrStdout())
-			if err == nil && rep.Broken != "" {
-				err = errors.New("a promise was broken")
-			}
-			return err
+			return verdict(r.Run(cmd.Context(), cmd.OutOrStdout()))
 		}}
 	f := c.Flags()
 	f.Int64Var(&r.Seed, "seed", 1, "all chance comes from it, but for what processes do at one time")
@@ -138,11 +147,7 @@
 			if r.Without != "" && !slices.Contains(lab.PoolGuards, r.Without) {
 				return usage(fmt.Errorf("--without: found %q, expected one of %v", r.Without, lab.PoolGuards))
 			}
-			rep, err := r.Run(cmd.Context(), cmd.OutOrStdout())
-			if err == nil && rep.Broken != "" {
-				err = errors.New("a promise was broken")
-			}
-			return err
+			return verdict(r.Run(cmd.Context(), cmd.OutOrStdout()))
 		}}
 	f := c.Flags()
 	f.Int64Var(&r.Seed, "seed", 1, "all chance comes from it")
--- a/internal/cli/recover.go
+++ b/internal/cli/recover.go
@@ -220,11 +220,7 @@
 			if r.Program, err = rigged(r.Mode, r.Only, lab.ComebackCases(), r.Size); err != nil {
 				return err
 			}
-			rep, err := r.Run(cmd.Context(), cmd.OutOrStdout())
-			if err == nil && rep.Broken != "" {
-				err = errors.New("a promise was broken")
-			}
-			return err
+			return verdict(r.Run(cmd.Context(), cmd.OutOrStdout()))
 		}}
 	f := c.Flags()
 	f.Int64Var(&r.Seed, "seed", 1, "all chance comes from it")
--- a/internal/cli/zones.go
+++ b/internal/cli/zones.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"encoding/json"
-	"errors"
 	"fmt"
 	"io"
 	"net/http"
@@ -248,24 +247,14 @@
 hours of noise. Real: a group and nodes in three zones as processes, a service below for each zone on a socket, forwarders
 between. The last line says "zones: kept" or "zones: broken: WHAT"; a broken promise is exit status 1.`,
 		RunE: func(cmd *cobra.Command, _ []string) error {
-			if r.Words != "" {
-				for _, name := range strings.Split(r.Words, ",") {
-					g, err := zones.GuardNamed(name)
-					if err != nil {
-						return usage(err)
-					}
-					r.Without |= g
-				}
-			}
 			var err error
-			if r.Program, err = rigged(r.Mode, r.Only, lab.ZoneCases(), r.Size); err != nil {
+			if r.Without, err = guards(r.Words, zones.GuardNamed); err != nil {
 				return err
 			}
-			rep, err := r.Run(cmd.Context(), cmd.OutOrStdout())
-			if err == nil && rep.Broken != "" {
-				err = errors.New("a promise was broken")
+			if r.Program, err = rigged(r.Mode, r.Only, lab.ZoneCases(), r.Size); err != nil {
+				return err
 			}
-			return err
+			return verdict(r.Run(cmd.Context(), cmd.OutOrStdout()))
 		}}
 	f := c.Flags()
 	f.Int64Var(&r.Seed, "seed", 1, "all chance comes from it")
