The drain's lead on little core is tested by the decision, not by a wall clock

What it guards is how early the module hears of the kill, which the loop works out without a clock; the test now holds that for a core, a tenth and a short notice (with the lead as a constant two of the three fail), and a second one holds the program to an answer before the kill.

--- a/internal/backend/tables_test.go
+++ b/internal/backend/tables_test.go
@@ -289,8 +289,23 @@
 }
 
 // With a tenth of a core the last answers of a drain go out further ahead of the kill: a standstill of some ms of work
-// takes ten times as long there.
+// takes ten times as long there. A short notice bounds it.
 func TestDrainOnLittleCore(t *testing.T) {
+	for _, c := range []struct {
+		cores        float64
+		stop, before admission.Time
+	}{{1, 24_000, 380}, {0.1, 24_000, 1100}, {0.1, 4000, 500}} {
+		l := &loop{now: 5000, stop: c.stop, lim: NewLimits(c.cores, 64, 256)}
+		l.drain()
+		if r := l.next(); !r.Drain || r.Kill != 5000+c.stop-c.before {
+			t.Errorf("%.1f cores, notice of %d: the module hears of a kill at %d, expected %d before %d", c.cores, c.stop, r.Kill,
+				c.before, 5000+c.stop)
+		}
+	}
+}
+
+// A run that does not end is answered before the kill of its program.
+func TestDrainAnswers(t *testing.T) {
 	n := start(t, map[string]string{"cores": "0.1", "stop_ms": "2400"})
 	c := n.dial()
 	fmt.Fprintf(c, "POST /rpc/act HTTP/1.1\r\nRequest-Id: %016x\r\nReceived-At: %d\r\nSent-By: 1\r\n"+
@@ -301,12 +316,12 @@
 	if line, ok := n.kernel.next("SYSINFO"); !ok || !strings.HasPrefix(line, "SCHED") {
 		t.Fatalf("the kernel hears %q, expected a run", line)
 	}
-	told := time.Now()
 	n.cmd.Process.Signal(syscall.SIGTERM)
+	told := time.Now()
 	a, err := http.ReadResponse(bufio.NewReader(c), nil)
 	left := 2400*time.Millisecond - time.Since(told)
-	if err != nil || a.StatusCode != 500 || left < 120*time.Millisecond {
-		t.Errorf("%v, %v, %v before the kill, expected 500 at 120 ms before it at least", a, err, left)
+	if err != nil || a.StatusCode != 500 || left < 0 {
+		t.Errorf("%v, %v, %v before the kill, expected 500 before it", a, err, left)
 	}
 	c.Close()
 	<-n.ended
