The durable log keeps a byte an entry in memory, 24 before

Now the place of one entry in four and of each that does not stand behind the one before is known; the rest is found by the lengths in the heads. Held to a plain list over cuts, releases and restarts, and to each bit that turns over; every entry read is checked by its sum as before.

--- a/internal/wal/segment.go
+++ b/internal/wal/segment.go
@@ -126,7 +126,7 @@
 	if err != nil {
 		return nil, Found{}, err
 	}
-	l := &Log{fs: fs, sizes: sizes, unlock: unlock, base: 1}
+	l := &Log{fs: fs, sizes: sizes, unlock: unlock, at: places{base: 1}}
 	found, err := l.recover()
 	if err != nil {
 		for _, s := range l.segs {
@@ -173,7 +173,7 @@
 		}
 	}
 	if len(l.segs) == 0 {
-		s, err := createSegment(l.fs, max(1, l.lastSeq(seqs)), l.base, l.sum)
+		s, err := createSegment(l.fs, max(1, l.lastSeq(seqs)), l.at.base, l.sum)
 		if err != nil {
 			return found, err
 		}
@@ -239,13 +239,13 @@
 	}
 	next, sum := binary.LittleEndian.Uint64(raw[24:]), binary.LittleEndian.Uint32(raw[32:])
 	if oldest {
-		l.base, l.sum = next, sum
+		l.at.base, l.sum = next, sum
 		return ""
 	}
 	if before := l.segs[len(l.segs)-1].seq; before+1 != seq {
 		return fmt.Sprintf("it follows segment %d, expected %d: one is missing", before, seq-1)
 	}
-	if sum != l.sum || next != l.base+uint64(len(l.at)) {
+	if sum != l.sum || next != l.at.next() {
 		return "it does not go on from the segment before"
 	}
 	return ""
@@ -261,7 +261,7 @@
 	}
 	var flush []rec
 	sum, start, off := l.sum, headerBytes, headerBytes
-	next := l.base + uint64(len(l.at))
+	next := l.at.next()
 	bad := ""
 	for off < len(raw) {
 		kind, number, data, ok := check(raw[off:], sum)
@@ -295,11 +295,11 @@
 		for _, r := range flush {
 			switch r.kind & kindBits {
 			case kindEntry:
-				l.at = append(l.at, place{s.seq, r.off, int32(len(r.data))})
+				l.at.add(s.seq, r.off)
 			case kindMark:
 				l.marks[r.number] = append([]byte{}, r.data...)
 			case kindCut:
-				l.cut(r.number)
+				l.at.cut(r.number)
 			}
 		}
 		l.sum, start, flush = sum, off, flush[:0]
--- a/internal/wal/wal.go
+++ b/internal/wal/wal.go
@@ -10,6 +10,7 @@
 	"errors"
 	"fmt"
 	"hash/crc32"
+	"io"
 	"sync"
 )
 
@@ -65,10 +66,10 @@
 	Marks   []Mark
 }
 
+// place is where a record that was just written stands.
 type place struct {
 	seg uint64 // sequence number of the segment
 	off int64  // of the record's head
-	len int32  // of what it carries
 }
 
 // Log is an open log.
@@ -79,8 +80,7 @@
 
 	mu    sync.Mutex // guards what follows
 	segs  []*segment // oldest first; the last one is written to
-	base  uint64     // number of the first entry held
-	at    []place    // of entry base+i
+	at    places
 	marks [MaxMarks][]byte
 	sum   uint32
 	snaps []snapshot // oldest first, two at most
@@ -165,7 +165,7 @@
 	cur := l.segs[len(l.segs)-1]
 	fresh := cur.size > headerBytes && cur.size+need > l.sizes.Segment
 	if fresh {
-		at, sum := l.base+uint64(len(l.at)), l.sum
+		at, sum := l.at.next(), l.sum
 		l.mu.Unlock()
 		next, err := createSegment(l.fs, cur.seq+1, at, sum)
 		l.mu.Lock()
@@ -177,7 +177,7 @@
 		l.segs = append(l.segs, next)
 		cur = next
 	}
-	w := writer{buf: l.buf[:0], sum: l.sum, seg: cur.seq, off: cur.size, next: l.base + uint64(len(l.at)),
+	w := writer{buf: l.buf[:0], sum: l.sum, seg: cur.seq, off: cur.size, next: l.at.next(),
 		last: -1}
 	if fresh { // the marks stand in each segment, so that older ones can go
 		for k, m := range l.marks {
@@ -219,23 +219,17 @@
 // note takes over what a batch says once it is durable.
 func (l *Log) note(b Batch, w *writer) {
 	if b.Cut > 0 {
-		l.cut(b.Cut)
+		l.at.cut(b.Cut)
+	}
+	for _, p := range w.places[:len(b.Entries)] {
+		l.at.add(p.seg, p.off)
 	}
-	l.at = append(l.at, w.places[:len(b.Entries)]...)
 	w.places = w.places[len(b.Entries):]
 	for _, m := range b.Marks {
 		l.marks[m.Kind] = append([]byte{}, m.Data...)
 	}
 }
 
-func (l *Log) cut(next uint64) {
-	if next < l.base || next > l.base+uint64(len(l.at)) {
-		l.base, l.at = next, l.at[:0]
-		return
-	}
-	l.at = l.at[:next-l.base]
-}
-
 func batchBytes(b Batch) int64 {
 	n := int64(0)
 	if b.Cut > 0 {
@@ -282,7 +276,7 @@
 	}
 	first := w.next
 	for _, e := range b.Entries {
-		w.places = append(w.places, place{w.seg, w.off + int64(len(w.buf)), int32(len(e))})
+		w.places = append(w.places, place{w.seg, w.off + int64(len(w.buf))})
 		w.add(kindEntry, w.next, e)
 		w.next++
 	}
@@ -304,14 +298,14 @@
 func (l *Log) First() uint64 {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	return l.base
+	return l.at.base
 }
 
 // Next gives the number the next entry gets.
 func (l *Log) Next() uint64 {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	return l.base + uint64(len(l.at))
+	return l.at.next()
 }
 
 // Mark gives the last mark of a kind, nil if there is none.
@@ -350,18 +344,28 @@
 func (l *Log) Read(number uint64) ([]byte, error) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	if number < l.base || number >= l.base+uint64(len(l.at)) {
-		return nil, fmt.Errorf("entry %d, expected one from %d to %d", number, l.base, l.base+uint64(len(l.at))-1)
+	if number < l.at.base || number >= l.at.next() {
+		return nil, fmt.Errorf("entry %d, expected one from %d to %d", number, l.at.base, l.at.next()-1)
+	}
+	from := l.at.find(number)
+	s := l.segment(from.seg)
+	bad := func(off int64, what string) error {
+		return &Damage{s.name, off, fmt.Sprintf("entry %d", number), what}
+	}
+	off, length, err := seek(func(head []byte, off int64) error {
+		_, err := s.file.ReadAt(head, off)
+		return err
+	}, from, number)
+	if err != nil {
+		return nil, bad(off, err.Error())
 	}
-	p := l.at[number-l.base]
-	s := l.segment(p.seg)
-	raw := make([]byte, sumBytes+headBytes+int(p.len)+sumBytes)
-	if _, err := s.file.ReadAt(raw, p.off-sumBytes); err != nil {
-		return nil, &Damage{s.name, p.off, fmt.Sprintf("entry %d", number), err.Error()}
+	raw := make([]byte, sumBytes+headBytes+length+sumBytes)
+	if _, err := s.file.ReadAt(raw, off-sumBytes); err != nil {
+		return nil, bad(off, err.Error())
 	}
 	kind, n, data, ok := check(raw[sumBytes:], binary.LittleEndian.Uint32(raw))
 	if !ok || kind&kindBits != kindEntry || n != number {
-		return nil, &Damage{s.name, p.off, fmt.Sprintf("entry %d", number), "its sum does not fit"}
+		return nil, bad(off, "its sum does not fit")
 	}
 	return data, nil
 }
@@ -371,17 +375,39 @@
 func (l *Log) Each(f func(number uint64, data []byte) error) error {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	i := 0
-	for _, s := range l.segs {
-		raw := make([]byte, s.size)
-		if _, err := s.file.ReadAt(raw, 0); err != nil {
-			return &Damage{s.name, 0, "its records", err.Error()}
+	var s *segment
+	var raw []byte
+	read := func(head []byte, off int64) error {
+		if off+headBytes > s.size {
+			return io.ErrUnexpectedEOF
 		}
-		for ; i < len(l.at) && l.at[i].seg == s.seq; i++ {
-			p := l.at[i]
-			if err := f(l.base+uint64(i), raw[p.off+headBytes:p.off+headBytes+int64(p.len)]); err != nil {
+		copy(head, raw[off:])
+		return nil
+	}
+	for i, j := range l.at.jumps { // from each of these on, entries stand one behind the other
+		if s == nil || s.seq != j.seg {
+			s = l.segment(j.seg)
+			raw = make([]byte, s.size)
+			if _, err := s.file.ReadAt(raw, 0); err != nil {
+				return &Damage{s.name, 0, "its records", err.Error()}
+			}
+		}
+		number, end := max(j.number, l.at.base), l.at.next()
+		if i+1 < len(l.at.jumps) {
+			end = l.at.jumps[i+1].number
+		}
+		for from := l.at.find(number); number < end; number++ {
+			off, length, err := seek(read, from, number)
+			if off += headBytes; err == nil && off+int64(length) > s.size {
+				err = io.ErrUnexpectedEOF
+			}
+			if err != nil {
+				return &Damage{s.name, off, fmt.Sprintf("entry %d", number), err.Error()}
+			}
+			if err = f(number, raw[off:off+int64(length)]); err != nil {
 				return err
 			}
+			from = jump{number + 1, j.seg, uint32(off + int64(length) + sumBytes)}
 		}
 	}
 	return nil
@@ -397,14 +423,12 @@
 	if l.fault != nil {
 		return l.fault
 	}
-	if upto+1 > l.base {
-		n := min(upto+1-l.base, uint64(len(l.at)))
-		l.base += n
-		l.at = append(make([]place, 0, len(l.at)-int(n)+64), l.at[n:]...)
+	if upto+1 > l.at.base {
+		l.at.release(int(min(upto+1-l.at.base, uint64(l.at.n))))
 	}
 	keep := l.segs[len(l.segs)-1].seq
-	if len(l.at) > 0 {
-		keep = l.at[0].seg
+	if l.at.n > 0 {
+		keep = l.at.find(l.at.base).seg
 	}
 	gone := 0
 	for l.segs[gone].seq < keep {
