What is known of keys is read while the disk fails; processes with disks that fail and stand

Now a small file is written first, and the log that failed stays open for reading until that works. Scenarios: a program that may write to no file (its file size limit), and one whose disk stands for a while.

--- a/internal/backend/kept.go
+++ b/internal/backend/kept.go
@@ -136,8 +136,8 @@
 		l.openKept(keptReopen)
 	} else {
 		k.store, k.book, k.next, k.broken = store, book, store.Next(), nil
-		if store.Each = k.without("group"); k.own.DieAt == keptSync {
-			store.Point = func() { k.point(keptSync) }
+		if store.Each = k.without("group"); k.own.DieAt == keptSync || k.own.DieAt == keptHangs {
+			store.Point = func() { k.point(k.own.DieAt) }
 		}
 		if found.Gaps > 0 {
 			l.log.Errorf("kept results: the log in %s was damaged at %d places: what can be read was written anew, what can't may be of any "+
@@ -546,8 +546,12 @@
 // without tells whether the laboratory took a guard out.
 func (k *keptPart) without(guard string) bool { return slices.Contains(k.own.Without, guard) }
 
-// keptSync is the one point that is not the loop's: before a write.
-const keptSync = "sync"
+// The points that are not the loop's: before a write the node dies, or its disk takes its time once.
+const (
+	keptSync    = "sync"
+	keptHangs   = "hangs"
+	keptHangFor = 1500 * time.Millisecond
+)
 
 // point is where the laboratory may have the node die.
 func (k *keptPart) point(name string) {
@@ -555,7 +559,11 @@
 		return
 	}
 	if k.dies++; k.dies == k.own.DieOn {
-		if name == keptSync {
+		switch name {
+		case keptHangs:
+			time.Sleep(keptHangFor)
+			return
+		case keptSync:
 			time.Sleep(20 * time.Millisecond) // what goes out without waiting for the disk is out by then
 		}
 		unix.Kill(unix.Getpid(), unix.SIGKILL)
--- a/internal/backend/scenario_test.go
+++ b/internal/backend/scenario_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"errors"
 	"fmt"
 	"net"
 	"net/http"
@@ -14,6 +15,8 @@
 	"time"
 
 	"io"
+
+	"golang.org/x/sys/unix"
 )
 
 // Scenarios are the text files in testdata: the program is started with its stand-ins and spoken to. A line
@@ -44,7 +47,9 @@
 //	reload [KEY=VALUE ...] | reload TEXT   a new start-up file, or one that holds just the text, and SIGHUP
 //	control gets CONDITION           skipping others, control down | up | cut
 //	after MS                         the clock goes on by so much, where what is tested goes by it
-//	dies                             the program is killed by now, by itself where node or again has die=POINT:N
+//	dies                             the program is killed by now, by itself where node or again has die=POINT:N;
+//	                                 with die=hangs:N its disk stands for a while at its Nth write
+//	disk full | well                 the program can write to no file, or can again
 //	rots N                           a bit of byte N of its folder's first segment turns over
 //	again [KEY=VALUE ...]            it is started once more, with what its folder has; connections are new
 //	signal TERM | USR1 | STOP | CONT | KILL, exits, log TEXT, counts KEY=N ...
@@ -175,6 +180,15 @@
 		case <-time.After(patience):
 			p.fatal("the program goes on")
 		}
+	case "disk":
+		var lim unix.Rlimit
+		err := unix.Prlimit(p.cmd.Process.Pid, unix.RLIMIT_FSIZE, nil, &lim)
+		if lim.Cur = 0; w[1] == "well" {
+			lim.Cur = lim.Max
+		}
+		if err = errors.Join(err, unix.Prlimit(p.cmd.Process.Pid, unix.RLIMIT_FSIZE, &lim, nil)); err != nil {
+			p.fatal("%v", err)
+		}
 	case "rots":
 		segs, _ := filepath.Glob(filepath.Join(filepath.Dir(p.node.file), "*.seg"))
 		n, _ := strconv.Atoi(w[1])
--- a/internal/kept/bench_test.go
+++ b/internal/kept/bench_test.go
@@ -122,9 +122,12 @@
 				b.Fatal(err)
 			}
 			done := make(chan error, queueMost)
-			for i, out := 0, 0; i < n || out > 0; {
-				if i < n && out < queueMost/2 && s.Put(Record{Kind: Result, Key: key(i), Body: 1, Window: 1000, Result: make([]byte, 100)},
-					func(_ uint64, err error) { done <- err }) {
+			for i, out := 0, 0; i < 2*n || out > 0; { // an intent and a result each
+				r := Record{Kind: Intent, Key: key(i / 2), Body: 1, Window: 1000}
+				if i%2 == 1 {
+					r.Kind, r.Result = Result, make([]byte, 100)
+				}
+				if i < 2*n && out < queueMost/2 && s.Put(r, func(_ uint64, err error) { done <- err }) {
 					i, out = i+1, out+1
 					continue
 				}
--- a/internal/kept/kept_test.go
+++ b/internal/kept/kept_test.go
@@ -450,6 +450,11 @@
 		s.Put(Record{Kind: Fault, Key: key(1)}, func(_ uint64, err error) { got <- err })
 		return <-got
 	}
+	s.Put(Record{Kind: Result, Key: key(3), Result: []byte("known")}, func(_ uint64, err error) { got <- err })
+	if err := <-got; err != nil {
+		t.Fatal(err)
+	}
+	known := s.Next() - 1
 	d.fails.Store(true)
 	if put() == nil || s.Bad() == nil || put() == nil {
 		t.Fatal("a sync fails, and records are taken for durable")
@@ -458,12 +463,31 @@
 	opens, let := make(chan bool), make(chan bool)
 	hold := func() { opens <- true; <-let }
 	d.locks.Store(&hold)
+	time.Sleep(reopenEvery * 3 / 2) // it is looked at once at least
+	read := make(chan error, 1)
+	go func() {
+		raw, err := s.Result(known)
+		if err == nil && string(raw) != "known" {
+			err = fmt.Errorf("%q", raw)
+		}
+		read <- err
+	}()
+	select {
+	case err := <-read:
+		if err != nil {
+			t.Fatalf("while nothing can be written what is known can't be read: %v", err)
+		}
+	case <-opens:
+		d.locks.Store(nil)
+		close(let)
+		t.Fatal("the log is let go of before the disk is well")
+	}
+	d.fails.Store(false)
 	<-opens
 	if put() == nil {
 		t.Fatal("a record is durable, and the log is not open")
 	}
 	d.locks.Store(nil)
-	d.fails.Store(false)
 	close(let)
 	for end := time.Now().Add(10 * time.Second); s.Bad() != nil; time.Sleep(10 * time.Millisecond) {
 		if time.Now().After(end) {
--- a/internal/kept/store.go
+++ b/internal/kept/store.go
@@ -24,6 +24,7 @@
 	log  *wal.Log
 	bad  error // why nothing can be written at present
 	gone bool
+	swap sync.RWMutex // held while a reopening closes one log and opens the next; who reads or lets go waits for that
 
 	Each  bool   // a sync for each record, for measurements
 	Point func() // called before each write, for the laboratory; nil: none
@@ -305,29 +306,60 @@
 	return first, err
 }
 
-// reopen tries until the disk is well, or the store is closed. What was handed over meanwhile has failed. The lock is not held
-// while the disk works: nobody who hands a record over waits for that.
+// reopen tries until the disk is well, or the store is closed. What was handed over meanwhile has failed; what is there is read
+// from the log that failed, which is let go of only once something else could be written. No lock is held while the disk works
+// that whoever hands a record over needs.
 func (s *Store) reopen(log *wal.Log) {
 	defer s.work.Done()
-	for log.Close(); ; {
+	for {
 		select {
 		case <-s.ended:
 			return
 		case <-time.After(reopenEvery):
 		}
-		again, _, err := wal.Open(s.fs, s.sizes)
-		if err != nil {
+		if s.probe() != nil {
 			continue
 		}
-		if _, err = again.Commit(wal.Batch{Marks: []wal.Mark{{Kind: markBoot, Data: s.boot}}}); err != nil {
-			again.Close()
-			continue
+		if again := s.another(log); again != nil {
+			s.mu.Lock()
+			s.log, s.bad = again, nil
+			s.mu.Unlock()
+			s.swap.Unlock()
+			return
 		}
-		s.mu.Lock()
-		s.log, s.bad = again, nil
-		s.mu.Unlock()
-		return
+		s.swap.Unlock()
+	}
+}
+
+// probeFile is written and removed to see whether the disk is well. A log's start removes files with such an end.
+const probeFile = "probe.tmp"
+
+// probe writes as much as a small flush has.
+func (s *Store) probe() error {
+	f, err := s.fs.Create(probeFile)
+	if err != nil {
+		return err
+	}
+	_, err = f.WriteAt(make([]byte, 4096), 0)
+	if err == nil {
+		err = f.Sync()
+	}
+	return errors.Join(err, f.Close(), s.fs.Remove(probeFile))
+}
+
+// another closes a log and opens it again, and is left with swap held.
+func (s *Store) another(log *wal.Log) *wal.Log {
+	s.swap.Lock()
+	log.Close()
+	again, _, err := wal.Open(s.fs, s.sizes)
+	if err != nil {
+		return nil
+	}
+	if _, err = again.Commit(wal.Batch{Marks: []wal.Mark{{Kind: markBoot, Data: s.boot}}}); err != nil {
+		again.Close()
+		return nil
 	}
+	return again
 }
 
 // Bad tells why nothing can be written at present; nil: it can.
@@ -339,6 +371,8 @@
 
 // Result reads what a key's run gave, by its place.
 func (s *Store) Result(place uint64) ([]byte, error) {
+	s.swap.RLock()
+	defer s.swap.RUnlock()
 	s.mu.Lock()
 	log := s.log
 	s.mu.Unlock()
@@ -358,6 +392,8 @@
 
 // Release lets go of what comes before a place, whole segments at a time.
 func (s *Store) Release(first uint64) error {
+	s.swap.RLock()
+	defer s.swap.RUnlock()
 	s.mu.Lock()
 	log, bad := s.log, s.bad
 	s.mu.Unlock()
