--- a/internal/kept/store.go
+++ b/internal/kept/store.go
@@ -320,14 +320,17 @@
 		if s.probe() != nil {
 			continue
 		}
-		if again := s.another(log); again != nil {
+		s.swap.Lock()
+		again := s.another(log)
+		if again != nil {
 			s.mu.Lock()
 			s.log, s.bad = again, nil
 			s.mu.Unlock()
-			s.swap.Unlock()
-			return
 		}
 		s.swap.Unlock()
+		if again != nil {
+			return
+		}
 	}
 }
 
@@ -347,9 +350,8 @@
 	return errors.Join(err, f.Close(), s.fs.Remove(probeFile))
 }
 
-// another closes a log and opens it again, and is left with swap held.
+// another closes a log and opens it again; nil: that did not work.
 func (s *Store) another(log *wal.Log) *wal.Log {
-	s.swap.Lock()
 	log.Close()
 	again, _, err := wal.Open(s.fs, s.sizes)
 	if err != nil {
--- a/internal/steward/steward.go
+++ b/internal/steward/steward.go
@@ -122,7 +122,7 @@
 	}
 	s.drop(ErrNoLead)
 	s.cluster, s.leads, s.term = cluster, leads, term
-	s.beatAt, s.sentAt, s.opAt, s.no = s.now, 0, 0, 0
+	s.beatAt, s.sentAt, s.opAt, s.no, s.more = s.now, 0, 0, 0, false
 	s.reports, s.forgets = map[string]*told{}, nil
 	s.watch, s.zoneAt = zones.NewWatch(), 0
 	s.counts = counts{}
--- a/internal/zones/guard.go
+++ b/internal/zones/guard.go
@@ -37,5 +37,5 @@
 	return 0, fmt.Errorf("guard %q, expected one of %s", name, strings.Join(guardNames, ", "))
 }
 
-// GuardNames lists them.
-func GuardNames() []string { return guardNames }
+// GuardNames lists those of leaving and returning; the others are those of coming back.
+func GuardNames() []string { return guardNames[:7] }
