--- a/internal/lab/report.go
+++ b/internal/lab/report.go
@@ -147,6 +147,16 @@
 	return os.WriteFile(filepath.Join(dir, "result.json"), append(raw, '\n'), 0o644)
 }
 
+// end prints the report, and saves it where a folder is named.
+func (r *Report) end(dir string, w io.Writer) (*Report, error) {
+	if dir != "" {
+		if err := r.Save(dir); err != nil {
+			return nil, err
+		}
+	}
+	return r, r.Print(w)
+}
+
 // draw gives a plot as SVG, less the head that stands alone files have.
 func (p *Plot) draw() (string, error) {
 	g := plot.New()
