--- a/internal/lab/fleet.go
+++ b/internal/lab/fleet.go
@@ -673,7 +673,10 @@
 			break // it may have run: elsewhere it would run again
 		}
 		if tries >= atOnce && !r.Eager {
-			time.Sleep(min(gap, time.Until(end)))
+			if gap > time.Until(end) {
+				break // the next try would be for nobody
+			}
+			time.Sleep(gap)
 			gap *= 2
 		}
 		ctx, cancel := context.WithDeadline(context.Background(), end)
--- a/internal/lab/fleet_test.go
+++ b/internal/lab/fleet_test.go
@@ -6,6 +6,8 @@
 	"flag"
 	"fmt"
 	"io"
+	"net/http"
+	"net/http/httptest"
 	"os"
 	"os/exec"
 	"path/filepath"
@@ -290,3 +292,24 @@
 }
 
 func policyProposal(within uint64) policy.Propose { return policy.Propose{Within: within} }
+
+// TestCallersHaveAPace: callers that are turned away by all ask on ever more slowly, so that a fleet that is down stays able to
+// come up; eager ones use all their tries at once.
+func TestCallersHaveAPace(t *testing.T) {
+	busy := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(http.StatusServiceUnavailable) }))
+	defer busy.Close()
+	s, err := readScenario("fleet", rigClasses)
+	if err != nil {
+		t.Fatal(err)
+	}
+	s.classes[0].handler.Timeout = 10_000 // a second: three at once, then after 30, 90, 210, 450 and 930 ms
+	for _, eager := range []bool{false, true} {
+		r := &Rig{RigPlan: RigPlan{Eager: eager}, ready: &readiness{said: map[string]time.Time{"n1": time.Now()}}, client: busy.Client()}
+		r.nodes = []*rigNode{{name: "n1", front: strings.TrimPrefix(busy.URL, "http://")}}
+		c := &Calls{}
+		r.call(c, &s.classes[0], false, 0, 0)
+		if c.Shed != 1 || eager != (c.Tries == maxTries) || !eager && (c.Tries < 4 || c.Tries > 8) {
+			t.Errorf("eager %v: %v", eager, c)
+		}
+	}
+}
