--- a/internal/lab/comeback.go
+++ b/internal/lab/comeback.go
@@ -401,6 +401,23 @@
 		b.allServe(b.force)
 		b.whole(since)
 	}},
+	{name: "in the middle of a change of policy and of a zone's return", long: true, may: []string{"z1"}, run: func(b *zoneBench) {
+		must(b.op(zones.Op{Kind: "leave", Zone: "z1", Drill: 1000}))
+		got(b.stands("z1", 20*time.Second, zones.Returning))
+		c := b.proposes("", policy.Propose{})
+		since := b.allDown(b.nodes...)
+		time.Sleep(time.Second)
+		b.begins(0, b.nodes...)
+		// In force by then or called off: either way all serve under one version.
+		if got(b.Step(c.number, 40*time.Second, policy.Settled, policy.CalledOff)).Step == policy.Settled {
+			b.force = c.version
+		}
+		b.allServe(b.force)
+		got(b.stands(zones.Fleet, 10*time.Second, zones.Returning))
+		b.whole(since)
+		must(b.back("z1"))
+		got(b.change(policy.Propose{}))
+	}},
 	{name: "in waves that overlap with the recovery, some nodes in a loop", long: true, run: func(b *zoneBench) {
 		restart := func(nodes []*rigNode, pace time.Duration) {
 			for _, n := range nodes {
