--- a/internal/lab/fleet.go
+++ b/internal/lab/fleet.go
@@ -641,8 +641,8 @@
 }
 
 // A caller asks three nodes at once, one after the other, then waits before each further try, twice as long each time from 30 ms:
-// nine tries in the 3 s that most reqs have. Without a pace of their own the callers of one fleet that answers nobody take a core,
-// and with it the fleet stays down.
+// nine tries in the 3 s that most reqs have. Without a pace callers take the cores that a fleet which is
+// down needs to come up, where machines are short of them.
 const (
 	maxTries = 20 // of those that are Eager; the others' time is over before
 	atOnce   = 3
--- a/internal/lab/zonecost.go
+++ b/internal/lab/zonecost.go
@@ -170,7 +170,7 @@
 const calmSpan = 5 * time.Second
 
 // costSeeds is how many seeds a measurement is made with, costFleets how many fleets run at once: they restart in the same moments,
-// and five with eager callers, nine tries a req, took so much of six cores that nodes were swamped and leases lost.
+// and where all callers were eager, nine tries a req, and five fleets had six cores, some of them came late or not at all.
 const (
 	costSeeds  = 3
 	costFleets = 4
