--- a/cmd/umberwinch/main.go
+++ b/cmd/umberwinch/main.go
@@ -5,7 +5,6 @@
 import (
 	"fmt"
 	"os"
-	"os/signal"
 	"syscall"
 
 	"github.com/sirupsen/logrus"
@@ -15,21 +14,19 @@
 )
 
 func main() {
-	read := func() (*backend.Node, error) { return backend.ReadBoth(os.Getenv) }
-	c, err := read()
+	signals := backend.NotifySignals(syscall.SIGTERM, syscall.SIGUSR1, syscall.SIGHUP)
+	signals.Read = func() (*backend.Node, error) { return backend.ReadBoth(os.Getenv) }
+	node, err := signals.Read()
 	if err != nil {
 		fmt.Fprintln(os.Stderr, err)
 		os.Exit(2)
 	}
-	form, from := c.Logs()
+	form, from := node.Logs()
 	log := logs.New(os.Stderr, form, from)
 	if level, err := logrus.ParseLevel(os.Getenv("UMBERWINCH_LOG")); err == nil {
 		log.SetLevel(level)
 	}
-	signals := make(chan os.Signal, 4)
-	signal.Notify(signals, syscall.SIGTERM, syscall.SIGUSR1, syscall.SIGHUP)
-	if err = backend.Run(c, log, signals, backend.Words{Drain: syscall.SIGTERM, Count: syscall.SIGUSR1,
-		Reload: syscall.SIGHUP, Read: read}); err != nil {
+	if err = backend.Run(node, log, signals); err != nil {
 		log.Error(err)
 		os.Exit(1)
 	}
--- a/internal/backend/buffers.go
+++ b/internal/backend/buffers.go
@@ -50,6 +50,19 @@
 	return new(buffer)
 }
 
+// must gives an empty buffer however many are out, for an answer that is owed. Guards against clients that hold
+// all buffers and so take answers from others; there are few such buffers, as each connection has one answer
+// at a time.
+func (p *pool) must() *buffer {
+	if b := p.get(); b != nil {
+		return b
+	}
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.out++
+	return new(buffer)
+}
+
 func (p *pool) put(b *buffer) {
 	if b == nil {
 		return
@@ -95,9 +108,21 @@
 	queue   []*buffer // waits for the flush that goes on
 	flushes bool
 	shut    bool // nothing more is taken
-	end     bool // the connection is closed once the queue is empty
+	end     end  // once the queue is empty
+
+	owesAnswers bool   // what is sent is owed: it never lacks a buffer
+	shutDown    func() // ends the sending side
 }
 
+// end is what becomes of a connection once all that was queued has gone out.
+type end uint8
+
+const (
+	endNot      end = iota
+	endShutDown     // its sending side is shut down
+	endClose
+)
+
 // send queues b; false if it would make more than most buffers wait, or nothing is taken any more.
 func (w *way) send(b []byte, most int) bool {
 	w.mu.Lock()
@@ -108,9 +133,9 @@
 	for len(b) > 0 {
 		n := len(w.queue)
 		if n == 0 || w.queue[n-1].n == bufSize {
-			t := w.pool.get()
+			t := w.buffer()
 			if t == nil {
-				w.shut, w.end = true, true // half a message must not stand before another one
+				w.shut, w.end = true, endClose // half a message must not stand before another one
 				w.kick()
 				return false
 			}
@@ -126,11 +151,26 @@
 	return true
 }
 
+func (w *way) buffer() *buffer {
+	if w.owesAnswers {
+		return w.pool.must()
+	}
+	return w.pool.get()
+}
+
+// finish shuts the sending side down once what is queued has gone out.
+func (w *way) finish() {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.shut, w.end = true, max(w.end, endShutDown)
+	w.kick()
+}
+
 // close ends the connection once what is queued has gone out.
 func (w *way) close() {
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	w.shut, w.end = true, true
+	w.shut, w.end = true, endClose
 	w.kick()
 }
 
@@ -149,13 +189,16 @@
 	for {
 		w.mu.Lock()
 		if failed != nil {
-			w.shut, w.end = true, true
+			w.shut, w.end = true, endClose
 		}
 		out, w.queue = w.queue, out[:0]
-		end := w.end
+		last := w.end
 		if w.flushes = len(out) > 0; !w.flushes {
 			w.mu.Unlock()
-			if end {
+			switch last {
+			case endShutDown:
+				w.shutDown()
+			case endClose:
 				w.c.Close()
 			}
 			return
--- /dev/null
+++ b/internal/backend/closing_test.go
@@ -0,0 +1,499 @@
+package backend
+
+// The instants at which a connection ends, each forced by its order: the test is the loop, takes events when it wants
+// to, and so decides what is still on its way as something ends.
+
+import (
+	"bufio"
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"os"
+	"path/filepath"
+	"strings"
+	"sync/atomic"
+	"syscall"
+	"testing"
+	"time"
+
+	"github.com/sirupsen/logrus"
+	"golang.org/x/sys/unix"
+
+	"umberwinch/admission"
+	"umberwinch/internal/profile"
+)
+
+// handLoop is a loop with a listener on loopback whose events the test handles by hand.
+type handLoop struct {
+	*loop
+	t    *testing.T
+	addr string
+}
+
+func newHandLoop(t *testing.T, conns int) *handLoop {
+	log := logrus.New()
+	log.SetOutput(io.Discard)
+	lim := NewLimits(1, 64, 256)
+	lim.Conns, lim.Crowd = conns, conns
+	l := &loop{now: clock(), log: log, lim: lim, in: make(chan event, 256), pool: pool{most: lim.Buffers},
+		crew: newCrew(1), conns: newTable[conn](conns), reqs: newTable[req](8), good: true, idle: admission.Second,
+		prof: &profile.Profile{Deployment: &admission.Deployment{}}}
+	ln, err := newListener("127.0.0.1:0", conns, time.Millisecond)
+	if err != nil {
+		t.Fatal(err)
+	}
+	var address string
+	ln.raw.Control(func(fd uintptr) {
+		name, err := syscall.Getsockname(int(fd))
+		if in4, ok := name.(*syscall.SockaddrInet4); ok && err == nil {
+			address = fmt.Sprintf("127.0.0.1:%d", in4.Port)
+		}
+	})
+	l.serve(ln)
+	t.Cleanup(ln.stop)
+	return &handLoop{loop: l, t: t, addr: address}
+}
+
+func (l *handLoop) dial() net.Conn {
+	c, err := net.Dial("tcp", l.addr)
+	if err != nil {
+		l.t.Fatal(err)
+	}
+	c.SetDeadline(time.Now().Add(patience))
+	l.t.Cleanup(func() { c.Close() })
+	return c
+}
+
+// waits until so many events are handed over, and takes none.
+func (l *handLoop) waits(events int) {
+	l.t.Helper()
+	for end := time.Now().Add(patience); len(l.in) < events; time.Sleep(time.Millisecond) {
+		if time.Now().After(end) {
+			l.t.Fatalf("%d events are handed over, expected %d", len(l.in), events)
+		}
+	}
+}
+
+func (l *handLoop) takes(events int) {
+	l.t.Helper()
+	l.waits(events)
+	for range events {
+		l.handle(<-l.in)
+	}
+}
+
+// later has the time go on and the connections looked over.
+func (l *handLoop) later(span admission.Time) {
+	l.now += span
+	l.sweep(l.now)
+}
+
+func (l *handLoop) first() *conn {
+	h, _ := l.conns.next(0)
+	return l.conns.get(h)
+}
+
+func check(c net.Conn) { io.WriteString(c, "GET /health HTTP/1.1\r\n\r\n") }
+
+// gets reads an answer and tells whether it says that the connection closes.
+func gets(t *testing.T, r *bufio.Reader, status int) (closes bool) {
+	t.Helper()
+	a, err := http.ReadResponse(r, nil)
+	if err != nil || a.StatusCode != status {
+		t.Fatalf("gets %+v, %v, expected %d", a, err, status)
+	}
+	return a.Close
+}
+
+// A request that is handed over and not taken keeps its connection open, whatever would close it.
+func TestHandedOverRequestKeepsItsConnection(t *testing.T) {
+	for name, closes := range map[string]func(l *handLoop){
+		"idle":     func(l *handLoop) { l.later(10 * admission.Second) },
+		"silent":   func(l *handLoop) { l.later(l.lim.FirstWord) },
+		"eviction": func(l *handLoop) { l.lim.Crowd = 0; l.now += l.lim.IdleLeast; l.makeRoom() },
+		"drain":    func(l *handLoop) { l.closeAllIdle(true) },
+	} {
+		t.Run(name, func(t *testing.T) {
+			l := newHandLoop(t, 4)
+			c := l.dial()
+			l.takes(1)
+			check(c)
+			l.waits(1)
+			closes(l)
+			l.takes(1)
+			if gets(t, bufio.NewReader(c), 200) {
+				t.Error("the answer says that the connection closes")
+			}
+		})
+	}
+}
+
+// Bytes that this process has not read yet keep a connection open as well; with force they do not, and nothing that
+// comes after is forwarded.
+func TestUnreadBytesKeepAConnection(t *testing.T) {
+	pair, err := unix.Socketpair(unix.AF_UNIX, unix.SOCK_STREAM|unix.SOCK_NONBLOCK, 0)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer unix.Close(pair[0])
+	if hasUnread(pair[0]) {
+		t.Error("an empty socket has unread bytes")
+	}
+	unix.Write(pair[1], []byte("G"))
+	if !hasUnread(pair[0]) {
+		t.Error("a byte is not seen")
+	}
+	var b [1]byte
+	unix.Read(pair[0], b[:])
+	unix.Close(pair[1])
+	if hasUnread(pair[0]) {
+		t.Error("the end of the stream counts as bytes")
+	}
+}
+
+// A message that is being read at the moment, its bytes in no buffer that could be looked at, keeps its connection open.
+func TestReadingKeepsAConnection(t *testing.T) {
+	l := newHandLoop(t, 4)
+	c := l.dial()
+	l.takes(1)
+	p := l.first().p
+	p.intake.Lock() // as a callback has it that reads and waits for room in the queue
+	l.later(10 * admission.Second)
+	if l.first().closing {
+		t.Error("closed while a message is read")
+	}
+	p.intake.Unlock()
+	io.WriteString(c, "GET /hea")
+	for end := time.Now().Add(patience); p.half.Load() == 0 && time.Now().Before(end); time.Sleep(time.Millisecond) {
+	}
+	l.first().last = l.now + admission.Second // it goes on slowly
+	l.closeAllIdle(false)
+	if l.first().closing {
+		t.Error("closed amid a message")
+	}
+	io.WriteString(c, "lth HTTP/1.1\r\n\r\n")
+	l.takes(1)
+	gets(t, bufio.NewReader(c), 200)
+}
+
+// An idle connection ends by its sending side: the client reads the end of the stream, and what it has sent meanwhile is
+// discarded and answered by nothing.
+func TestIdleConnectionEndsInOrder(t *testing.T) {
+	l := newHandLoop(t, 4)
+	c := l.dial()
+	l.takes(1)
+	check(c)
+	l.takes(1)
+	r := bufio.NewReader(c)
+	gets(t, r, 200)
+	l.later(2 * admission.Second)
+	if b, err := io.ReadAll(r); err != nil || len(b) > 0 {
+		t.Errorf("reads %q, %v, expected the end of the stream", b, err)
+	}
+	check(c)
+	check(c)
+	time.Sleep(20 * time.Millisecond) // nothing is to come of them
+	if len(l.in) > 0 {
+		t.Error("a request is handed over that came after the end")
+	}
+	c.Close()
+	l.takes(1)
+	if l.conns.n != 0 {
+		t.Error("the connection is still known")
+	}
+}
+
+// A client that never closes its side is closed after a bound, and one that sends without end at once.
+func TestEndedConnectionIsNotKept(t *testing.T) {
+	l := newHandLoop(t, 4)
+	l.dial()
+	l.takes(1)
+	l.later(2 * admission.Second)
+	l.later(l.lim.Linger)
+	l.takes(1)
+	flood := l.dial()
+	l.takes(1)
+	l.later(2 * admission.Second)
+	flood.Write(make([]byte, l.lim.Deaf+1))
+	l.takes(1) // word of the flood
+	l.takes(1) // its end
+	if l.conns.n != 0 {
+		t.Errorf("%d connections are kept", l.conns.n)
+	}
+}
+
+// A new connection always finds a slot in the table: however many are closed and opened before the loop hears of either, no
+// more are accepted than it has slots.
+func TestNewConnectionFindsASlot(t *testing.T) {
+	l := newHandLoop(t, 2)
+	for range 2 {
+		l.dial()
+	}
+	l.takes(2)
+	for h, i := l.conns.next(0); h != 0; h, i = l.conns.next(i) {
+		l.abort(l.conns.get(h))
+	}
+	l.waits(2) // both are gone, and the loop has not heard of it
+	var asks []net.Conn
+	for range 3 {
+		asks = append(asks, l.dial())
+		check(asks[len(asks)-1])
+	}
+	time.Sleep(50 * time.Millisecond)
+	if len(l.in) != 2 {
+		t.Fatalf("%d events: connections are accepted that have no slot", len(l.in))
+	}
+	l.takes(2)
+	l.takes(4)
+	for _, c := range asks[:2] {
+		gets(t, bufio.NewReader(c), 200)
+		c.Close()
+	}
+	l.takes(2)
+	l.takes(2)
+	gets(t, bufio.NewReader(asks[2]), 200)
+}
+
+// While all places are taken, connections whose end is over for long enough make room.
+func TestLingeringConnectionsMakeRoom(t *testing.T) {
+	l := newHandLoop(t, 2)
+	l.dial()
+	l.dial()
+	l.takes(2)
+	waits := l.dial()
+	check(waits)
+	l.later(l.lim.FirstWord)
+	l.later(l.lim.LeaveCrosses - 1)
+	if l.conns.n != 2 || len(l.in) > 0 {
+		t.Fatal("closed before what crosses the end could have come")
+	}
+	l.later(1)
+	l.takes(2)
+	l.takes(2)
+	gets(t, bufio.NewReader(waits), 200)
+}
+
+// Who is accepted by the system as the listener stops is served; who comes after is refused.
+func TestStoppedListenerTakesItsBacklog(t *testing.T) {
+	ln, err := newListener("127.0.0.1:0", 1, time.Millisecond)
+	if err != nil {
+		t.Fatal(err)
+	}
+	var address string
+	ln.raw.Control(func(fd uintptr) {
+		name, _ := syscall.Getsockname(int(fd))
+		address = fmt.Sprintf("127.0.0.1:%d", name.(*syscall.SockaddrInet4).Port)
+	})
+	ln.reserve() // the one place is taken, so all that come wait in the backlog
+	var clients []net.Conn
+	for range 5 {
+		c, err := net.Dial("tcp", address)
+		if err != nil {
+			t.Fatal(err)
+		}
+		defer c.Close()
+		io.WriteString(c, "x")
+		clients = append(clients, c)
+	}
+	entered, ended := make(chan int, 8), make(chan bool)
+	go func() {
+		ln.run(func(fd int) { entered <- fd }, func(err error) { t.Error(err) })
+		close(ended)
+	}()
+	ln.stop()
+	for range clients {
+		ln.release()
+		select {
+		case fd := <-entered:
+			syscall.Write(fd, []byte("y"))
+			syscall.Close(fd)
+		case <-time.After(patience):
+			t.Fatal("not accepted")
+		}
+	}
+	ln.release()
+	<-ended
+	for i, c := range clients {
+		var b [1]byte
+		if _, err := c.Read(b[:]); err != nil {
+			t.Errorf("client %d: %v", i, err)
+		}
+	}
+	if c, err := net.Dial("tcp", address); err == nil {
+		c.Close()
+		t.Error("a stopped listener takes connections")
+	}
+}
+
+// Whatever accept fails with, the listener goes on, and says so once for as long as it lasts.
+func TestListenerOutlivesFailures(t *testing.T) {
+	ln, err := newListener("127.0.0.1:0", 4, time.Millisecond)
+	if err != nil {
+		t.Fatal(err)
+	}
+	failures := []error{syscall.ECONNABORTED, syscall.EINTR, syscall.EMFILE, syscall.ENFILE, syscall.ENOBUFS, syscall.ENOMEM,
+		syscall.ENETDOWN, syscall.EPROTO, syscall.EHOSTUNREACH, syscall.EPERM}
+	var tries atomic.Int32
+	warnings := make(chan error, len(failures))
+	ln.accept = func(fd int) (int, error) {
+		if n := int(tries.Add(1)); n <= len(failures) {
+			return -1, failures[n-1]
+		}
+		return acceptNonblocking(fd)
+	}
+	var address string
+	ln.raw.Control(func(fd uintptr) {
+		name, _ := syscall.Getsockname(int(fd))
+		address = fmt.Sprintf("127.0.0.1:%d", name.(*syscall.SockaddrInet4).Port)
+	})
+	entered, ended := make(chan int, 1), make(chan bool)
+	go func() {
+		ln.run(func(fd int) { entered <- fd }, func(err error) { warnings <- err })
+		close(ended)
+	}()
+	c, err := net.Dial("tcp", address)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer c.Close()
+	select {
+	case fd := <-entered:
+		syscall.Close(fd)
+	case <-time.After(patience):
+		t.Fatalf("not accepted after %d tries", tries.Load())
+	}
+	if n := len(warnings); n != 1 {
+		t.Errorf("%d warnings, expected one", n)
+	} else if err := <-warnings; err != syscall.EMFILE {
+		t.Errorf("warns of %v, expected the first that is not about one connection alone", err)
+	}
+	ln.stop()
+	<-ended
+	if ln.open != 1 {
+		t.Errorf("%d places are taken, expected the one of the connection", ln.open)
+	}
+}
+
+// Clients that hold all buffers take no answer from others: what is owed goes out all the same, and a request that could
+// not be read is shed.
+func TestAnswersNeedNoFreeBuffer(t *testing.T) {
+	l := newHandLoop(t, 4)
+	a, b := l.dial(), l.dial()
+	l.takes(2)
+	check(a)
+	l.waits(1)
+	l.pool.mu.Lock()
+	l.pool.most = 0
+	l.pool.mu.Unlock()
+	check(b)
+	l.takes(2)
+	gets(t, bufio.NewReader(a), 200)
+	if !gets(t, bufio.NewReader(b), 503) {
+		t.Error("what is not read whole goes on")
+	}
+	if l.count.Bad != 0 {
+		t.Error("its sender did nothing wrong")
+	}
+}
+
+// What the listener and its connections did before SIGHUP after SIGHUP is not lost: one kind of signal takes no other's
+// place, and none that comes early ends the program.
+func TestSignalsTakeNoOthersPlace(t *testing.T) {
+	n := start(t, map[string]string{"stop_ms": "2500"})
+	text, err := os.ReadFile(n.file)
+	if err != nil {
+		t.Fatal(err)
+	}
+	pipe := func() {
+		if err := errors.Join(os.Remove(n.file), syscall.Mkfifo(n.file, 0o600)); err != nil {
+			t.Fatal(err)
+		}
+	}
+	pipe() // the file is read until the test writes it
+	for range 20 {
+		n.cmd.Process.Signal(syscall.SIGHUP)
+		time.Sleep(time.Millisecond)
+	}
+	n.cmd.Process.Signal(syscall.SIGTERM)
+	if !n.logged("drain: ") {
+		t.Fatal("SIGTERM is lost behind SIGHUP")
+	}
+	n.cmd.Process.Signal(syscall.SIGUSR1)
+	if !n.logged("counters") {
+		t.Error("SIGUSR1 is lost behind SIGHUP")
+	}
+	n.cmd.Process.Kill()
+	<-n.ended
+
+	n.log = newFeed() // now one that hears SIGHUP before it has read its file for the first time
+	early := make(chan bool)
+	go func() {
+		defer close(early)
+		f, err := os.OpenFile(n.file, os.O_WRONLY, 0) // waits for the reader
+		if err != nil {
+			return
+		}
+		n.cmd.Process.Signal(syscall.SIGHUP)
+		time.Sleep(20 * time.Millisecond)
+		f.Write(text)
+		os.Remove(n.file)
+		os.WriteFile(n.file, text, 0o600)
+		f.Close()
+	}()
+	n.kernel.mu.Lock()
+	n.kernel.kept = nil
+	n.kernel.mu.Unlock()
+	n.launch()
+	<-early
+	if !n.logged("start-up file taken") {
+		t.Error("a SIGHUP that came early is lost")
+	}
+	if matches, _ := filepath.Glob(n.file); len(matches) != 1 {
+		t.Error("the file is gone")
+	}
+}
+
+// A closing answer is not written where more is on its way, and says so as soon as that is answered.
+func TestClosingAnswerWaitsForWhatWasRead(t *testing.T) {
+	l := newHandLoop(t, 4)
+	c := l.dial()
+	l.takes(1)
+	check(c)
+	check(c)
+	l.waits(2)
+	l.drains = true
+	r := bufio.NewReader(c)
+	l.takes(1)
+	if gets(t, r, 200) {
+		t.Error("the first answer closes over a request that was read")
+	}
+	l.takes(1)
+	if !gets(t, r, 200) {
+		t.Error("the last answer does not say that it closes")
+	}
+	if b, err := io.ReadAll(r); err != nil || len(b) > 0 {
+		t.Errorf("reads %q, %v, expected the end", b, err)
+	}
+}
+
+// A connection whose client asked for its end and then stays, with half a message, is ended after a bound.
+func TestEndingConnectionIsBounded(t *testing.T) {
+	l := newHandLoop(t, 4)
+	c := l.dial()
+	l.takes(1)
+	io.WriteString(c, "GET /health HTTP/1.1\r\nConnection: close\r\n\r\nGET /hea")
+	l.takes(1)
+	r := bufio.NewReader(c)
+	gets(t, r, 200)
+	for end := time.Now().Add(patience); l.first().p.half.Load() == 0 && time.Now().Before(end); {
+		time.Sleep(time.Millisecond)
+	}
+	if !l.first().closing {
+		l.later(l.lim.Linger)
+	}
+	if b, err := io.ReadAll(r); err != nil || strings.Contains(string(b), "200") {
+		t.Errorf("reads %q, %v, expected the end", b, err)
+	}
+}
--- a/internal/backend/front.go
+++ b/internal/backend/front.go
@@ -6,12 +6,8 @@
 
 import (
 	"context"
-	"net"
-	"os"
-	"sync"
-	"sync/atomic"
+	"errors"
 	"syscall"
-	"time"
 
 	"github.com/cloudwego/netpoll"
 
@@ -19,17 +15,19 @@
 	"umberwinch/internal/proto"
 )
 
-// conn is one connection of a sidecar, as the loop knows it.
+// conn is one connection of a client, as the loop knows it.
 type conn struct {
 	p       *peer
-	open    handle // the req that is being served on it
+	open    handle // the request that is being served on it
 	wait    []event
 	since   admission.Time // when it was opened
 	last    admission.Time // when it last carried anything
 	said    said
-	closing bool           // what follows on it is not read
-	until   admission.Time // it waits so long for the other side to close it
+	ending  bool           // it is to be closed once nothing that was read on it is owed an answer
+	closing bool           // its sending side is shut down, or will be once its last answer is out
+	until   admission.Time // while closing: the other side has so long to close it
 	ended   bool           // this side has closed it
+	passed  admission.Time // it could not be closed for room then
 }
 
 // said is what a connection has brought whole so far.
@@ -41,95 +39,28 @@
 	saidReq
 )
 
-// peer is the same connection as its callbacks know it.
-type peer struct {
-	way
-	h     handle // the loop's
-	in    intake
-	ahead atomic.Int32 // messages handed over and not begun
-	half  atomic.Int64 // since when a message is not whole; 0: there is none
-	deaf  bool         // what comes is passed over
-	over  int          // bytes that were
-}
-
-// door is the listener. It accepts in a goroutine of its own, which alone waits while all connections are in
-// use. Guards against a full table that stops all reading: netpoll's server accepts on its poller, and
-// whatever waits there keeps every other connection and the links waiting too.
-type door struct {
-	ln   *os.File // the socket, in blocking mode
-	mu   sync.Mutex
-	room *sync.Cond
-	in   int
-	most int
-}
-
-func newDoor(addr string, most int) (*door, error) {
-	ln, err := net.Listen("tcp", addr)
-	if err != nil {
-		return nil, err
-	}
-	defer ln.Close() // the file stands for the same socket
-	d := &door{most: most}
-	d.room = sync.NewCond(&d.mu)
-	d.ln, err = ln.(*net.TCPListener).File()
-	return d, err
-}
-
-// next is the next connection, once there is room for it.
-func (d *door) next(ln int) (fd int, err error) {
-	d.mu.Lock()
-	for d.in >= d.most {
-		d.room.Wait()
-	}
-	d.in++
-	d.mu.Unlock()
-	if fd, _, err = syscall.Accept4(ln, syscall.SOCK_NONBLOCK|syscall.SOCK_CLOEXEC); err != nil {
-		d.left()
-	}
-	return fd, err
-}
-
-func (d *door) left() {
-	d.mu.Lock()
-	d.in--
-	d.room.Signal()
-	d.mu.Unlock()
-}
-
 // serve starts to take connections.
-func (l *loop) serve(d *door) {
+func (l *loop) serve(ln *listener) {
+	l.listener, l.accepts = ln, true
 	go func() {
-		var was error
-		for ln := int(d.ln.Fd()); ; { // which has it block
-			fd, err := d.next(ln)
-			switch {
-			case err == nil:
-				l.enter(d, fd)
-			case err != syscall.ECONNABORTED && err != syscall.EINTR:
-				if was == nil {
-					l.log.Warnf("accept: %v", err) // once for as long as it lasts
-				}
-				time.Sleep(l.lim.NoDescriptor)
-			}
-			was = err
-		}
+		ln.run(l.enter, func(err error) { l.log.Warnf("accept: %v", err) })
+		l.put(event{kind: newsNoAccept})
 	}()
 }
 
 // enter has netpoll read a connection that was accepted.
-func (l *loop) enter(d *door, fd int) {
+func (l *loop) enter(fd int) {
 	syscall.SetsockoptInt(fd, syscall.IPPROTO_TCP, syscall.TCP_NODELAY, 1)
 	nc, err := netpoll.NewFDConnection(fd)
-	if err != nil {
-		syscall.Close(fd)
-		d.left()
+	if err != nil { // netpoll has closed the descriptor: it may be another's by now
+		l.log.Warnf("a connection can't be read: %v", err)
+		l.listener.release()
 		return
 	}
-	p := &peer{way: way{c: nc, pool: &l.pool, crew: l.crew, busy: &l.busy}, in: intake{pool: &l.pool}}
+	p := newPeer(nc, fd, l)
 	nc.SetWriteTimeout(l.lim.WriteStuck)
 	nc.AddCloseCallback(func(netpoll.Connection) error {
-		p.in.drop()
-		d.left()
+		p.release()
 		l.put(event{kind: newsGone, from: p})
 		return nil
 	})
@@ -140,42 +71,10 @@
 	}
 }
 
-// heard reads what a connection has brought; it runs in a callback.
-func (l *loop) heard(p *peer, nc netpoll.Connection) error {
-	if !p.deaf {
-		err := p.in.read(nc.Reader(), func(b []byte) (e event, n int, err error) {
-			e.kind, e.from = newsReq, p
-			if e.req, n, err = proto.ParseRequest(b, l.lim.Request); n > 0 && err == nil &&
-				int(p.ahead.Add(1)) > l.lim.Ahead+1 {
-				// netpoll reads on whatever is done here, so the only bound that holds is to read no more.
-				err = errAhead
-			}
-			return e, n, err
-		}, l.put)
-		if err == nil {
-			if p.in.buf == nil {
-				p.half.Store(0)
-			} else if p.half.Load() == 0 {
-				p.half.Store(int64(clock()))
-			}
-			return nil
-		}
-		p.deaf = true
-		p.in.drop()
-		l.put(event{kind: newsBad, from: p, err: err})
-	}
-	n := nc.Reader().Len()
-	// Guards against endless bodies: they take cores for as long as they are read, and the answer is out.
-	if p.over += n; p.over > l.lim.Deaf {
-		p.close()
-	}
-	nc.Reader().Skip(n)
-	return nc.Reader().Release()
-}
-
 func (l *loop) opened(p *peer) {
 	h, c, ok := l.conns.take()
-	if !ok {
+	if !ok { // the listener's bound is below the table's
+		l.log.Errorf("no room in the table for a connection, which has room for %d", l.conns.most)
 		p.close()
 		return
 	}
@@ -184,49 +83,88 @@
 	l.makeRoom()
 }
 
-// use orders connections by what closing them would cost.
-func (c *conn) use() said {
-	if c.closing {
-		return saidNothing // it has its last answer
+// makeRoom closes the connections that are of least use while there are too many: of those that have said
+// nothing whole the oldest, then of those that brought checks only the one idle for longest, then of all.
+// Guards against crowds that say nothing, and callers that keep what they no longer use. What crosses such a
+// close is sent again by its sidecar.
+func (l *loop) makeRoom() {
+	l.endLingering()
+	for l.usable() > l.lim.Crowd {
+		c := l.leastUsed()
+		if c == nil {
+			return
+		}
+		if l.closeIdle(c, false) {
+			l.count.Evicted++
+		} else {
+			c.passed = l.now
+		}
 	}
-	return c.said
 }
 
-// makeRoom closes the connections that are of least use while there are too many: of those that have said
-// nothing whole, or had their last answer, the oldest, then of those that brought checks only the one idle
-// for longest, then of all. Guards against crowds that say nothing, and callers that keep what they no longer
-// use. What crosses such a close is sent again by its sidecar.
-func (l *loop) makeRoom() {
-	for l.conns.n > l.lim.Crowd {
-		var out *conn
-		n := 0
-		for h, i := l.conns.next(0); h != 0; h, i = l.conns.next(i) {
-			c := l.conns.get(h)
-			if c.ended {
-				continue
-			}
+// endLingering closes connections whose other side has had the time to close them, while all places are taken.
+func (l *loop) endLingering() {
+	if l.conns.n < l.lim.Conns {
+		return
+	}
+	for h, i := l.conns.next(0); h != 0; h, i = l.conns.next(i) {
+		c := l.conns.get(h)
+		if c.closing && !c.ended && l.now >= c.until-l.lim.Linger+l.lim.LeaveCrosses {
+			l.abort(c)
+		}
+	}
+}
+
+// usable counts the connections that may bring a further request.
+func (l *loop) usable() (n int) {
+	for h, i := l.conns.next(0); h != 0; h, i = l.conns.next(i) {
+		if !l.conns.get(h).closing {
 			n++
-			least := l.lim.IdleLeast
-			if c.said == saidNothing || c.closing {
-				least = l.lim.SilentLeast
-			}
-			if c.open != 0 || len(c.wait) > 0 || l.now-c.last < least {
-				continue
-			}
-			if out == nil || c.use() < out.use() || c.use() == out.use() && c.last < out.last {
-				out = c
-			}
 		}
-		if out == nil || n <= l.lim.Crowd {
-			return
+	}
+	return n
+}
+
+// leastUsed finds the idle connection whose close costs least, if there is one.
+func (l *loop) leastUsed() (out *conn) {
+	for h, i := l.conns.next(0); h != 0; h, i = l.conns.next(i) {
+		c := l.conns.get(h)
+		least := l.lim.IdleLeast
+		if c.said == saidNothing {
+			least = l.lim.SilentLeast
+		}
+		if c.closing || c.passed == l.now || c.owes() || l.now-c.last < least {
+			continue
+		}
+		if out == nil || c.said < out.said || c.said == out.said && c.last < out.last {
+			out = c
 		}
-		l.count.Evicted++
-		l.closeConn(out)
 	}
+	return out
 }
 
-// closeConn ends a connection on which nothing is owed.
-func (l *loop) closeConn(c *conn) {
+// owes tells whether a request that was read on the connection has no answer yet.
+func (c *conn) owes() bool { return c.open != 0 || len(c.wait) > 0 || c.p.ahead.Load() > 0 }
+
+// closeIdle begins the end of a connection on which nothing is owed, unless something is on its way: a request
+// that is handed over and not taken, or bytes that are not read. With force only what was read whole counts.
+func (l *loop) closeIdle(c *conn, force bool) bool {
+	if c.closing || c.owes() || !c.p.seal(force) {
+		return false
+	}
+	l.finish(c)
+	return true
+}
+
+// finish ends a connection whose reading is sealed: its sending side is shut down after what waits to go out.
+func (l *loop) finish(c *conn) {
+	c.closing = true
+	c.until = l.now + l.lim.Linger
+	c.p.finish()
+}
+
+// abort closes a connection at once: on which nothing is owed, or whose other side takes nothing.
+func (l *loop) abort(c *conn) {
 	c.closing, c.ended = true, true
 	l.passOver(c)
 	c.p.close()
@@ -240,31 +178,56 @@
 	}
 	l.makeRoom()
 	for h, i := l.conns.next(0); h != 0; h, i = l.conns.next(i) {
-		c := l.conns.get(h)
-		half, idle := admission.Time(c.p.half.Load()), l.idle
-		if c.said == saidCheck {
-			idle = min(idle, l.lim.CheckIdle)
+		l.sweepConn(h, l.conns.get(h))
+	}
+}
+
+func (l *loop) sweepConn(h handle, c *conn) {
+	half := admission.Time(c.p.half.Load())
+	switch {
+	case c.closing:
+		if !c.ended && l.now >= c.until {
+			l.abort(c)
 		}
-		switch {
-		case c.closing:
-			if !c.ended && l.now >= c.until {
-				l.closeConn(c)
-			}
-		case c.open != 0 || len(c.wait) > 0:
-		case half != 0 && l.now-max(half, c.last) >= l.lim.FirstWord:
-			l.count.Silent++
-			l.reply(c, h, proto.Answer{Status: l.bad("a message does not get to its end"), Close: true})
-		case c.said == saidNothing && l.now-c.since >= l.lim.FirstWord:
+	case c.owes():
+	case half != 0 && l.now-max(half, c.last) >= l.lim.FirstWord:
+		if !c.p.seal(true) {
+			return // more of it is being read at this moment
+		}
+		l.count.Silent++
+		l.reply(c, h, proto.Answer{Status: l.bad("a message does not get to its end"), Close: true})
+	case c.ending:
+		l.closeIdle(c, l.now-c.last >= l.lim.Linger)
+	case c.said == saidNothing && l.now-c.since >= l.lim.FirstWord:
+		if l.closeIdle(c, false) {
 			l.count.Silent++
-			l.closeConn(c)
-		case half == 0 && l.now-c.last >= idle:
-			l.closeConn(c)
 		}
+	case half == 0 && l.now-c.last >= l.idleMost(c):
+		l.closeIdle(c, false)
+	}
+}
+
+// idleMost is how long a connection may be idle.
+func (l *loop) idleMost(c *conn) admission.Time {
+	if c.said == saidCheck {
+		return min(l.idle, l.lim.CheckIdle)
+	}
+	return l.idle
+}
+
+// flooded takes word that more comes on a sealed connection than is borne: it is closed, but not before what
+// was read on it has its answer.
+func (l *loop) flooded(p *peer) {
+	if c := l.conns.get(p.h); c != nil && c.closing && !c.ended {
+		l.abort(c)
 	}
 }
 
 // left takes the end of a connection: whoever waited for an answer on it is gone.
 func (l *loop) left(p *peer) {
+	if l.listener != nil {
+		l.listener.release() // not before: the table's slot is free from here on
+	}
 	c := l.conns.get(p.h)
 	if c == nil {
 		return
@@ -302,11 +265,11 @@
 // begin starts on the next message of a connection.
 func (l *loop) begin(c *conn, e event) {
 	h := e.from.h
+	e.from.ahead.Add(-1)
 	if e.kind == newsBad {
-		l.reply(c, h, proto.Answer{Status: l.bad("%v", e.err), Close: true})
+		l.reply(c, h, l.refusal(e.err))
 		return
 	}
-	e.from.ahead.Add(-1)
 	a := proto.Answer{Close: e.req.Close}
 	switch method, path := string(e.req.Method), string(e.req.Path); {
 	case path == "/health" && method == "GET":
@@ -333,20 +296,29 @@
 	l.reply(c, h, a)
 }
 
-// reply sends an answer on a connection and goes on to what else it has brought.
+// refusal answers what could not be read.
+func (l *loop) refusal(err error) proto.Answer {
+	if errors.Is(err, errNoBuffer) { // its sender has done nothing wrong
+		l.count.Shed++
+		return proto.Answer{Status: 503, Close: true}
+	}
+	return proto.Answer{Status: l.bad("%v", err), Close: true}
+}
+
+// reply sends an answer on a connection and goes on to what else it has brought. What was read before a
+// connection is to be closed is still answered on it: only the last answer says that it closes.
 func (l *loop) reply(c *conn, h handle, a proto.Answer) {
-	// What was read before is still answered, on the same connection: only the last answer says that it closes.
-	a.Close, a.Hint, a.Says = a.Close || l.drains && len(c.wait) == 0, l.hint, l.says
+	c.open, c.last = 0, l.now
+	c.ending = c.ending || a.Close || l.drains
+	a.Close = c.ending && !c.owes() && c.p.seal(false)
+	a.Hint, a.Says = l.hint, l.says
 	l.out = proto.AppendAnswer(l.out[:0], a)
 	if !c.p.send(l.out, l.lim.ConnQueue) {
-		l.closeConn(c) // it takes nothing: given up
+		l.abort(c) // it takes nothing: given up
 		return
 	}
-	c.open, c.last = 0, l.now
 	if a.Close {
-		c.closing = true
-		l.passOver(c)
-		c.until = l.now + l.lim.Linger
+		l.finish(c)
 		return
 	}
 	if len(c.wait) > 0 {
--- /dev/null
+++ b/internal/backend/listener.go
@@ -0,0 +1,141 @@
+// Listener: the listening socket and its bound on open connections. It accepts in a goroutine of its own, which
+// alone waits while every place is taken. Guards against a full table that stops all reading: netpoll's server
+// accepts on its poller, and whatever waits there keeps every other connection and the links waiting too.
+package backend
+
+import (
+	"errors"
+	"net"
+	"os"
+	"sync"
+	"syscall"
+	"time"
+)
+
+// listener accepts connections while fewer than limit are open. Each accepted connection holds a place until
+// release is called for it.
+type listener struct {
+	file   *os.File // a non-blocking duplicate of the socket; its Fd method would make it block
+	raw    syscall.RawConn
+	accept func(fd int) (int, error) // accept4, or what a test has in its place
+	pause  time.Duration             // between tries while the system has no descriptor or memory left
+
+	mu       sync.Mutex
+	room     *sync.Cond
+	open     int
+	limit    int
+	stopping bool
+}
+
+func newListener(address string, limit int, pause time.Duration) (*listener, error) {
+	tcp, err := net.Listen("tcp", address)
+	if err != nil {
+		return nil, err
+	}
+	defer tcp.Close() // the duplicate stands for the same socket
+	file, err := tcp.(*net.TCPListener).File()
+	if err != nil {
+		return nil, err
+	}
+	raw, err := file.SyscallConn()
+	if err != nil {
+		return nil, errors.Join(err, file.Close())
+	}
+	ln := &listener{file: file, raw: raw, accept: acceptNonblocking, pause: pause, limit: limit}
+	ln.room = sync.NewCond(&ln.mu)
+	return ln, nil
+}
+
+func acceptNonblocking(fd int) (int, error) {
+	accepted, _, err := syscall.Accept4(fd, syscall.SOCK_NONBLOCK|syscall.SOCK_CLOEXEC)
+	return accepted, err
+}
+
+// run hands each accepted descriptor to enter until stop is called. Before it returns it accepts whatever the
+// system had completed by then and closes the socket: who connects after that is refused, which proves that
+// nothing ran. warn hears of an error once for as long as it lasts.
+func (ln *listener) run(enter func(fd int), warn func(error)) {
+	var last error
+	for {
+		ln.reserve()
+		fd, err := ln.next()
+		if err == nil {
+			last = nil
+			enter(fd)
+			continue
+		}
+		ln.release()
+		if errors.Is(err, errBacklogEmpty) {
+			ln.file.Close()
+			return
+		}
+		if isTransient(err) {
+			continue
+		}
+		if last == nil {
+			warn(err)
+		}
+		last = err
+		time.Sleep(ln.pause)
+	}
+}
+
+// errBacklogEmpty ends a stopped listener: no completed connection waits to be accepted.
+var errBacklogEmpty = errors.New("no connection waits to be accepted")
+
+// isTransient tells errors that concern one connection, or no connection at all, and need no pause.
+func isTransient(err error) bool {
+	return errors.Is(err, syscall.EINTR) || errors.Is(err, syscall.ECONNABORTED)
+}
+
+// next waits for a connection; once the listener is stopping it only takes those that are complete.
+func (ln *listener) next() (fd int, err error) {
+	waitErr := ln.raw.Read(func(listening uintptr) bool {
+		fd, err = ln.accept(int(listening))
+		return err != syscall.EAGAIN
+	})
+	if waitErr == nil {
+		return fd, err
+	}
+	if !errors.Is(waitErr, os.ErrDeadlineExceeded) {
+		return 0, waitErr
+	}
+	// The deadline that stop set may have come before the first try: what is complete is taken without waiting.
+	controlErr := ln.raw.Control(func(listening uintptr) { fd, err = ln.accept(int(listening)) })
+	if controlErr != nil {
+		return 0, controlErr
+	}
+	if err == syscall.EAGAIN {
+		return 0, errBacklogEmpty
+	}
+	return fd, err
+}
+
+// stop has run accept what is complete, close the socket and return.
+func (ln *listener) stop() {
+	ln.mu.Lock()
+	defer ln.mu.Unlock()
+	if ln.stopping {
+		return
+	}
+	ln.stopping = true
+	ln.file.SetReadDeadline(time.Unix(1, 0)) // long past: whoever waits is woken
+}
+
+// reserve takes a place, and waits while none is free.
+func (ln *listener) reserve() {
+	ln.mu.Lock()
+	defer ln.mu.Unlock()
+	for ln.open >= ln.limit {
+		ln.room.Wait()
+	}
+	ln.open++
+}
+
+// release gives a place back.
+func (ln *listener) release() {
+	ln.mu.Lock()
+	defer ln.mu.Unlock()
+	ln.open--
+	ln.room.Signal()
+}
--- a/internal/backend/loop.go
+++ b/internal/backend/loop.go
@@ -7,9 +7,9 @@
 
 import (
 	"context"
-	"errors"
 	"fmt"
 	"os"
+	"os/signal"
 	"runtime/debug"
 	"sync/atomic"
 	"time"
@@ -40,10 +40,10 @@
 	newsReload
 	newsFleet
 	newsKept
+	newsFlood    // more comes on a sealed connection than is borne
+	newsNoAccept // the listener is closed, and what it had accepted was told before
 )
 
-var errAhead = errors.New("too many requests ahead of their answers")
-
 // event is one thing handed over.
 type event struct {
 	kind   news
@@ -62,16 +62,18 @@
 }
 
 type loop struct {
-	pools *pools.Pools // nil: none
-	fleet *fleetPart   // nil: the node serves alone
-	kept  *keptPart    // nil: results are kept in memory alone
-	lim   Limits
-	log   *logrus.Logger
-	in    chan event
-	pool  pool
-	crew  crew
-	busy  atomic.Int64 // ways out that still have something to send
-	timer *time.Timer
+	pools    *pools.Pools // nil: none
+	fleet    *fleetPart   // nil: the node serves alone
+	kept     *keptPart    // nil: results are kept in memory alone
+	lim      Limits
+	log      *logrus.Logger
+	in       chan event
+	pool     pool
+	crew     crew
+	listener *listener
+	accepts  bool         // the listener is open
+	busy     atomic.Int64 // ways out that still have something to send
+	timer    *time.Timer
 
 	told  *Node // the start-up file
 	prof  *profile.Profile
@@ -143,14 +145,42 @@
 	}
 }
 
-// Words are what the program is told while it serves: the signals, and how its start-up file is read anew.
-type Words struct {
-	Drain, Count, Reload os.Signal
+// Signals are what the program is told while it serves, each by a channel of its own, so that no number of one
+// kind takes the place of another. Read reads the start-up file anew.
+type Signals struct {
+	Drain, Count, Reload <-chan os.Signal
 	Read                 func() (*Node, error)
 }
 
+// NotifySignals subscribes to the signals. It is called before anything else, as a signal that comes before it
+// ends the program.
+func NotifySignals(drain, count, reload os.Signal) Signals {
+	// One signal that waits stands for all that come meanwhile.
+	subscribe := func(s os.Signal) <-chan os.Signal {
+		c := make(chan os.Signal, 1)
+		signal.Notify(c, s)
+		return c
+	}
+	return Signals{Drain: subscribe(drain), Count: subscribe(count), Reload: subscribe(reload)}
+}
+
+// forward hands the signals over. A start-up file that is slow to read holds up no other signal.
+func (l *loop) forward(signals Signals) {
+	events := func(c <-chan os.Signal, make func() event) {
+		for range c {
+			l.put(make())
+		}
+	}
+	go events(signals.Drain, func() event { return event{kind: newsDrain} })
+	go events(signals.Count, func() event { return event{kind: newsCount} })
+	go events(signals.Reload, func() event {
+		next, err := signals.Read()
+		return event{kind: newsReload, node: next, err: err}
+	})
+}
+
 // Run serves until the program is told to leave and all that was read is answered.
-func Run(c *Node, log *logrus.Logger, signals <-chan os.Signal, words Words) error {
+func Run(c *Node, log *logrus.Logger, signals Signals) error {
 	lim := NewLimits(c.Limits.Cores, c.Limits.MemoryMB, c.Limits.Sockets)
 	// Six tenths: the rest is for what is not Go's heap, and for peaks between collections.
 	debug.SetMemoryLimit(int64(lim.MemoryMB) << 20 * 6 / 10)
@@ -170,25 +200,13 @@
 	if err := l.joinFleet(); err != nil {
 		return err
 	}
-	d, err := newDoor(c.Listen, lim.Conns)
+	ln, err := newListener(c.Listen, lim.Conns, lim.NoDescriptor)
 	if err != nil {
 		return fmt.Errorf("listen on %s: %w", c.Listen, err)
 	}
 	l.keepResults()
-	l.serve(d)
-	go func() {
-		for s := range signals {
-			switch s {
-			case words.Drain:
-				l.put(event{kind: newsDrain})
-			case words.Count:
-				l.put(event{kind: newsCount})
-			case words.Reload:
-				next, err := words.Read() // not by the loop: a file may be slow
-				l.put(event{kind: newsReload, node: next, err: err})
-			}
-		}
-	}()
+	l.serve(ln)
+	l.forward(signals)
 	l.run()
 	l.closeKept()
 	return nil
@@ -278,6 +296,10 @@
 		return // the message's buffer goes with the req
 	case newsGone:
 		l.left(e.from)
+	case newsFlood:
+		l.flooded(e.from)
+	case newsNoAccept:
+		l.accepts = false
 	case newsDrain:
 		l.drain()
 	case newsCount:
@@ -382,39 +404,64 @@
 	l.keptLeaves()
 }
 
-// leave sees whether nobody sends here any more, or the kill is near: then idle connections are closed, what
-// crosses that is still answered, and the loop ends. The listener stays open to the last, as closing it would
-// cut off those who wait to be accepted.
+// leave sees whether nobody sends here any more, or the kill is near: then the listener takes what is complete
+// and closes, idle connections are closed, what crosses that is still answered, and the loop ends. The listener
+// stays open until then, as sidecars learn late that this server leaves.
 func (l *loop) leave() {
 	most := l.kill - admission.Second/20 // the module's last answers come after
 	quiet := l.now-max(l.last, l.since) >= l.lim.LeaveQuiet && l.now-l.since >= 2*admission.Second
 	if l.shut == 0 && (l.now >= most-l.lim.LeaveCrosses || quiet && l.owed() == 0) {
 		l.shut = l.now
-		for h, i := l.conns.next(0); h != 0; h, i = l.conns.next(i) {
-			if c := l.conns.get(h); c.open == 0 && len(c.wait) == 0 {
-				l.closeConn(c)
-			}
+		if l.listener != nil {
+			l.listener.stop()
 		}
 	}
+	if l.shut != 0 {
+		l.closeAllIdle(l.now >= most)
+	}
 	l.due.set(l.now+admission.Second/100, dueLeave, 0)
 }
 
+// closeAllIdle closes connections on which nothing is owed. A new one may be about to bring its first request.
+func (l *loop) closeAllIdle(force bool) {
+	for h, i := l.conns.next(0); h != 0; h, i = l.conns.next(i) {
+		c := l.conns.get(h)
+		if force || c.said != saidNothing || l.now-c.since >= l.lim.LeaveCrosses {
+			l.closeIdle(c, force)
+		}
+	}
+}
+
+// owed counts the connections on which an answer is owed.
 func (l *loop) owed() (n int) {
 	for h, i := l.conns.next(0); h != 0; h, i = l.conns.next(i) {
-		if c := l.conns.get(h); c.open != 0 || len(c.wait) > 0 {
+		if l.conns.get(h).owes() {
 			n++
 		}
 	}
 	return n
 }
 
+// lingers tells whether a client may still be reading, or sending what crosses the end of its connection.
+func (l *loop) lingers() bool {
+	for h, i := l.conns.next(0); h != 0; h, i = l.conns.next(i) {
+		c := l.conns.get(h)
+		if !c.closing || l.now < c.until-l.lim.Linger+l.lim.LeaveCrosses {
+			return true
+		}
+	}
+	return false
+}
+
 // finished says whether all is said and sent.
 func (l *loop) finished() bool {
-	if !l.drains || l.shut == 0 ||
-		l.now < min(max(l.shut, l.met)+l.lim.LeaveCrosses, l.kill+l.before/2) {
-		return false
+	if !l.drains || l.shut == 0 || l.owed() > 0 || l.busy.Load() > 0 {
+		return false // while anything is owed it's the kill that ends it
+	}
+	if l.now >= l.kill+l.before/2 {
+		return true
 	}
-	return l.owed() == 0 && l.busy.Load() == 0 // while anything is owed it's the kill that ends it
+	return !l.accepts && !l.lingers() && l.now >= max(l.shut, l.met)+l.lim.LeaveCrosses
 }
 
 // lines carries netpoll's own log lines into the log, a few at a time.
--- /dev/null
+++ b/internal/backend/peer.go
@@ -0,0 +1,159 @@
+// Peer: one connection of a client as its callbacks know it: what has been read of it, and the end of each of
+// its two directions. A connection is ended in order: reading is sealed once nothing is on its way, the last
+// answer goes out, the sending side is shut down, what still comes is discarded until the client closes or a
+// bound is reached, then the descriptor is closed. Whatever was read before the seal is answered first, and
+// nothing that comes after it is ever forwarded.
+package backend
+
+import (
+	"errors"
+	"sync"
+	"sync/atomic"
+	"syscall"
+
+	"github.com/cloudwego/netpoll"
+
+	"umberwinch/internal/proto"
+)
+
+var errAhead = errors.New("too many requests ahead of their answers")
+
+// peer is shared by the connection's callbacks and the loop.
+type peer struct {
+	way
+	fd    int
+	h     handle       // the loop's
+	ahead atomic.Int32 // messages handed over and not begun
+	half  atomic.Int64 // since when a message is not whole; 0: there is none
+
+	// intake is held while input is read and handed over, so the loop must only try it: who holds it may be
+	// waiting for the loop.
+	intake    sync.Mutex
+	in        intake
+	sealed    bool // what comes is discarded
+	closed    bool // the descriptor is about to be closed and may soon be another's
+	discarded int  // bytes that came after the seal
+	flooded   bool // they were more than is borne
+}
+
+func newPeer(nc netpoll.Connection, fd int, l *loop) *peer {
+	p := &peer{fd: fd, in: intake{pool: &l.pool}}
+	p.way = way{c: nc, pool: &l.pool, crew: l.crew, busy: &l.busy, owesAnswers: true, shutDown: p.shutDownWrite}
+	return p
+}
+
+// heard reads what a connection has brought; it runs in a callback.
+func (l *loop) heard(p *peer, nc netpoll.Connection) error {
+	p.intake.Lock()
+	defer p.intake.Unlock()
+	if !p.sealed {
+		err := p.in.read(nc.Reader(), func(b []byte) (event, int, error) { return p.parse(b, l.lim) },
+			func(e event) {
+				p.ahead.Add(1)
+				l.put(e)
+			})
+		if err == nil {
+			p.noteUnfinished()
+			return nil
+		}
+		p.sealed = true
+		p.in.drop()
+		p.half.Store(0)
+		p.ahead.Add(1)
+		l.put(event{kind: newsBad, from: p, err: err})
+	}
+	return l.discard(p, nc.Reader())
+}
+
+// parse reads one request. netpoll reads on whatever is done here, so the only bound on pipelined requests
+// that holds is to take no more of them.
+func (p *peer) parse(b []byte, lim Limits) (e event, n int, err error) {
+	e.kind, e.from = newsReq, p
+	e.req, n, err = proto.ParseRequest(b, lim.Request)
+	if n > 0 && err == nil && int(p.ahead.Load()) > lim.Ahead {
+		err = errAhead
+	}
+	return e, n, err
+}
+
+// noteUnfinished keeps since when a message is not whole. Empty lines between requests are no message.
+func (p *peer) noteUnfinished() {
+	if p.in.buf != nil && onlyLineEnds(p.in.buf.bytes()) {
+		p.in.drop()
+	}
+	switch {
+	case p.in.buf == nil:
+		p.half.Store(0)
+	case p.half.Load() == 0:
+		p.half.Store(int64(clock()))
+	}
+}
+
+func onlyLineEnds(b []byte) bool {
+	for _, c := range b {
+		if c != '\r' && c != '\n' {
+			return false
+		}
+	}
+	return true
+}
+
+// discard passes over what comes after the seal. Guards against endless bodies, which take cores for as long
+// as they are read: past a bound the loop is told, which closes the connection once nothing is owed on it.
+func (l *loop) discard(p *peer, r netpoll.Reader) error {
+	n := r.Len()
+	p.discarded += n
+	if p.discarded > l.lim.Deaf && !p.flooded {
+		p.flooded = true
+		l.put(event{kind: newsFlood, from: p})
+	}
+	r.Skip(n)
+	return r.Release()
+}
+
+// seal ends the reading of requests, unless one is on its way: handed over and not begun, begun to be read, or
+// in a buffer of this process or of the system. With force only what was read whole counts.
+func (p *peer) seal(force bool) bool {
+	if !p.intake.TryLock() {
+		return false
+	}
+	defer p.intake.Unlock()
+	if p.ahead.Load() > 0 {
+		return false
+	}
+	if p.sealed || p.closed {
+		return true
+	}
+	if !force && (p.in.buf != nil || p.c.Reader().Len() > 0 || hasUnread(p.fd)) {
+		return false
+	}
+	p.sealed = true
+	p.in.drop()
+	p.half.Store(0)
+	return true
+}
+
+// hasUnread tells whether bytes wait in a socket's receive buffer; the end of the stream is none.
+func hasUnread(fd int) bool {
+	var b [1]byte
+	n, _, err := syscall.Recvfrom(fd, b[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
+	return n > 0 || err == syscall.EINTR
+}
+
+// shutDownWrite ends the sending side: the client reads the end of the stream after the last answer. A close in
+// its place would reset the connection where bytes are unread, and could take that answer with it.
+func (p *peer) shutDownWrite() {
+	p.intake.Lock()
+	defer p.intake.Unlock()
+	if !p.closed {
+		syscall.Shutdown(p.fd, syscall.SHUT_WR)
+	}
+}
+
+// release ends what the peer holds as its descriptor is about to be closed.
+func (p *peer) release() {
+	p.intake.Lock()
+	defer p.intake.Unlock()
+	p.closed = true
+	p.in.drop()
+}
--- a/internal/backend/scenario_test.go
+++ b/internal/backend/scenario_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"bytes"
 	"errors"
 	"fmt"
 	"net"
@@ -26,6 +27,7 @@
 //	NAME sends CLASS ID [key=K] [about=K] [body=T] [age=MS] [budget=MS] [account=N] [again] [close]
 //	                                 [split=N]
 //	NAME raw TEXT                    bytes as they are
+//	NAME floods N                    so many bytes that are no message, as far as the other side takes them
 //	NAME gets STATUS [body=T] [close] [back] [final[=any]] [hint=any]
 //	NAME checks STATUS               a health check on a connection of its own
 //	NAME ends                        the other side closes it, with nothing more said
@@ -342,6 +344,9 @@
 		}
 	case "raw":
 		io.WriteString(c, w[0])
+	case "floods":
+		n, _ := strconv.Atoi(w[0])
+		c.Write(bytes.Repeat([]byte("x"), n))
 	case "gets":
 		a, err := http.ReadResponse(r, nil)
 		if err != nil {
--- a/internal/cli/fleet.go
+++ b/internal/cli/fleet.go
@@ -6,7 +6,6 @@
 	"fmt"
 	"io"
 	"os"
-	"os/signal"
 	"path/filepath"
 	"strings"
 	"syscall"
@@ -28,16 +27,14 @@
 	return &cobra.Command{Use: "node", Hidden: true, Args: exact(0),
 		Short: "Run a node by NODE_CONFIG and UMBERWINCH_FILE, as cmd/umberwinch does",
 		RunE: func(cmd *cobra.Command, _ []string) error {
-			read := func() (*backend.Node, error) { return backend.ReadBoth(os.Getenv) }
-			c, err := read()
+			signals := backend.NotifySignals(syscall.SIGTERM, syscall.SIGUSR1, syscall.SIGHUP)
+			signals.Read = func() (*backend.Node, error) { return backend.ReadBoth(os.Getenv) }
+			c, err := signals.Read()
 			if err != nil {
 				return usage(err)
 			}
 			form, from := c.Logs()
-			signals := make(chan os.Signal, 4)
-			signal.Notify(signals, syscall.SIGTERM, syscall.SIGUSR1, syscall.SIGHUP)
-			return backend.Run(c, logs.New(cmd.ErrOrStderr(), form, from), signals, backend.Words{Drain: syscall.SIGTERM,
-				Count: syscall.SIGUSR1, Reload: syscall.SIGHUP, Read: read})
+			return backend.Run(c, logs.New(cmd.ErrOrStderr(), form, from), signals)
 		}}
 }
 
--- a/internal/lab/demo.go
+++ b/internal/lab/demo.go
@@ -170,8 +170,8 @@
 	log := logs.New(io.Discard, "text", "error")
 	log.SetLevel(logrus.ErrorLevel)
 	go func() {
-		ended <- backend.Run(node, log, signals, backend.Words{Drain: syscall.SIGTERM, Count: syscall.SIGUSR1,
-			Reload: syscall.SIGHUP, Read: func() (*backend.Node, error) { return node, nil }})
+		ended <- backend.Run(node, log, backend.Signals{Drain: signals,
+			Read: func() (*backend.Node, error) { return node, nil }})
 	}()
 	return signals, ended, nil
 }
