Keys and shared reads are told apart by tenant and handler, and classes may be percent-encoded

Seen by a reading: req.go took class name, '/' and the caller's key as the name of what repeats share. Another tenant's request with the same key and body, or about the same resource, got the first one's result, and a class "a/b" with key "c" had the name of class "a" with key "b/c". The digest of kept results left the tenant out too, against its own comment. Names now begin with the handler's number and the length of the tenant's name. A folder that an earlier version wrote binds all tenants for its windows, so that nothing it let run runs again.

--- a/internal/backend/kept.go
+++ b/internal/backend/kept.go
@@ -35,11 +35,14 @@
 
 // keptReq is what a uniqued req has beside, where results are kept.
 type keptReq struct {
-	key   kept.Key
-	body  uint64
-	stand keptStand
-	runs  bool          // its own intent is durable: what becomes of the key is its to say
-	admit admission.Req // while it is early
+	key kept.Key
+	// untenanted is the name under which versions before tenants were told apart wrote the key. Guards against a
+	// second run of what such a version let run, within its window.
+	untenanted kept.Key
+	body       uint64
+	stand      keptStand
+	runs       bool          // its own intent is durable: what becomes of the key is its to say
+	admit      admission.Req // while it is early
 }
 
 // Modes of the part, as log, counters and health say them.
@@ -174,16 +177,22 @@
 	return a.Status != 0 || r.kept.stand != keptFree
 }
 
-// keptName is what a try is known by: its handler, its caller's key, and what it asks for.
-func keptName(name string, key, body []byte) *keptReq {
-	sum := sha256.Sum256(fmt.Appendf(nil, "%d/%s/%s", len(name), name, key))
+// keptName is what a try is known by: its handler, its tenant, its caller's key, and what it asks for.
+func keptName(name string, tenant, key, body []byte) *keptReq {
 	q := &keptReq{}
-	copy(q.key[:], sum[:])
-	sum = sha256.Sum256(body)
+	q.key = digest(fmt.Appendf(nil, "tenant/%d/%s/%d/%s/%s", len(name), name, len(tenant), tenant, key))
+	q.untenanted = digest(fmt.Appendf(nil, "%d/%s/%s", len(name), name, key))
+	sum := sha256.Sum256(body)
 	q.body = max(1, binary.LittleEndian.Uint64(sum[:]))
 	return q
 }
 
+func digest(text []byte) (k kept.Key) {
+	sum := sha256.Sum256(text)
+	copy(k[:], sum[:])
+	return k
+}
+
 // keptWindow is a handler's window in ms, rounded up.
 func keptWindow(h *admission.Handler) uint64 { return uint64(h.Window)/10 + 1 }
 
@@ -191,6 +200,9 @@
 func (l *loop) keptTry(q *keptReq) (kept.Verdict, uint64) {
 	k, now := l.kept, steadyMS()
 	v, place := k.book.Try(now, q.key, q.body)
+	if v == kept.Run && k.book.Find(now, q.untenanted) != kept.Unknown {
+		v, place = k.book.Try(now, q.untenanted, q.body)
+	}
 	if v == kept.Run && q.admit.Again && k.book.Doubts(now) {
 		v = kept.Err
 	}
--- a/internal/backend/kept_test.go
+++ b/internal/backend/kept_test.go
@@ -68,7 +68,7 @@
 // takes is a try that has its slot.
 func (l *loop) takes(key string) (handle, *req) {
 	h, r, _ := l.reqs.take()
-	*r = req{kept: keptName("put", []byte(key), []byte("body")), run: runGoes, came: l.now, due: l.now + 2*admission.Second}
+	*r = req{kept: keptName("put", nil, []byte(key), []byte("body")), run: runGoes, came: l.now, due: l.now + 2*admission.Second}
 	return h, r
 }
 
@@ -239,7 +239,7 @@
 		shed, failed uint64
 	}{{"body", 0, 1}, {"another", 1, 1}} {
 		h, r := l.takes("a")
-		r.kept = keptName("put", []byte("a"), []byte(c.body))
+		r.kept = keptName("put", nil, []byte("a"), []byte(c.body))
 		l.intend(h, r)
 		if r.schedNo != 0 || r.run != runOver || l.count.Shed != c.shed || l.count.Errored != c.failed {
 			t.Errorf("%s: sent as %d, %d shed, %d errored, expected %d, %d", c.body, r.schedNo, l.count.Shed, l.count.Errored, c.shed, c.failed)
@@ -253,3 +253,32 @@
 		t.Errorf("%d done, expected the first", l.count.Done)
 	}
 }
+
+// TestTenantsKeysAreApart: a key that one tenant's request left behind says nothing of another's; one that a version wrote
+// which did not tell tenants apart binds all of them for its window.
+func TestTenantsKeysAreApart(t *testing.T) {
+	l := keptLoop(t, &heldDisk{FS: wal.NewMem()})
+	leave := func(q *keptReq) {
+		l.kept.book.Intend(steadyMS(), q.key, q.body, 60_000)
+	}
+	try := func(tenant, key string) kept.Verdict {
+		v, _ := l.keptTry(keptName("put", []byte(tenant), []byte(key), []byte("body")))
+		return v
+	}
+	leave(keptName("put", []byte("home"), []byte("a"), []byte("body")))
+	if v := try("home", "a"); v != kept.Wait {
+		t.Errorf("the same tenant's try gets %s, expected %s", v, kept.Wait)
+	}
+	if v := try("acme", "a"); v != kept.Run {
+		t.Errorf("another tenant's try gets %s, expected %s", v, kept.Run)
+	}
+	if v := try("", "home/a"); v != kept.Run {
+		t.Errorf("a try with no tenant gets %s, expected %s", v, kept.Run)
+	}
+	old := keptName("put", nil, []byte("b"), []byte("body"))
+	old.key = digest([]byte("3/put/b")) // as it stands in folders of such a version
+	leave(old)
+	if v := try("home", "b"); v != kept.Wait {
+		t.Errorf("a try of a key of an earlier version gets %s, expected %s", v, kept.Wait)
+	}
+}
--- a/internal/backend/req.go
+++ b/internal/backend/req.go
@@ -6,6 +6,8 @@
 import (
 	"cmp"
 	"crypto/sha256"
+	"fmt"
+	"net/url"
 	"slices"
 
 	"umberwinch/admission"
@@ -68,7 +70,7 @@
 // take brings a new req before the module; a status other than 0 answers it here, with what a says beside it.
 func (l *loop) take(c *conn, e event, name string, a *proto.Answer) int {
 	q := &e.req
-	i, known := l.prof.Handlers[name]
+	i, known := l.handlerNamed(name)
 	hasKey := !known || l.prof.Deployment.Handlers[i].Repeat != admission.Uniqued || len(q.OnceKey) > 0
 	tenant, listed := l.prof.Tenants[string(q.Account)]
 	switch {
@@ -85,16 +87,7 @@
 		return 503 // the kernel is not up: nothing can run
 	}
 	hd := &l.prof.Deployment.Handlers[i]
-	key := ""
-	switch {
-	case hd.Repeat == admission.Uniqued:
-		// Guards against a key that comes with another body: it is another req, whose run the kernel refuses,
-		// and must neither be answered with the true one's result nor stand in its way, whichever comes first.
-		sum := sha256.Sum256(q.Body)
-		key = name + "/" + string(q.OnceKey) + "/" + string(sum[:16])
-	case hd.Repeat == admission.Replayable && l.prof.Fresh > 0 && len(q.ResourceKey) > 0:
-		key = name + "?" + string(q.ResourceKey)
-	}
+	key := l.repeatKey(i, q)
 	if l.fleet != nil {
 		if s := l.refuses(i, q, key, a); s != 0 {
 			return s
@@ -126,7 +119,7 @@
 	}
 	c.open = h
 	if l.kept != nil && hd.Repeat == admission.Uniqued {
-		r.kept = keptName(name, q.OnceKey, q.Body)
+		r.kept = keptName(l.names[i], q.Account, q.OnceKey, q.Body)
 	}
 	l.tasks[r.task] = h
 	l.count.Reqs++
@@ -149,6 +142,36 @@
 	return 0
 }
 
+// handlerNamed finds the handler that a path names, which may be percent-encoded.
+func (l *loop) handlerNamed(name string) (index int, known bool) {
+	if index, known = l.prof.Handlers[name]; known {
+		return index, true
+	}
+	if plain, err := url.PathUnescape(name); err == nil {
+		index, known = l.prof.Handlers[plain]
+	}
+	return index, known
+}
+
+// repeatKey names what one request shares with its repeats; empty if it has none. The handler's number and the
+// length of the tenant's name stand before the texts. Guards against two requests of different handlers or
+// tenants whose texts run into the same name, so that one's result would be the other's answer.
+func (l *loop) repeatKey(handler int, q *proto.Request) string {
+	d := l.prof.Deployment
+	name := fmt.Appendf(nil, "%d/%d/%s/", handler, len(q.Account), q.Account)
+	switch {
+	case d.Handlers[handler].Repeat == admission.Uniqued:
+		// Guards against a key that comes with another body: it is another request, whose run the kernel refuses,
+		// and must neither be answered with the true one's result nor stand in its way, whichever comes first.
+		sum := sha256.Sum256(q.Body)
+		name = append(name, q.OnceKey...)
+		return string(append(name, sum[:16]...))
+	case d.Handlers[handler].Repeat == admission.Replayable && d.Fresh > 0 && len(q.ResourceKey) > 0:
+		return string(append(name, q.ResourceKey...))
+	}
+	return ""
+}
+
 // admit has the module hear of a req in the next round.
 func (l *loop) admit(q *admission.Req) {
 	l.next().Arrived = append(l.next().Arrived, *q)
