All spans go by the monotonic clock; the wall clock only places Received-At, and its steps are seen

Seen by a reading: loop.go took its time from the wall clock (time.Now().UnixMicro()) for every deadline, wait and grace. A step forward by an hour would end all that was held, running or kept at once; after a step back the loop's time, which never falls, would stand still for an hour, so that no deadline came.

internal/clock reads both clocks. Received-At is turned into monotonic time once, on reading, by the offset that was in force when it was made. Offsets of earlier epochs are kept as long as a stamp of theirs may come; a step is seen from 50 ms on, logged and counted (clock_steps). A process that is stopped between its two readings takes a second look, so that no step is seen. Where two times are possible the earlier one counts for the deadline and for whom a request repeats, the later one for the window of its key and the grace of a drain. A stamp that no epoch explains is answered 400, as before.

The build tag steppedclock, for tests alone, steps the wall clock of the built program by a file.

--- a/internal/backend/counters.go
+++ b/internal/backend/counters.go
@@ -22,6 +22,7 @@
 	Reports, ReportsLost                   uint64
 	Versions, Fenced, FenceShed, FleetLost uint64 // taken over; times fenced, reqs shed then; askings in vain
 	Turned                                 uint64 // by the zone's order
+	ClockSteps                             uint64 // of the wall clock
 	Rounds, Wakes, Ungauged, Slow          uint64 // Slow: rounds that began over 10 ms after their time
 }
 
@@ -47,6 +48,7 @@
 		"wires_lost": c.WiresLost, "strays": c.Strays, "reloads": c.Reloads, "silent": c.Silent,
 		"evicted": c.Evicted, "resent": c.Resent, "refused": c.Refused, "reports": c.Reports,
 		"reports_lost": c.ReportsLost,
+		"clock_steps":  c.ClockSteps,
 		"rounds":       c.Rounds, "wakes": c.Wakes, "ungauged": c.Ungauged, "slow": c.Slow}
 	if f := l.fleet; f != nil {
 		out["version"], out["fenced"], out["alone"] = f.m.Serves(), f.fenced, f.alone
--- a/internal/backend/helper_test.go
+++ b/internal/backend/helper_test.go
@@ -25,17 +25,18 @@
 
 const patience = 5 * time.Second
 
-var program string
+var (
+	program    string
+	buildDir   string
+	steppedOne sync.Once
+	steppedErr error
+)
 
 func TestMain(m *testing.M) {
 	dir, err := os.MkdirTemp("", "umberwinch")
 	if err == nil {
-		program = filepath.Join(dir, "umberwinch")
-		var out []byte
-		build := exec.Command("go", "build", "-o", program, "umberwinch/cmd/umberwinch")
-		if out, err = build.CombinedOutput(); err != nil {
-			err = fmt.Errorf("%w: %s", err, out)
-		}
+		buildDir, program = dir, filepath.Join(dir, "umberwinch")
+		err = buildProgram(program)
 	}
 	if err != nil {
 		fmt.Fprintln(os.Stderr, err)
@@ -46,6 +47,25 @@
 	os.Exit(code)
 }
 
+func buildProgram(file string, flags ...string) error {
+	args := append([]string{"build", "-o", file}, flags...)
+	out, err := exec.Command("go", append(args, "umberwinch/cmd/umberwinch")...).CombinedOutput()
+	if err != nil {
+		return fmt.Errorf("%w: %s", err, out)
+	}
+	return nil
+}
+
+// steppedProgram is a build whose wall clock the test steps.
+func steppedProgram(t testing.TB) string {
+	file := filepath.Join(buildDir, "umberwinch-stepped")
+	steppedOne.Do(func() { steppedErr = buildProgram(file, "-tags", "steppedclock") })
+	if steppedErr != nil {
+		t.Fatal(steppedErr)
+	}
+	return file
+}
+
 // feed is what one side has heard, in order.
 type feed struct {
 	mu   sync.Mutex
@@ -398,8 +418,13 @@
 // launch starts the program as its files have it: for the first time, or again after it ended.
 func (n *node) launch() {
 	t := n.t
-	n.cmd, n.log, n.ended = exec.Command(program), newFeed(), make(chan struct{})
-	n.cmd.Env = append(os.Environ(), "NODE_CONFIG="+n.file, "UMBERWINCH_LOG=debug", "UMBERWINCH_DIE_AT="+n.set["die"])
+	file := program
+	if n.set["clock"] == "stepped" {
+		file = steppedProgram(t)
+	}
+	n.cmd, n.log, n.ended = exec.Command(file), newFeed(), make(chan struct{})
+	n.cmd.Env = append(os.Environ(), "NODE_CONFIG="+n.file, "UMBERWINCH_LOG=debug", "UMBERWINCH_DIE_AT="+n.set["die"],
+		"UMBERWINCH_WALL_STEP="+n.stepFile())
 	if n.own != "" {
 		n.cmd.Env = append(n.cmd.Env, "UMBERWINCH_FILE="+n.own)
 	}
@@ -430,6 +455,9 @@
 	}
 }
 
+// stepFile holds how far the wall clock is from the true one.
+func (n *node) stepFile() string { return filepath.Join(filepath.Dir(n.file), "step") }
+
 // write writes the start-up file; what is not empty stands there instead of all that is right.
 func (n *node) write(instead string) {
 	get := func(key, usual string) string {
--- a/internal/backend/kept.go
+++ b/internal/backend/kept.go
@@ -235,7 +235,7 @@
 	}
 	v, place := l.keptTry(q)
 	if v == kept.Answer {
-		if e := l.keys.find(r.key); e != nil && r.came < e.until && (e.kept || e.fate < fateDone) {
+		if e := l.keys.find(r.key); e != nil && r.earliest < e.until && (e.kept || e.fate < fateDone) {
 			return 0 // it is at hand, or on its way
 		}
 	}
@@ -602,7 +602,7 @@
 	}()
 	select {
 	case <-done:
-	case <-time.After(time.Until(time.UnixMicro(int64(l.kill+l.before/2) * 100))):
+	case <-time.After(durationOf(l.kill+l.before/2) - l.clock.Now()):
 		l.log.Warn("kept results: the disk did not take all in time; what is missing may have run")
 	}
 }
--- a/internal/backend/kept_test.go
+++ b/internal/backend/kept_test.go
@@ -52,9 +52,10 @@
 func keptLoop(t *testing.T, d *heldDisk) *loop {
 	log := logrus.New()
 	log.SetOutput(io.Discard)
-	l := &loop{now: clock(), log: log, in: make(chan event, 64), reqs: newTable[req](8), conns: newTable[conn](2), names: []string{"put"},
+	l := &loop{log: log, in: make(chan event, 64), reqs: newTable[req](8), conns: newTable[conn](2), names: []string{"put"},
 		keys: newKeys(10, 1000, 50), lim: NewLimits(1, 64, 256), prof: &profile.Profile{Deployment: &admission.Deployment{
 			MaxPause: 5 * admission.Second, Handlers: []admission.Handler{{Window: admission.Second, Repeat: admission.Uniqued}}}}}
+	l.startClock(admission.Second)
 	l.kept = &keptPart{own: &operator.Kept{Entries: 100, MB: 1, Result: 100}, reads: make(chan func(), 1)}
 	store, book, found, err := kept.Open(d, wal.Sizes{Segment: 1 << 16, Bound: 1 << 20}, kept.Bounds{Entries: 100, Bytes: 1 << 18, Result: 100},
 		steadyMS(), "boot")
@@ -144,7 +145,7 @@
 	}
 	d.fails.Store(false)
 	for end := time.Now().Add(patience); l.kept.mode != keptWell; time.Sleep(10 * time.Millisecond) {
-		l.now = clock()
+		l.now = timeOf(l.clock.Now())
 		if l.watchKept(); time.Now().After(end) {
 			t.Fatalf("still %s, and the disk is well", l.kept.mode)
 		}
--- a/internal/backend/listener.go
+++ b/internal/backend/listener.go
@@ -119,7 +119,7 @@
 		return
 	}
 	ln.stopping = true
-	ln.file.SetReadDeadline(time.Unix(1, 0)) // long past: whoever waits is woken
+	ln.file.SetReadDeadline(time.Now().Add(-time.Second)) // past: whoever waits is woken
 }
 
 // reserve takes a place, and waits while none is free.
--- a/internal/backend/loop.go
+++ b/internal/backend/loop.go
@@ -18,6 +18,7 @@
 	"github.com/sirupsen/logrus"
 
 	"umberwinch/admission"
+	"umberwinch/internal/clock"
 	"umberwinch/internal/pools"
 	"umberwinch/internal/profile"
 	"umberwinch/internal/proto"
@@ -74,6 +75,8 @@
 	accepts  bool         // the listener is open
 	busy     atomic.Int64 // ways out that still have something to send
 	timer    *time.Timer
+	clock    *clock.Clock
+	stamps   *clock.Stamps
 
 	told  *Node // the start-up file
 	prof  *profile.Profile
@@ -117,7 +120,39 @@
 	logFrom admission.Time
 }
 
-func clock() admission.Time { return admission.Time(time.Now().UnixMicro() / 100) }
+// timeUnit is one unit of admission.Time.
+const timeUnit = time.Second / time.Duration(admission.Second)
+
+func timeOf(d time.Duration) admission.Time     { return admission.Time(d / timeUnit) }
+func durationOf(t admission.Time) time.Duration { return time.Duration(t) * timeUnit }
+
+// startClock begins to measure time; requests are taken that reached the machine up to oldest ago.
+func (l *loop) startClock(oldest admission.Time) {
+	l.clock = clock.New()
+	l.stamps = clock.NewStamps(l.clock.Read, durationOf(oldest))
+	l.now = timeOf(l.clock.Now())
+}
+
+// lookAtClock brings the loop's time up to now, by the monotonic clock, and notices a step of the wall clock.
+func (l *loop) lookAtClock() {
+	now, step := l.stamps.Observe(l.clock.Read)
+	if l.now = max(l.now, timeOf(now)); step != 0 {
+		l.count.ClockSteps++
+		l.log.Warnf("the wall clock was stepped by %v; times are measured without it", step.Round(time.Millisecond))
+	}
+}
+
+// placeStamp gives the time at which a request reached the machine, by the Unix time that it states. Where the wall
+// clock was stepped there may be two; the true one is not before earliest and not after latest.
+func (l *loop) placeStamp(unixMilliseconds int64) (earliest, latest admission.Time, ok bool) {
+	const most = int64(1<<62) / int64(time.Millisecond) // past the year 2100
+	if unixMilliseconds > most {
+		return 0, 0, false
+	}
+	stamp := time.Duration(unixMilliseconds) * time.Millisecond
+	from, to, ok := l.stamps.Place(durationOf(l.now), stamp, durationOf(l.lim.FutureMost))
+	return timeOf(from), timeOf(to), ok
+}
 
 // put hands an event over; it waits while the queue is full.
 func (l *loop) put(e event) { l.in <- e }
@@ -188,7 +223,7 @@
 	// memory level from early on (churn: 7.8, 8.4, 9.0 MB from half the day on; 8.4, 10.6, 10.9 as usual).
 	debug.SetGCPercent(50)
 	crew := newCrew(lim.Crew)
-	if err := netpoll.Configure(netpoll.Config{PollerNum: lim.Cores, LoggerOutput: &lines{log: log},
+	if err := netpoll.Configure(netpoll.Config{PollerNum: lim.Cores, LoggerOutput: &lines{log: log, clock: clock.New()},
 		LoadBalance: netpoll.RoundRobin,
 		Runner:      func(_ context.Context, f func()) { crew.run(f) }}); err != nil {
 		return err
@@ -225,7 +260,8 @@
 		conns: newTable[conn](lim.Conns + 8), reqs: newTable[req](lim.Reqs), tasks: map[string]handle{},
 		keys: newKeys(lim.Entries, lim.Results, late), good: true, health: true,
 		// Sidecars close idle connections by themselves; until the module says more this only ends dead ones.
-		idle: 2 * max(prof.Idle, 30*admission.Second), stop: admission.Time(c.StopMS) * 10, now: clock()}
+		idle: 2 * max(prof.Idle, 30*admission.Second), stop: admission.Time(c.StopMS) * 10}
+	l.startClock(2 * late)
 	for name, i := range prof.Handlers {
 		l.names[i] = name
 	}
@@ -261,16 +297,16 @@
 	for !l.finished() {
 		wait := time.Hour
 		if at, ok := l.due.first(); ok {
-			wait = time.Until(time.UnixMicro(int64(at) * 100))
+			wait = durationOf(at) - l.clock.Now()
 		}
 		l.timer.Reset(wait)
 		select {
 		case e := <-l.in:
-			l.now = max(l.now, clock())
+			l.lookAtClock()
 			l.steer()
 			l.handle(e)
 		case <-l.timer.C:
-			l.now = max(l.now, clock())
+			l.lookAtClock()
 		}
 		for n := 1; n < l.lim.PerRound && len(l.in) > 0; n++ {
 			l.handle(<-l.in)
@@ -279,7 +315,7 @@
 		l.steer()
 		l.decide()
 	}
-	l.log.WithFields(l.fields()).WithField("kill_in_ms", inMS(l.kill+l.before-max(l.now, clock()))).Info("counters")
+	l.log.WithFields(l.fields()).WithField("kill_in_ms", inMS(l.kill+l.before-max(l.now, timeOf(l.clock.Now())))).Info("counters")
 	l.showPools()
 }
 
@@ -466,13 +502,14 @@
 
 // lines carries netpoll's own log lines into the log, a few at a time.
 type lines struct {
-	log *logrus.Logger
-	n   atomic.Int64
-	sec atomic.Int64
+	log   *logrus.Logger
+	clock *clock.Clock
+	n     atomic.Int64
+	sec   atomic.Int64
 }
 
 func (w *lines) Write(b []byte) (int, error) {
-	if s := time.Now().Unix(); w.sec.Swap(s) != s {
+	if s := int64(w.clock.Now() / time.Second); w.sec.Swap(s) != s {
 		w.n.Store(0)
 	}
 	if w.n.Add(1) <= 5 {
--- a/internal/backend/peer.go
+++ b/internal/backend/peer.go
@@ -13,6 +13,7 @@
 
 	"github.com/cloudwego/netpoll"
 
+	"umberwinch/admission"
 	"umberwinch/internal/proto"
 )
 
@@ -53,7 +54,7 @@
 				l.put(e)
 			})
 		if err == nil {
-			p.noteUnfinished()
+			p.noteUnfinished(timeOf(l.clock.Now()))
 			return nil
 		}
 		p.sealed = true
@@ -77,7 +78,7 @@
 }
 
 // noteUnfinished keeps since when a message is not whole. Empty lines between requests are no message.
-func (p *peer) noteUnfinished() {
+func (p *peer) noteUnfinished(now admission.Time) {
 	if p.in.buf != nil && onlyLineEnds(p.in.buf.bytes()) {
 		p.in.drop()
 	}
@@ -85,7 +86,7 @@
 	case p.in.buf == nil:
 		p.half.Store(0)
 	case p.half.Load() == 0:
-		p.half.Store(int64(clock()))
+		p.half.Store(int64(now))
 	}
 }
 
--- a/internal/backend/req.go
+++ b/internal/backend/req.go
@@ -47,7 +47,8 @@
 	kept     *keptReq // nil: its end is not kept
 	buf      *buffer  // the message, of which body is a part
 	body     []byte
-	key      string // of repeats; empty if it has none
+	key      string         // of repeats; empty if it has none
+	earliest admission.Time // it may have come as early as this, where the wall clock was stepped
 	came     admission.Time
 	due      admission.Time
 	answered bool
@@ -73,13 +74,13 @@
 	i, known := l.handlerNamed(name)
 	hasKey := !known || l.prof.Deployment.Handlers[i].Repeat != admission.Uniqued || len(q.OnceKey) > 0
 	tenant, listed := l.prof.Tenants[string(q.Account)]
+	earliest, came, placed := l.placeStamp(q.ReceivedAt)
 	switch {
 	case !known:
 		return l.bad("handler %q, expected one of the settings", name)
 	case q.ID == nil || q.ReceivedAt == 0 || !q.HasSender || q.KB == 0 || !hasKey:
 		return l.bad("a field of the request is missing")
-	case l.now-admission.Time(q.ReceivedAt)*10 > 2*l.keys.late,
-		admission.Time(q.ReceivedAt)*10-l.now > l.lim.FutureMost:
+	case !placed:
 		return l.bad("received at %d, which is too far from now", q.ReceivedAt)
 	case len(q.Account) > 0 && !listed && len(l.prof.Tenants) > 0:
 		return l.bad("tenant %q, expected one of the settings", q.Account)
@@ -107,13 +108,16 @@
 	if !ok {
 		return 503
 	}
-	came := min(admission.Time(q.ReceivedAt)*10, l.now)
+	// Where the wall clock was stepped and two times are possible, the earlier one counts for the deadline and for
+	// whom it repeats, the later one for how long its key is kept and for the grace of a drain.
 	due := admission.Time(0)
 	if q.Budget > 0 {
-		due = came + admission.Time(q.Budget*10)
+		due = earliest + admission.Time(q.Budget*10)
+	} else if earliest != came {
+		due = earliest + hd.Timeout
 	}
 	*r = req{task: string(q.ID), conn: e.from.h, close: q.Close, handler: i, buf: e.buf, body: q.Body,
-		key: key, came: came, due: due}
+		key: key, earliest: earliest, came: came, due: due}
 	if due == 0 {
 		r.due = came + hd.Timeout
 	}
@@ -198,7 +202,7 @@
 		if key == "" {
 			continue
 		}
-		q.Prior = l.keys.prior(key, q.Came)
+		q.Prior = l.keys.prior(key, l.reqs.get(handle(q.ID)).earliest)
 		for k := 0; k < i && q.Prior == 0; k++ {
 			if l.reqs.get(handle(all[k].ID)).key == key {
 				q.Prior = all[k].ID
--- a/internal/backend/scenario_test.go
+++ b/internal/backend/scenario_test.go
@@ -25,7 +25,7 @@
 //
 //	node KEY=VALUE ...               what differs from the usual start; the first line, if at all
 //	NAME sends CLASS ID [key=K] [about=K] [body=T] [age=MS] [budget=MS] [account=N] [again] [close]
-//	                                 [split=N]
+//	                                 [split=N] [wall=STEP]   stamped by a wall clock that is stepped otherwise
 //	NAME raw TEXT                    bytes as they are
 //	NAME floods N                    so many bytes that are no message, as far as the other side takes them
 //	NAME gets STATUS [body=T] [close] [back] [final[=any]] [hint=any]
@@ -48,6 +48,8 @@
 //	SIDE moves                       it listens elsewhere; what is open stays so
 //	reload [KEY=VALUE ...] | reload TEXT   a new start-up file, or one that holds just the text, and SIGHUP
 //	control gets CONDITION           skipping others, control down | up | cut
+//	wall STEP                        the wall clock is so far from the true one from now on, where node has
+//	                                 clock=stepped
 //	after MS                         the clock goes on by so much, where what is tested goes by it
 //	dies                             the program is killed by now, by itself where node or again has die=POINT:N;
 //	                                 with die=hangs:N its disk stands for a while at its Nth write
@@ -61,6 +63,8 @@
 	line  int
 	conns map[string]net.Conn
 	reads map[string]*bufio.Reader
+
+	wallStep time.Duration
 }
 
 func TestScenarios(t *testing.T) {
@@ -215,6 +219,8 @@
 		p.kernel.mu.Unlock()
 		p.write("")
 		p.launch()
+	case "wall":
+		p.stepWall(w[1])
 	case "after":
 		ms, _ := strconv.Atoi(w[1])
 		time.Sleep(time.Duration(ms) * time.Millisecond)
@@ -307,6 +313,33 @@
 	}
 }
 
+// stepWall steps the wall clock of the program and of its clients to so far from the true one.
+func (p *play) stepWall(step string) {
+	d, err := time.ParseDuration(step)
+	if err == nil {
+		err = os.WriteFile(p.stepFile()+".new", []byte(step), 0o600)
+	}
+	if err == nil { // at once, as the program may be reading it
+		err = os.Rename(p.stepFile()+".new", p.stepFile())
+	}
+	if err != nil {
+		p.fatal("%v", err)
+	}
+	p.wallStep = d
+}
+
+// unixMilliseconds is what a client's wall clock reads, or one that is stepped otherwise.
+func (p *play) unixMilliseconds(otherStep string) int64 {
+	step := p.wallStep
+	if otherStep != "" {
+		var err error
+		if step, err = time.ParseDuration(otherStep); err != nil {
+			p.fatal("%v", err)
+		}
+	}
+	return time.Now().Add(step).UnixMilli()
+}
+
 // front plays one sidecar's connection.
 func (p *play) front(name, verb string, w []string) {
 	if p.conns[name] == nil {
@@ -322,7 +355,7 @@
 		text := fmt.Sprintf("POST /rpc/%s HTTP/1.1\r\nHost: service.internal\r\nrequest-id: %s\r\n"+
 			"Received-At: %d\r\nSent-By: 4\r\nFootprint-Kb: 24.5\r\n"+
 			"Priority-Rank: 0.6250\r\nContent-Length: %d\r\n", w[0], long(w[1]),
-			time.Now().UnixMilli()-int64(age), len(m["body"]))
+			p.unixMilliseconds(m["wall"])-int64(age), len(m["body"]))
 		for field, on := range map[string]string{"Once-Key: " + m["key"]: m["key"],
 			"Resource-Key: " + m["about"]: m["about"],
 			"Account: " + m["account"]:    m["account"], "Budget-Ms: " + m["budget"]: m["budget"],
--- a/internal/backend/tables_test.go
+++ b/internal/backend/tables_test.go
@@ -21,6 +21,8 @@
 	"github.com/sirupsen/logrus"
 
 	"umberwinch/admission"
+	"umberwinch/internal/clock"
+	"umberwinch/internal/profile"
 	"umberwinch/internal/proto"
 	"umberwinch/internal/zones"
 )
@@ -339,3 +341,36 @@
 		t.Errorf("%d calls, %.0f ms, %d bad, expected one of 300 ms that is not known to be bad", got.Calls, got.CallMS, got.Bad)
 	}
 }
+
+// Where two times are possible for a stamp, each rule goes by the one that is safe for it: the deadline and whom a request
+// repeats by the earlier, the window of its key and the grace of a drain by the later.
+func TestStampWithTwoPlaces(t *testing.T) {
+	at, wall := time.Hour, 100*time.Hour
+	read := func() clock.Reading { return clock.Reading{Monotonic: at, Wall: wall} }
+	d := &admission.Deployment{Cores: 1, MemKB: 1e6, Handlers: []admission.Handler{{Target: 3 * admission.Second,
+		Timeout: 6 * admission.Second, Repeat: admission.Uniqued, Window: 8 * admission.Second}}}
+	l := &loop{prof: &profile.Profile{Deployment: d, Handlers: map[string]int{"put": 0}}, names: []string{"put"},
+		keys: newKeys(2000, 1000, 6*admission.Second), reqs: newTable[req](8), tasks: map[string]handle{},
+		lim: NewLimits(1, 64, 256), ctl: admission.New(d), stamps: clock.NewStamps(read, 12*time.Second)}
+	stamp := wall
+	at, wall = at+2500*time.Millisecond, wall+2500*time.Millisecond
+	l.stamps.Observe(read)
+	wall -= 3 * time.Second
+	now, step := l.stamps.Observe(read)
+	if l.now = timeOf(now); step != -3*time.Second {
+		t.Fatalf("a step of %v is seen", step)
+	}
+	l.keys.remember(l.repeatKey(0, &proto.Request{OnceKey: []byte("k")}), 77, l.now-admission.Second, &l.due)
+	c := &conn{}
+	e := event{from: &peer{}, req: proto.Request{ID: []byte("0000000000000001"), ReceivedAt: stamp.Milliseconds(),
+		HasSender: true, KB: 1, OnceKey: []byte("k")}}
+	if status := l.take(c, e, "put", &proto.Answer{}); status != 0 || len(l.next().Arrived) != 1 {
+		t.Fatalf("status %d, %d are told to the module", status, len(l.next().Arrived))
+	}
+	l.arrange(l.next().Arrived)
+	q := l.next().Arrived[0]
+	earliest := timeOf(time.Hour)
+	if q.Due != earliest+6*admission.Second || q.Came != l.now || q.Prior != 77 {
+		t.Errorf("due %d, came %d, repeats %d; expected %d, %d and 77", q.Due, q.Came, q.Prior, earliest+6*admission.Second, l.now)
+	}
+}
