--- /dev/null
+++ b/deploy/sites/sites_test.go
@@ -0,0 +1,164 @@
+// Package sites checks the form of the site variants that lie here, each in a folder of its name: a bench reads them,
+// and nothing of this program does.
+package sites
+
+import (
+	"encoding/json"
+	"math"
+	"os"
+	"path/filepath"
+	"regexp"
+	"strings"
+	"testing"
+
+	"github.com/BurntSushi/toml"
+)
+
+// site is what a site file says of classes and tenants.
+type site struct {
+	Name  string
+	Class []struct {
+		Name     string
+		Share    float64
+		WorkMS   []float64 `toml:"work_ms"`
+		AimMS    float64   `toml:"aim_ms"`
+		Deadline float64   `toml:"deadline_ms"`
+		Worth    float64
+		Effect   string
+		Write    bool
+		WindowMS float64 `toml:"window_ms"`
+	}
+	Tenant []struct {
+		Name  string
+		Share float64
+	}
+	Fam struct {
+		Class []struct{ Calls, Memory float64 }
+	}
+}
+
+// variants gives the folders.
+func variants(t *testing.T) []string {
+	files, err := filepath.Glob("*/*.toml")
+	if err != nil || len(files) < 2 {
+		t.Fatalf("found %d variants, %v, expected two or more", len(files), err)
+	}
+	var folders []string
+	for _, file := range files {
+		folders = append(folders, filepath.Dir(file))
+	}
+	return folders
+}
+
+func read(t *testing.T, folder string) (s site) {
+	if _, err := toml.DecodeFile(filepath.Join(folder, folder+".toml"), &s); err != nil {
+		t.Fatal(err)
+	}
+	return s
+}
+
+func TestVariantsAreWhole(t *testing.T) {
+	for _, folder := range variants(t) {
+		s := read(t, folder)
+		if s.Name != folder {
+			t.Errorf("%s: name is %q, expected the folder's", folder, s.Name)
+		}
+		checkClasses(t, s)
+		checkTenants(t, s)
+		for _, name := range []string{"real.json", "wire.json"} {
+			text, err := os.ReadFile(filepath.Join(folder, name))
+			var any map[string]any
+			if err == nil {
+				err = json.Unmarshal(text, &any)
+			}
+			if err != nil || any["family"] != "server" {
+				t.Errorf("%s/%s: %v, family %v, expected JSON of the family server", folder, name, err, any["family"])
+			}
+		}
+		checkUnlock(t, filepath.Join(folder, "unlock.txt"))
+	}
+}
+
+func checkClasses(t *testing.T, s site) {
+	total, seen := 0.0, map[string]bool{}
+	for _, c := range s.Class {
+		total += c.Share
+		if c.Name == "" || seen[c.Name] {
+			t.Errorf("%s: class %q has no name, or another's", s.Name, c.Name)
+		}
+		seen[c.Name] = true
+		if len(c.WorkMS) != 2 || c.WorkMS[0] > c.WorkMS[1] || c.WorkMS[1] >= c.AimMS || c.AimMS >= c.Deadline || c.Worth <= 0 {
+			t.Errorf("%s: class %s: work %v, aim %v, deadline %v, worth %v: expected them to rise, and a worth", s.Name, c.Name,
+				c.WorkMS, c.AimMS, c.Deadline, c.Worth)
+		}
+		if (c.Effect == "keyed") != (c.WindowMS > 0) || (c.Effect == "safe") == c.Write {
+			t.Errorf("%s: class %s: effect %q with window %v and write %v", s.Name, c.Name, c.Effect, c.WindowMS, c.Write)
+		}
+	}
+	if len(s.Class) == 0 || math.Abs(total-1) > 0.01 {
+		t.Errorf("%s: the shares of %d classes add up to %v, expected 1", s.Name, len(s.Class), total)
+	}
+	if len(s.Fam.Class) != len(s.Class) {
+		t.Errorf("%s: %d classes and %d descriptions of their calls", s.Name, len(s.Class), len(s.Fam.Class))
+	}
+}
+
+func checkTenants(t *testing.T, s site) {
+	total, seen := 0.0, map[string]bool{}
+	for _, tenant := range s.Tenant {
+		total += tenant.Share
+		if tenant.Name == "" || seen[tenant.Name] {
+			t.Errorf("%s: tenant %q has no name, or another's", s.Name, tenant.Name)
+		}
+		seen[tenant.Name] = true
+	}
+	if math.Abs(total-1) > 0.02 {
+		t.Errorf("%s: the shares of %d tenants add up to %v, expected 1", s.Name, len(s.Tenant), total)
+	}
+}
+
+var unlockLine = regexp.MustCompile(`^unlock [a-z_]+(,[a-z_]+)* [0-9a-f]{16}$`)
+
+func checkUnlock(t *testing.T, file string) {
+	text, err := os.ReadFile(file)
+	if err != nil {
+		t.Error(err)
+		return
+	}
+	for i, line := range strings.Split(strings.TrimSpace(string(text)), "\n") {
+		if !unlockLine.MatchString(line) {
+			t.Errorf("%s:%d: found %q, expected \"unlock KINDS CODE\"", file, i+1, line)
+		}
+	}
+}
+
+// No program and no deploy file knows a name of a class or tenant: they come from the settings alone.
+func TestNamesComeFromSettingsAlone(t *testing.T) {
+	var quoted []string
+	for _, folder := range variants(t) {
+		s := read(t, folder)
+		for _, c := range s.Class {
+			quoted = append(quoted, `"`+c.Name+`"`)
+		}
+		for _, tenant := range s.Tenant {
+			quoted = append(quoted, `"`+tenant.Name+`"`)
+		}
+	}
+	for _, pattern := range []string{"../*.toml", "../*.ini", "../../admission/*.go", "../../internal/*/*.go", "../../cmd/*/*.go"} {
+		files, err := filepath.Glob(pattern)
+		if err != nil || len(files) == 0 {
+			t.Fatalf("%s: %d files, %v", pattern, len(files), err)
+		}
+		for _, file := range files {
+			text, err := os.ReadFile(file)
+			if err != nil {
+				t.Fatal(err)
+			}
+			for _, name := range quoted {
+				if !strings.HasSuffix(file, "_test.go") && strings.Contains(string(text), name) {
+					t.Errorf("%s knows the name %s", file, name)
+				}
+			}
+		}
+	}
+}
--- a/internal/lab/fleet.go
+++ b/internal/lab/fleet.go
@@ -138,14 +138,21 @@
 	r := &Rig{RigPlan: plan, client: &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 64,
 		IdleConnTimeout: 5 * time.Second, DialContext: (&net.Dialer{Timeout: 300 * time.Millisecond}).DialContext}}}
 	r.ctx, r.ending = context.WithCancel(ctx)
-	var err error
+	if err := r.startAll(ctx); err != nil {
+		r.Close()
+		return nil, err
+	}
+	return r, nil
+}
+
+// startAll starts the group, then the nodes, and waits until all of them serve.
+func (r *Rig) startAll(ctx context.Context) (err error) {
 	extra := "[log]\nform = json\n"
-	if r.group, err = newCluster(ctx, plan.Program, plan.Dir, plan.Instances, extra,
-		WithoutEnv+"="+plan.Without); err != nil {
-		return r, err
+	if r.group, err = newCluster(ctx, r.Program, r.Dir, r.Instances, extra, WithoutEnv+"="+r.Without); err != nil {
+		return err
 	}
 	if r.ready, err = newReadiness(); err != nil {
-		return r, err
+		return err
 	}
 	if err = r.await(time.Minute, func() error {
 		v, err := r.Policy()
@@ -154,18 +161,18 @@
 		}
 		return err
 	}); err != nil {
-		return r, err
+		return err
 	}
-	for i := 0; i < plan.Nodes; i++ {
+	for i := 0; i < r.RigPlan.Nodes; i++ {
 		n, err := r.add(i)
 		if err != nil {
-			return r, err
+			return err
 		}
 		if err = n.start(); err != nil {
-			return r, err
+			return err
 		}
 	}
-	return r, r.AllServe(0, time.Minute)
+	return r.AllServe(0, time.Minute)
 }
 
 // WithoutEnv names guards that processes of a rig leave out.
--- a/internal/lab/fleet_test.go
+++ b/internal/lab/fleet_test.go
@@ -125,10 +125,10 @@
 	t.Parallel()
 	p := &Policy{Seed: 5, Size: 6, Program: built(t)}
 	b, err := p.begin(context.Background(), t.TempDir(), "go-on")
-	defer b.Close()
 	if err != nil {
 		t.Fatal(err)
 	}
+	defer b.Close()
 	fail := func(what string, err error) {
 		t.Helper()
 		if err != nil {
--- a/internal/lab/kept.go
+++ b/internal/lab/kept.go
@@ -82,7 +82,6 @@
 	done, repeats   int
 	cut, unsent     int
 	errored, shed   int
-	seq             int
 }
 
 func newKeptRig(dir, program string, seed int64, window time.Duration, own, without string) (*keptRig, error) {
--- a/internal/lab/local.go
+++ b/internal/lab/local.go
@@ -24,10 +24,10 @@
 	defer end()
 	r, err := NewRig(run, RigPlan{Program: l.Program, Dir: l.Dir, Seed: 1, Instances: l.Instances, Nodes: l.Nodes,
 		Folders: true, Keep: true})
-	defer r.Close()
 	if err != nil {
 		return err
 	}
+	defer r.Close()
 	go r.group.keep(run)
 	number, version, err := r.Propose(policyText(5*time.Second, "fence", 1, ""), policy.Propose{Reason: "the first"})
 	if err == nil {
--- a/internal/lab/policy.go
+++ b/internal/lab/policy.go
@@ -641,15 +641,24 @@
 	}
 	rig, err := NewRig(ctx, RigPlan{Program: r.Program, Dir: dir, Seed: r.Seed, Instances: 3, Nodes: n, Without: r.Words,
 		Odd: n, Folders: true})
-	b := &bench{Rig: rig, lease: realLease, alone: alone}
 	if err != nil {
-		return b, err
+		return nil, err
+	}
+	b := &bench{Rig: rig, lease: realLease, alone: alone}
+	if err = b.settleFirst(); err != nil {
+		b.Close()
+		return nil, err
 	}
+	return b, nil
+}
+
+// settleFirst proposes the first version and waits until it is settled.
+func (b *bench) settleFirst() error {
 	number, version, err := b.Propose(b.text(""), policy.Propose{})
 	if err == nil {
 		_, err = b.settled(number, version)
 	}
-	return b, err
+	return err
 }
 
 // promises of the real part: a lease as the group counts it, and some ms of logs and rounds.
@@ -665,10 +674,10 @@
 	}
 	defer os.RemoveAll(dir)
 	b, err := r.begin(ctx, dir, "fence")
-	defer b.Close()
 	if err != nil {
 		return err
 	}
+	defer b.Close()
 	if r.Only == OnlyLoad {
 		if err = r.many(ctx, b, rep); err != nil || rep.Broken != "" {
 			return err
--- a/internal/lab/vzones.go
+++ b/internal/lab/vzones.go
@@ -79,12 +79,9 @@
 	warm   float64
 	speed  float64
 	queue  float64
-	came   [flowTries][3]float64 // a second, of the last step
-	rate   flows                 // slowly moving, as reports have it
+	rate   flows // slowly moving, as reports have it
 	asked  float64
 	bears  float64
-	peak   float64 // asked over what it bears, at worst while it returns
-	tries  float64 // of the last step, over what it bears
 	cold   float64
 	lately [10]float64 // asked over what it bears, of the last second
 	steady int         // steps for which its zone has been returning, with nothing wrong below
@@ -347,13 +344,13 @@
 
 // zoneNow is how a zone's nodes stand at a step.
 type zoneNow struct {
-	listed, up, takes, rate float64 // nodes on the callers' list, serving, by how much of a req each takes
-	pick                    [3]float64
-	capped                  bool
-	free                    float64 // nodes without a ceiling
-	retry                   float64
-	gate                    *zones.Gate // of one of them, and its clock
-	clock                   uint64
+	listed, up, rate float64 // nodes on the callers' list, serving, by how much of a req each takes
+	pick             [3]float64
+	capped           bool
+	free             float64 // nodes without a ceiling
+	retry            float64
+	gate             *zones.Gate // of one of them, and its clock
+	clock            uint64
 }
 
 func (v *VZones) stand() []zoneNow {
--- a/internal/lab/vzones_test.go
+++ b/internal/lab/vzones_test.go
@@ -35,7 +35,7 @@
 		left, steps = left+len(v.Left), steps+v.Steps
 		return bad > 8
 	})
-	t.Log(fmt.Sprintf("%d runs, %d zones left, %d steps back in", n, left, steps))
+	t.Logf("%d runs, %d zones left, %d steps back in", n, left, steps)
 	if left < n/6 || steps < n {
 		t.Errorf("%d zones left and %d steps in %d runs: too few to hold anything to", left, steps, n)
 	}
--- a/internal/lab/zonecost.go
+++ b/internal/lab/zonecost.go
@@ -210,11 +210,11 @@
 			mine := *r
 			mine.Seed = one.seed
 			b, err := mine.begin(ctx, dir, "fence", one.way.mode)
-			defer b.Close()
 			if err != nil {
 				one.err = err
 				return
 			}
+			defer b.Close()
 			b.Patient, b.Eager, b.pace = one.way.patient, one.way.eager, one.way.pace
 			load, stop := context.WithCancel(ctx)
 			defer stop()
--- a/internal/lab/zones.go
+++ b/internal/lab/zones.go
@@ -15,7 +15,6 @@
 	"time"
 
 	"umberwinch/internal/consensus"
-	"umberwinch/internal/policy"
 	"umberwinch/internal/zones"
 )
 
@@ -211,20 +210,20 @@
 	}
 	rig, err := NewRig(ctx, RigPlan{Program: r.Program, Dir: dir, Seed: r.Seed, Instances: 3, Nodes: n, Without: r.Words,
 		Folders: true, Below: true})
-	b := &zoneBench{bench: &bench{Rig: rig, lease: realLease, alone: alone}, may: map[string]bool{}}
 	if err != nil {
-		return b, err
+		return nil, err
 	}
+	b := &zoneBench{bench: &bench{Rig: rig, lease: realLease, alone: alone}, may: map[string]bool{}}
 	small := "yes"
 	if mode == "no-ramp" {
 		mode, small = "auto", "no"
 	}
 	b.more = fmt.Sprintf("[zones]\ndecide = %s\nfirst = 0.125\nhold = 500ms\nkeep = 2s\nmax_wait = 4s\nsmall_start = %s\n", mode, small)
-	number, version, err := b.Propose(b.text(""), policy.Propose{})
-	if err == nil {
-		_, err = b.settled(number, version)
+	if err = b.settleFirst(); err != nil {
+		b.Close()
+		return nil, err
 	}
-	return b, err
+	return b, nil
 }
 
 // zone gives a zone as the leader shows it.
@@ -570,11 +569,11 @@
 	}
 	defer os.RemoveAll(dir)
 	b, err := r.begin(ctx, dir, "fence", "auto")
-	b.w = w
-	defer b.Close()
 	if err != nil {
 		return err
 	}
+	defer b.Close()
+	b.w = w
 	load, stop := context.WithCancel(ctx)
 	defer stop()
 	calls := b.Load(load, zoneRate)
--- a/internal/member/member.go
+++ b/internal/member/member.go
@@ -108,7 +108,6 @@
 	gather  bool        // whoever answered restores the group, and asks what this node holds
 
 	ready   map[uint64]string // versions that can be taken over, with their hashes; two at most
-	tried   uint64            // the version whose trial was begun last
 	refused uint64
 	why     string
 	never   bool // refused for what the platform says: taken neither when it is in force
