Momentary failures of system calls, a slow log reader and a folder that fails lose no request

Seen by a reading, each then forced by a test:

- buffers.go flush took any failed write for the connection's end: EINTR, ENOBUFS or ENOMEM lost the answer.
They are tried again for up to 63 ms; netpoll keeps what it has not sent, so nothing goes out twice.
- A listening socket that could not be opened at once (the process before still holds the address, no descriptor left) ended the program.
It is tried for 10 s.
- Waits between dials had no chance in them: servers that lost one peer together came back together.
Half of each wait is left to chance now.
- The log was written by whoever logs, the loop above all: a reader of standard error that stood still stopped the server once the pipe was full, and one that was gone ended it by SIGPIPE.
Lines go through a bounded queue, and what does not fit is left out and counted.
- fleet.go wrote its record again at once after each failure, without end while the disk failed; now after a second.

--- a/cmd/umberwinch/main.go
+++ b/cmd/umberwinch/main.go
@@ -4,8 +4,11 @@
 
 import (
 	"fmt"
+	"io"
 	"os"
+	"os/signal"
 	"syscall"
+	"time"
 
 	"github.com/sirupsen/logrus"
 
@@ -13,8 +16,16 @@
 	"umberwinch/internal/logs"
 )
 
+const (
+	// logLines are kept for a log reader that is slow; what is over is left out and counted.
+	logLines = 4096
+	// logFlush is how long the last lines may take.
+	logFlush = 200 * time.Millisecond
+)
+
 func main() {
 	signals := backend.NotifySignals(syscall.SIGTERM, syscall.SIGUSR1, syscall.SIGHUP)
+	signal.Ignore(syscall.SIGPIPE) // a log reader that is gone must not end the server
 	signals.Read = func() (*backend.Node, error) { return backend.ReadBoth(os.Getenv) }
 	node, err := signals.Read()
 	if err != nil {
@@ -22,12 +33,18 @@
 		os.Exit(2)
 	}
 	form, from := node.Logs()
-	log := logs.New(os.Stderr, form, from)
+	lines := logs.NewWriter(os.Stderr, logLines)
+	log := logs.New(lines, form, from)
 	if level, err := logrus.ParseLevel(os.Getenv("UMBERWINCH_LOG")); err == nil {
 		log.SetLevel(level)
 	}
-	if err = backend.Run(node, log, signals); err != nil {
+	err = backend.Run(node, log, signals)
+	if err != nil {
 		log.Error(err)
+	}
+	log.SetOutput(io.Discard) // goroutines that still log have nobody to write for them
+	lines.Close(logFlush)
+	if err != nil {
 		os.Exit(1)
 	}
 }
--- a/internal/backend/buffers.go
+++ b/internal/backend/buffers.go
@@ -8,6 +8,8 @@
 	"errors"
 	"sync"
 	"sync/atomic"
+	"syscall"
+	"time"
 
 	"github.com/cloudwego/netpoll"
 )
@@ -206,14 +208,36 @@
 		w.mu.Unlock()
 		for _, b := range out {
 			if failed == nil {
-				// Write holds netpoll's own lock against a close from the other side; its Writer does not.
-				_, failed = w.c.Write(b.bytes())
+				failed = w.write(b.bytes())
 			}
 			w.pool.put(b)
 		}
 	}
 }
 
+// A write that fails for a moment is tried so often, after a pause that doubles: 63 ms in all.
+const (
+	writeRetries = 6
+	writePause   = time.Millisecond
+)
+
+// write has netpoll send b. What it could not send for a moment stays in its buffer and is sent again. Guards
+// against an answer lost with its connection over a lack of memory that passes.
+func (w *way) write(b []byte) error {
+	// Write holds netpoll's own lock against a close from the other side; its Writer does not.
+	_, err := w.c.Write(b)
+	for try := 0; try < writeRetries && isMomentary(err); try++ {
+		time.Sleep(writePause << try)
+		err = w.c.Writer().Flush()
+	}
+	return err
+}
+
+// isMomentary tells errors of a system call that say nothing about what it was to act on.
+func isMomentary(err error) bool {
+	return errors.Is(err, syscall.EINTR) || errors.Is(err, syscall.ENOBUFS) || errors.Is(err, syscall.ENOMEM)
+}
+
 // intake gathers what a connection brings until a message is whole. It belongs to the connection's callback,
 // which netpoll never runs twice at once.
 type intake struct {
--- /dev/null
+++ b/internal/backend/failures_test.go
@@ -0,0 +1,248 @@
+package backend
+
+// System calls that fail for a moment, each forced by a seam or by a resource that the test holds.
+
+import (
+	"bufio"
+	"bytes"
+	"errors"
+	"fmt"
+	"net"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"sync/atomic"
+	"syscall"
+	"testing"
+	"time"
+
+	"github.com/cloudwego/netpoll"
+
+	"umberwinch/admission"
+	"umberwinch/internal/proto"
+)
+
+// failing is a connection whose writes fail so often before they go out.
+type failing struct {
+	netpoll.Connection
+	netpoll.Writer
+	errs   []error
+	held   []byte
+	got    bytes.Buffer
+	closed chan bool
+}
+
+func (f *failing) Write(b []byte) (int, error) {
+	f.held = append(f.held, b...)
+	return len(b), f.Flush()
+}
+
+func (f *failing) Flush() error {
+	if len(f.errs) > 0 {
+		err := f.errs[0]
+		f.errs = f.errs[1:]
+		return netpoll.Exception(err, "when flush")
+	}
+	f.got.Write(f.held)
+	f.held = nil
+	return nil
+}
+
+func (f *failing) Close() error { close(f.closed); return nil }
+
+// outgoing gives the connection as what it sends by.
+type outgoing struct{ *failing }
+
+func (o outgoing) Writer() netpoll.Writer { return o.failing }
+
+func (f *failing) Release() error { return nil }
+
+// A write that fails for a moment goes out whole, once; one that fails for good is not taken as sent, and ends its
+// connection.
+func TestWritesOutliveMoments(t *testing.T) {
+	for name, c := range map[string]struct {
+		errs []error
+		sent bool
+	}{
+		"no failure":       {nil, true},
+		"interrupted":      {[]error{syscall.EINTR}, true},
+		"no memory":        {[]error{syscall.ENOBUFS, syscall.ENOMEM, syscall.EINTR}, true},
+		"reset":            {[]error{syscall.ECONNRESET}, false},
+		"timed out":        {[]error{syscall.ETIMEDOUT}, false},
+		"no route":         {[]error{syscall.EHOSTUNREACH}, false},
+		"broken":           {[]error{syscall.EPIPE}, false},
+		"a moment too far": {bytesOf(syscall.ENOBUFS, 20), false},
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			f := &failing{errs: c.errs, closed: make(chan bool)}
+			p, busy := pool{most: 8}, atomic.Int64{}
+			w := &way{c: outgoing{f}, pool: &p, busy: &busy}
+			w.send([]byte("answer"), 4)
+			for end := time.Now().Add(patience); busy.Load() > 0 && time.Now().Before(end); time.Sleep(time.Millisecond) {
+			}
+			if got := f.got.String(); c.sent != (got == "answer") {
+				t.Errorf("%q went out, expected that it does: %v", got, c.sent)
+			}
+			select {
+			case <-f.closed:
+				if c.sent {
+					t.Error("closed")
+				}
+			default:
+				if !c.sent {
+					t.Error("not closed")
+				}
+			}
+			if p.out != 0 {
+				t.Errorf("%d buffers are still out", p.out)
+			}
+		})
+	}
+}
+
+func bytesOf(err error, n int) (out []error) {
+	for range n {
+		out = append(out, err)
+	}
+	return out
+}
+
+// Whatever a connect fails with before a byte was sent, the call never ran, and it is made again once that has passed.
+func TestConnectFailuresProveNoCall(t *testing.T) {
+	for _, errno := range []syscall.Errno{syscall.EADDRNOTAVAIL, syscall.ENETUNREACH, syscall.EHOSTUNREACH, syscall.ECONNREFUSED,
+		syscall.ETIMEDOUT, syscall.ENOBUFS, syscall.EMFILE, syscall.ENFILE, syscall.EINTR, syscall.ECONNABORTED} {
+		t.Run(errno.Error(), func(t *testing.T) {
+			l := newHandLoop(t, 4)
+			store := newStore(t)
+			fails := errno
+			l.dialTo = func(address string, within time.Duration) (netpoll.Connection, error) {
+				if fails != 0 {
+					return nil, netpoll.Exception(fails, address)
+				}
+				return dialTCP(address, within)
+			}
+			l.store = store1(store.addr, l.lim)
+			h, r, _ := l.reqs.take()
+			*r = req{task: long("1"), run: runGoes, ask: []byte("q")}
+			l.call(h, r, l.now+admission.Second)
+			l.takes(1)
+			if got := l.next().Returned; len(got) != 1 || got[0].How != admission.Unrun {
+				t.Fatalf("the module hears %v, expected that the call never ran", got)
+			}
+			fails = 0
+			l.now += l.lim.RetryMost
+			l.call(h, r, l.now+admission.Second)
+			l.takes(1)
+			if line, ok := store.next(""); !ok || line != "CALL 1 q" {
+				t.Errorf("the store hears %q", line)
+			}
+		})
+	}
+}
+
+func store1(address string, lim Limits) store {
+	return store{addr: address, wires: newTable[wire](2), parser: func(b []byte) (e event, n int, err error) {
+		e.kind = newsReply
+		e.reply, n, err = proto.ParseReply(b, lim.Line)
+		return e, n, err
+	}}
+}
+
+// The waits between dials double up to a bound, and two servers that lose one peer together do not come back together.
+func TestBackoffHasJitter(t *testing.T) {
+	l := &loop{now: 1000, lim: NewLimits(1, 64, 256)}
+	seen := map[admission.Time]bool{}
+	for range 20 {
+		var b backoff
+		for range 10 {
+			b.failed(l)
+			if wait := b.again - l.now; wait < b.wait/2 || wait > b.wait || b.wait > l.lim.RetryMost {
+				t.Fatalf("waits %d of %d", wait, b.wait)
+			}
+		}
+		seen[b.again] = true
+	}
+	if len(seen) < 10 {
+		t.Errorf("%d different waits of 20", len(seen))
+	}
+}
+
+// An address that the process before still holds is waited for; one that can't be had is told.
+func TestListensOnceTheAddressIsFree(t *testing.T) {
+	holder, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	lim := NewLimits(1, 64, 256)
+	address, waits := holder.Addr().String(), make(chan error, 1)
+	go func() {
+		if err := <-waits; !errors.Is(err, syscall.EADDRINUSE) {
+			t.Errorf("warns of %v", err)
+		}
+		holder.Close()
+	}()
+	ln, err := listenPatiently(address, lim, func(err error) { waits <- err })
+	if err != nil {
+		t.Fatal(err)
+	}
+	ln.file.Close()
+	began := time.Now()
+	if _, err = listenPatiently("203.0.113.1:1", Limits{Listen: 0}, func(error) {}); err == nil {
+		t.Error("listens on another machine's address")
+	}
+	if _, err = listenPatiently("127.0.0.1:none", lim, func(error) {}); err == nil || time.Since(began) > lim.Listen/2 {
+		t.Errorf("%v after %v, expected an error at once", err, time.Since(began))
+	}
+}
+
+// A log reader that stands still, or is gone, keeps no request waiting and does not end the program.
+func TestLogReaderIsNotWaitedFor(t *testing.T) {
+	for _, reader := range []string{"stands still", "is gone"} {
+		t.Run(reader, func(t *testing.T) {
+			t.Parallel()
+			n := &node{t: t, set: map[string]string{}, kernel: newKernel(t), store: newStore(t), ctl: newControl(t)}
+			ln, err := net.Listen("tcp", "127.0.0.1:0")
+			if err != nil {
+				t.Fatal(err)
+			}
+			n.addr = ln.Addr().String()
+			ln.Close()
+			n.file = filepath.Join(t.TempDir(), "config.json")
+			n.write("")
+			read, write, err := os.Pipe()
+			if err != nil {
+				t.Fatal(err)
+			}
+			n.cmd, n.ended = exec.Command(program), make(chan struct{})
+			n.cmd.Env = append(os.Environ(), "NODE_CONFIG="+n.file, "UMBERWINCH_LOG=debug")
+			n.cmd.Stderr = write
+			if err := n.cmd.Start(); err != nil {
+				t.Fatal(err)
+			}
+			write.Close()
+			if reader == "is gone" {
+				read.Close()
+			} else {
+				defer read.Close()
+			}
+			go func() {
+				n.err = n.cmd.Wait()
+				close(n.ended)
+			}()
+			t.Cleanup(func() {
+				n.cmd.Process.Kill()
+				<-n.ended
+			})
+			c := n.dial()
+			r := bufio.NewReader(c)
+			for i := range 600 { // each leaves some 200 bytes in the log; a pipe takes 64 KB
+				fmt.Fprintf(c, "POST /rpc/get HTTP/1.1\r\nRequest-Id: %016x\r\nReceived-At: %d\r\nSent-By: 1\r\n"+
+					"Footprint-Kb: 1\r\nBudget-Ms: 1\r\n\r\n", i+1, time.Now().UnixMilli())
+				gets(t, r, 503)
+			}
+			fmt.Fprintf(c, "GET /health HTTP/1.1\r\n\r\n")
+			gets(t, r, 200)
+		})
+	}
+}
--- a/internal/backend/fleet.go
+++ b/internal/backend/fleet.go
@@ -41,33 +41,34 @@
 
 // fleetPart is the node's part in a fleet.
 type fleetPart struct {
-	m        *member.Member
-	own      *operator.Fleet
-	ask      *agent
-	fetch    *agent
-	rec      *shadow.Recording
-	kept     member.Record
-	base     *admission.Deployment  // the platform's
-	plans    map[uint64]*adopt.Plan // of versions at hand, two or three
-	texts    map[uint64]string
-	getting  fleet.Named // being fetched, tried or kept; 0: none
-	decided  bool
-	patience time.Duration // of a fetch; doubled by each that had no end
-	again    uint64        // a fetch that failed is tried again then
-	keeps    bool          // the record is being written
-	owes     bool          // and has to be written again
-	fenced   bool
-	retired  []bool
-	armed    uint64 // a deadline is set for then
-	alone    bool
-	spread   comeback.Spread
-	gate     *zones.Gate
-	meter    *zones.Meter
-	look     *agent
-	looks    []fleet.Look // still to be looked at
-	seen     []fleet.Seen // and what was seen, for the next asking
-	looking  bool
-	gives    bool // what the node holds is on its way to whoever restores the group
+	m         *member.Member
+	own       *operator.Fleet
+	ask       *agent
+	fetch     *agent
+	rec       *shadow.Recording
+	kept      member.Record
+	base      *admission.Deployment  // the platform's
+	plans     map[uint64]*adopt.Plan // of versions at hand, two or three
+	texts     map[uint64]string
+	getting   fleet.Named // being fetched, tried or kept; 0: none
+	decided   bool
+	patience  time.Duration // of a fetch; doubled by each that had no end
+	again     uint64        // a fetch that failed is tried again then
+	keeps     bool          // the record is being written
+	owes      bool          // and has to be written again
+	keepAgain uint64        // but not before then, as the last write failed
+	fenced    bool
+	retired   []bool
+	armed     uint64 // a deadline is set for then
+	alone     bool
+	spread    comeback.Spread
+	gate      *zones.Gate
+	meter     *zones.Meter
+	look      *agent
+	looks     []fleet.Look // still to be looked at
+	seen      []fleet.Seen // and what was seen, for the next asking
+	looking   bool
+	gives     bool // what the node holds is on its way to whoever restores the group
 }
 
 // tried is a version after check and trial.
@@ -208,6 +209,7 @@
 			}
 		}
 	}
+	l.keepOwed(now)
 	if a, no, due := f.m.Ask(now); due {
 		if f.m.Zone() != nil {
 			a.Load = f.meter.Load(now, l.kernel.stand == kernelLive, float64(l.prof.Deployment.Cores), l.running())
@@ -231,6 +233,9 @@
 	if f.again > now {
 		at = min(at, f.again)
 	}
+	if f.owes && f.keepAgain > now {
+		at = min(at, f.keepAgain)
+	}
 	if at = min(max(at, now+1), now+1000); f.armed <= now || at < f.armed {
 		f.armed = at
 		l.due.set(l.now+admission.Time(at-now)*10, dueFleet, 0)
@@ -492,14 +497,22 @@
 		f.keeps = false
 		if e.err != nil {
 			l.log.Errorf("fleet: the record could not be kept: %v", e.err)
-			f.owes, f.again = true, now+1000
+			f.owes, f.keepAgain = true, now+keepPause
 		} else if r := e.about.(member.Record); r.Prepared != 0 && r.Prepared == f.getting.Version && r.Prepared > f.m.Serves() {
 			f.m.Prepared(now, f.getting)
 			f.getting = fleet.Named{}
 		}
-		if f.owes {
-			l.keepFleet()
-		}
+		l.keepOwed(now)
+	}
+}
+
+// keepPause is how long after a write of the record that failed the next one is made, in ms.
+const keepPause = 1000
+
+// keepOwed writes the record again that could not be written, or that changed meanwhile.
+func (l *loop) keepOwed(now uint64) {
+	if f := l.fleet; f.owes && !f.keeps && now >= f.keepAgain {
+		l.keepFleet()
 	}
 }
 
--- a/internal/backend/helper_test.go
+++ b/internal/backend/helper_test.go
@@ -481,7 +481,11 @@
 	if instead != "" {
 		text = instead
 	}
-	if err := os.WriteFile(n.file, []byte(text), 0o600); err != nil {
+	err := os.WriteFile(n.file+".new", []byte(text), 0o600)
+	if err == nil { // at once, as the program may be reading it
+		err = os.Rename(n.file+".new", n.file)
+	}
+	if err != nil {
 		n.t.Fatal(err)
 	}
 }
--- a/internal/backend/limits.go
+++ b/internal/backend/limits.go
@@ -34,6 +34,7 @@
 	Line    proto.Bounds // what a link may send
 
 	Dial         time.Duration
+	Listen       time.Duration // an address that can't be had yet is tried for so long
 	NoDescriptor time.Duration // accepting waits so long when the system has no descriptor left
 	WriteStuck   time.Duration // a peer that takes nothing for so long is given up
 
@@ -91,6 +92,7 @@
 		Request: proto.Bounds{Head: 4 << 10, Body: 2 << 10},
 		Line:    proto.Bounds{Head: bufSize - 64, Body: bufSize - 512},
 		Dial:    time.Second, WriteStuck: 3 * time.Second,
+		Listen: 10 * time.Second, // a server has to be ready within 30 s
 		// The kernel is on this machine: its answer takes well under a ms, and a due time has 44 ms to spare.
 		GaugeWait: 8 * ms, ReplayWait: 500 * ms, AckLag: 100 * ms,
 		// Looked over several times in the least idle time; a first message takes a few ms, its sender is owed
--- a/internal/backend/link.go
+++ b/internal/backend/link.go
@@ -7,6 +7,8 @@
 import (
 	"context"
 	"errors"
+	"math/rand/v2"
+	"time"
 
 	"github.com/cloudwego/netpoll"
 
@@ -42,9 +44,18 @@
 	again admission.Time // not before then
 }
 
+// failed doubles the wait. Half of it is left to chance, so that servers which lost the same peer at the same
+// moment do not come back to it together.
 func (b *backoff) failed(l *loop) {
 	b.wait = min(max(2*b.wait, l.lim.RetryLeast), l.lim.RetryMost)
-	b.again = l.now + b.wait
+	b.again = l.now + b.wait/2 + admission.Time(rand.Int64N(int64(b.wait/2)+1))
+}
+
+// dialer opens a connection; a seam for tests.
+type dialer func(address string, within time.Duration) (netpoll.Connection, error)
+
+func dialTCP(address string, within time.Duration) (netpoll.Connection, error) {
+	return netpoll.NewDialer().DialConnection("tcp", address, within)
 }
 
 // link is the one line to kernel or control plane, replaced when it ends.
@@ -81,7 +92,7 @@
 // open dials a line; what comes of it is handed over under its name.
 func (l *loop) open(n *line, addr string) {
 	go func() {
-		c, err := netpoll.NewDialer().DialConnection("tcp", addr, l.lim.Dial)
+		c, err := l.dialTo(addr, l.lim.Dial)
 		if err != nil {
 			l.put(event{kind: newsDialled, line: n, err: err})
 			return
--- a/internal/backend/listener.go
+++ b/internal/backend/listener.go
@@ -46,6 +46,33 @@
 	return ln, nil
 }
 
+// listenPatiently tries again for a while where the system can't open the socket at the moment: while the process
+// before still holds the address, or no descriptor or memory is left. warn hears of the first error.
+func listenPatiently(address string, lim Limits, warn func(error)) (*listener, error) {
+	started := time.Now()
+	for try := 0; ; try++ {
+		ln, err := newListener(address, lim.Conns, lim.NoDescriptor)
+		if err == nil || !mayListenLater(err) || time.Since(started) >= lim.Listen {
+			return ln, err
+		}
+		if try == 0 {
+			warn(err)
+		}
+		time.Sleep(lim.NoDescriptor)
+	}
+}
+
+// mayListenLater tells errors of opening a listening socket that may pass.
+func mayListenLater(err error) bool {
+	for _, passing := range []error{syscall.EADDRINUSE, syscall.EADDRNOTAVAIL, syscall.EMFILE, syscall.ENFILE, syscall.ENOBUFS,
+		syscall.ENOMEM, syscall.EINTR, syscall.EAGAIN} {
+		if errors.Is(err, passing) {
+			return true
+		}
+	}
+	return false
+}
+
 func acceptNonblocking(fd int) (int, error) {
 	accepted, _, err := syscall.Accept4(fd, syscall.SOCK_NONBLOCK|syscall.SOCK_CLOEXEC)
 	return accepted, err
--- a/internal/backend/loop.go
+++ b/internal/backend/loop.go
@@ -75,6 +75,7 @@
 	accepts  bool         // the listener is open
 	busy     atomic.Int64 // ways out that still have something to send
 	timer    *time.Timer
+	dialTo   dialer
 	clock    *clock.Clock
 	stamps   *clock.Stamps
 
@@ -235,7 +236,7 @@
 	if err := l.joinFleet(); err != nil {
 		return err
 	}
-	ln, err := newListener(c.Listen, lim.Conns, lim.NoDescriptor)
+	ln, err := listenPatiently(c.Listen, lim, func(err error) { log.Warnf("listen on %s: %v; tried again", c.Listen, err) })
 	if err != nil {
 		return fmt.Errorf("listen on %s: %w", c.Listen, err)
 	}
@@ -253,7 +254,7 @@
 	for _, h := range prof.Deployment.Handlers {
 		late = max(late, h.Timeout)
 	}
-	l := &loop{lim: lim, log: log, debug: log.IsLevelEnabled(logrus.DebugLevel),
+	l := &loop{lim: lim, log: log, dialTo: dialTCP, debug: log.IsLevelEnabled(logrus.DebugLevel),
 		in: make(chan event, lim.HandOver), pool: pool{most: lim.Buffers}, timer: time.NewTimer(time.Hour),
 		told: c, prof: prof,
 		names: make([]string, len(prof.Deployment.Handlers)),
--- a/internal/backend/scenario_test.go
+++ b/internal/backend/scenario_test.go
@@ -46,6 +46,7 @@
 //	                                 ID' names the one before
 //	store resets ID                  that connection
 //	SIDE moves                       it listens elsewhere; what is open stays so
+//	control writes TEXT              bytes as they are, on its newest connection
 //	reload [KEY=VALUE ...] | reload TEXT   a new start-up file, or one that holds just the text, and SIGHUP
 //	control gets CONDITION           skipping others, control down | up | cut
 //	wall STEP                        the wall clock is so far from the true one from now on, where node has
@@ -176,6 +177,10 @@
 			}
 			return
 		}
+		if w[1] == "writes" {
+			p.ctl.write([]byte(w[2]))
+			return
+		}
 		p.toSide(p.ctl, w[1], rest, nil)
 	case "signal":
 		p.cmd.Process.Signal(map[string]os.Signal{"TERM": syscall.SIGTERM, "USR1": syscall.SIGUSR1,
--- a/internal/backend/tables_test.go
+++ b/internal/backend/tables_test.go
@@ -206,7 +206,7 @@
 func TestMoveDoesNotWait(t *testing.T) {
 	log := logrus.New()
 	log.SetOutput(io.Discard)
-	l := &loop{now: 1000, log: log, in: make(chan event, 4), lim: NewLimits(1, 64, 256)}
+	l := &loop{now: 1000, log: log, in: make(chan event, 4), lim: NewLimits(1, 64, 256), dialTo: dialTCP}
 	k := &l.control.link
 	k.which, k.addr, k.wait, k.again = toControl, "127.0.0.1:1", 900, 2000
 	l.move(k, "127.0.0.1:2")
