--- a/admission/admission.go
+++ b/admission/admission.go
@@ -425,7 +425,22 @@
 	if c.now < c.warmAt {
 		speed = c.cold + (1-c.cold)*float64(c.now-c.born)/float64(c.warmAt-c.born)
 	}
-	return max(1, int(0.8*c.cores*(1+(c.fall-1)*speed)))
+	most := 0.8 * c.cores * (1 + (c.fall-1)*speed)
+	if speed < 1 {
+		most = min(most, slowStartBudget(c.cores*c.fall*speed))
+	}
+	return max(1, int(most))
+}
+
+// slowStartBudget is how many runs a server in slow start may have in hand where n are what its speed allows. It
+// binds on servers of many cores, below the margin above; with few cores it lies over it. What is started while
+// the looser bound of small n holds must still be within the tighter one when n has grown past it.
+func slowStartBudget(n float64) float64 {
+	const small = 30
+	if n < small {
+		return min(n+3*math.Sqrt(n)+3, slowStartBudget(small))
+	}
+	return n + 2*math.Sqrt(n) + 2
 }
 
 // grow moves the running limit by the gauge of the cores: up while they idle and work is held, down while
--- a/internal/backend/failures_test.go
+++ b/internal/backend/failures_test.go
@@ -7,6 +7,7 @@
 	"bytes"
 	"errors"
 	"fmt"
+	"io"
 	"net"
 	"os"
 	"os/exec"
@@ -17,8 +18,11 @@
 	"time"
 
 	"github.com/cloudwego/netpoll"
+	"github.com/sirupsen/logrus"
 
 	"umberwinch/admission"
+	"umberwinch/internal/member"
+	"umberwinch/internal/operator"
 	"umberwinch/internal/proto"
 )
 
@@ -246,3 +250,29 @@
 		})
 	}
 }
+
+// A record that can't be written is written again after a pause, not at once and without end.
+func TestRecordWaitsForItsDisk(t *testing.T) {
+	log := logrus.New()
+	log.SetOutput(io.Discard)
+	l := &loop{log: log, in: make(chan event, 4), lim: NewLimits(1, 64, 256)}
+	f := &fleetPart{own: &operator.Fleet{Folder: filepath.Join(t.TempDir(), "gone")}, keeps: true,
+		m: member.New(member.Plan{Name: "n1", Control: []string{"127.0.0.1:1"}}, nil, steadyMS())}
+	l.fleet = f
+	failed := func() {
+		l.fleetNews(&jobEnd{job: &job{what: jobKeep, about: member.Record{}}, err: syscall.ENOSPC})
+	}
+	failed()
+	if f.keeps || !f.owes {
+		t.Fatalf("writes %v, owes %v, expected that it waits and still owes", f.keeps, f.owes)
+	}
+	if l.keepOwed(f.keepAgain - 1); f.keeps {
+		t.Error("written again before its pause is over")
+	}
+	if l.keepOwed(f.keepAgain); !f.keeps || f.owes {
+		t.Error("not written again after its pause")
+	}
+	if e := <-l.in; e.job.err == nil {
+		t.Error("a folder that is gone takes a record")
+	}
+}
