--- /dev/null
+++ b/admission/deadlines.go
@@ -0,0 +1,68 @@
+package admission
+
+// This file decides what is due and when: each request is looked at as its time comes.
+
+// spare is how long before its due time a req is answered: the timer's period, the wheel's and a round.
+func (c *Controller) spare() Time { return 2*tick + 2*c.granule }
+
+// look sees whether the time of a req has come and files it for its next one.
+func (c *Controller) look(i int32) {
+	it := &c.s.at[i]
+	h := &c.h[it.h]
+	end := it.due - c.spare()
+	if c.drain {
+		end = min(end, c.kill-c.spare())
+	}
+	if it.phase == calling && !h.skips && !h.late {
+		// Guards against slots held for calls that can't be made: a slow dependency would fill them all with
+		// reqs past use. Could harm where an answer that earns nothing is still wanted.
+		end = min(end, it.came+h.target)
+	}
+	next := end
+	switch {
+	case it.phase == over || it.answered:
+		if it.kept > 0 && c.now >= it.kept {
+			it.kept = 0
+			c.mem -= c.keyKB
+		}
+		if it.phase == over && it.kept == 0 && c.now >= it.known {
+			c.due.take(&c.s, i)
+			c.s.drop(i)
+			return
+		}
+		if next = it.kept; next == 0 {
+			next = max(it.known, c.now+Second)
+		}
+	case it.phase == held:
+		by := it.came + c.bound(it)
+		if c.now >= by || c.now >= end {
+			c.shed(i, true)
+			return
+		}
+		// The bound moves: it is looked at a few times on the way.
+		next = min(end, by, c.now+h.target/16)
+	case c.now >= end:
+		c.fail(i)
+		return
+	case it.phase == calling && !it.lined:
+		c.queueCall(i)
+		return
+	case it.phase == calling:
+		// A call that can't be made in time is skipped where that still earns.
+		by := it.came + h.target - Time(c.callTime)
+		if Time(c.calls.n)*c.callGap() > h.target/8 {
+			// While the line of calls is long, those that earn least by their call wait least for it: their
+			// slots are free sooner and the calls go to the rest. Could harm if the line is about to clear.
+			by = min(by, it.stood+Time(float64(by-it.stood)*h.needs*h.needs))
+		}
+		if h.skips && c.now >= by {
+			c.unline(i)
+			c.skip(i)
+			return
+		}
+		if h.skips {
+			next = min(next, by, c.now+h.target/16)
+		}
+	}
+	c.due.put(&c.s, i, next)
+}
