--- a/admission/calls.go
+++ b/admission/calls.go
@@ -2,78 +2,78 @@
 
 // This file decides calls to the services below: their queue, pace, deadlines and outcomes.
 
-// needs takes a run that stands at a call.
-func (c *Controller) needs(i int32) {
-	if i == none || c.s.at[i].phase != running {
+// runNeedsCall takes a run that stands at a call.
+func (c *Controller) runNeedsCall(i int32) {
+	if i == none || c.requests.at[i].phase != running {
 		return
 	}
-	it := &c.s.at[i]
+	it := &c.requests.at[i]
 	it.phase = calling
-	c.away(it, true)
-	c.moved()
+	c.notePools(it, true)
+	c.noteProgress()
 	if !it.answered {
-		c.queueCall(i)
+		c.enqueueCall(i)
 	}
 }
 
-// queueCall lines up a call in the arrival order of the reqs.
-func (c *Controller) queueCall(i int32) {
-	p := c.calls.tail
-	for p != none && c.s.at[p].came > c.s.at[i].came {
-		p = c.s.at[p].queue.prev
+// enqueueCall lines up a call in the arrival order of the reqs.
+func (c *Controller) enqueueCall(i int32) {
+	p := c.callQueue.tail
+	for p != none && c.requests.at[p].came > c.requests.at[i].came {
+		p = c.requests.at[p].queue.prev
 	}
-	c.calls.insertAfter(&c.s, i, p)
-	c.s.at[i].lined, c.s.at[i].stood = true, c.now
-	c.look(i)
+	c.callQueue.insertAfter(&c.requests, i, p)
+	c.requests.at[i].lined, c.requests.at[i].stood = true, c.now
+	c.review(i)
 }
 
-// unline takes a call out of the line, if it is in it.
-func (c *Controller) unline(i int32) {
-	if it := &c.s.at[i]; it.lined {
+// leaveCallQueue takes a call out of the line, if it is in it.
+func (c *Controller) leaveCallQueue(i int32) {
+	if it := &c.requests.at[i]; it.lined {
 		it.lined = false
-		c.calls.remove(&c.s, i)
+		c.callQueue.remove(&c.requests, i)
 	}
 }
 
 // makeCalls makes the calls that the pace allows.
 func (c *Controller) makeCalls() {
 	gap := c.callGap()
-	for c.calls.head != none && c.nextCall <= c.now {
-		if c.shared && !c.callRoom() {
+	for c.callQueue.head != none && c.nextCall <= c.now {
+		if c.shared && !c.mayCallMore() {
 			return
 		}
-		i := c.calls.head
-		it := &c.s.at[i]
-		c.unline(i)
-		c.hands.move(c.now, 1)
+		i := c.callQueue.head
+		it := &c.requests.at[i]
+		c.leaveCallQueue(i)
+		c.callsInFlight.move(c.now, 1)
 		it.phase = outside
-		c.w.Call(it.id, c.callUntil(it))
+		c.writer.Call(it.id, c.callUntil(it))
 		// Unused turns are saved up to a few calls, so that calls which come in a bunch need not wait.
 		c.nextCall = max(c.nextCall, c.now-4*gap) + gap
 	}
 }
 
-// callRoom says whether one more call can be in hand, those given up counted for their linger. Where the
+// mayCallMore says whether one more call can be in hand, those given up counted for their linger. Where the
 // allowance is under one call, calls are made one at a time, and only while their mean leaves room.
-func (c *Controller) callRoom() bool {
-	given, _ := c.ghosts.sums(c.now)
-	if n := float64(c.hands.n) + given; n > 0 {
-		return n+1 <= c.most
+func (c *Controller) mayCallMore() bool {
+	given, _ := c.abandonedCalls.sums(c.now)
+	if n := float64(c.callsInFlight.n) + given; n > 0 {
+		return n+1 <= c.callsMost
 	}
-	return c.most >= 1 || c.hands.over(c.now) < c.most/2
+	return c.callsMost >= 1 || c.callsInFlight.over(c.now) < c.callsMost/2
 }
 
 // callGap is the time between calls: the allowed number in hand over the recent time of a call. What lies
 // in a tier states no allowance: while it refuses, the pace follows what comes back from it.
 func (c *Controller) callGap() Time {
-	c.callTime = c.took.mean(c.now, c.callTime)
+	c.callTime = c.callTimes.mean(c.now, c.callTime)
 	if c.shared {
-		return Time(c.callTime / c.allowed)
+		return Time(c.callTime / c.callsAllowed)
 	}
-	if n, _ := c.refused.sums(c.now); n > 0 {
-		ok, _ := c.passed.sums(c.now)
+	if n, _ := c.callsRefused.sums(c.now); n > 0 {
+		ok, _ := c.callsPassed.sums(c.now)
 		// A quarter over what passed, and two a second at the least, so that the pace can find its way back.
-		return Time(float64(c.passed.span()) / (1.25*ok + 4))
+		return Time(float64(c.callsPassed.span()) / (1.25*ok + 4))
 	}
 	return 0
 }
@@ -81,15 +81,15 @@
 // callUntil is when a call is given up: while the answer can still come within the target without it, if
 // it can be skipped; never before its due time if it must not be repeated.
 func (c *Controller) callUntil(it *item) Time {
-	h := &c.h[it.h]
-	last := it.due - c.spare()
-	if c.shared && c.most < 1 {
+	h := &c.handlers[it.h]
+	last := it.due - c.answerMargin()
+	if c.shared && c.callsMost < 1 {
 		// One call is more than the allowance: it lasts at most for what the mean has left, lest a stalled
 		// dependency be held by one call of each of hundreds of servers. Could harm where just this one is slow.
-		left := (c.most - c.hands.over(c.now)) * float64(c.hands.span())
+		left := (c.callsMost - c.callsInFlight.over(c.now)) * float64(c.callsInFlight.span())
 		last = min(last, c.now+Time(left)-c.linger)
 	}
-	if h.once {
+	if h.runsOnce {
 		return max(last, c.now+1)
 	}
 	by := it.came + h.target
@@ -97,62 +97,62 @@
 	return max(min(by, last), c.now+1)
 }
 
-// giveUpCall counts a call that stays in the dependency's hands for its linger.
-func (c *Controller) giveUpCall() {
-	c.hands.add(c.now, float64(c.linger), 0)
-	c.ghosts.add(c.now, 1, 0)
+// countAbandonedCall counts a call that stays in the dependency's hands for its linger.
+func (c *Controller) countAbandonedCall() {
+	c.callsInFlight.add(c.now, float64(c.linger), 0)
+	c.abandonedCalls.add(c.now, 1, 0)
 }
 
-// returned takes the end of a call.
-func (c *Controller) returned(b Return) {
-	i := c.s.find(b.ID)
-	if i == none || c.s.at[i].phase != outside {
+// callReturned takes the end of a call.
+func (c *Controller) callReturned(b Return) {
+	i := c.requests.find(b.ID)
+	if i == none || c.requests.at[i].phase != outside {
 		return
 	}
-	it := &c.s.at[i]
-	h := &c.h[it.h]
-	c.hands.move(c.now, -1)
+	it := &c.requests.at[i]
+	h := &c.handlers[it.h]
+	c.callsInFlight.move(c.now, -1)
 	it.spent += b.Took
 	it.phase = calling
 	switch b.How {
 	case OK:
-		c.took.add(c.now, float64(b.Took), 1)
-		c.passed.add(c.now, 1, 0)
+		c.callTimes.add(c.now, float64(b.Took), 1)
+		c.callsPassed.add(c.now, 1, 0)
 		it.phase = running
-		c.away(it, false)
-		c.moved()
+		c.notePools(it, false)
+		c.noteProgress()
 		return
 	case Unrun:
-		c.refused.add(c.now, 1, 0)
+		c.callsRefused.add(c.now, 1, 0)
 	default:
-		c.took.add(c.now, float64(b.Took), 1)
-		c.giveUpCall()
+		c.callTimes.add(c.now, float64(b.Took), 1)
+		c.countAbandonedCall()
 	}
 	if it.answered {
 		return
 	}
 	it.tries++
 	switch {
-	case h.skips && (b.How != Unrun || it.tries > 2):
-		c.skip(i)
-	case b.How != Unrun && (h.once || it.tries > 3):
-		c.fail(i)
+	case h.canSkipCall && (b.How != Unrun || it.tries > 2):
+		c.skipCall(i)
+	case b.How != Unrun && (h.runsOnce || it.tries > 3):
+		c.failRequest(i)
 	default:
 		// Again after a wait that doubles, so that refusals don't become a storm.
-		c.due.put(&c.s, i, c.now+tick<<min(it.tries, 5))
+		c.due.put(&c.requests, i, c.now+tick<<min(it.tries, 5))
 	}
 }
 
-func (c *Controller) skip(i int32) {
-	it := &c.s.at[i]
+func (c *Controller) skipCall(i int32) {
+	it := &c.requests.at[i]
 	it.phase = running
-	c.away(it, false)
-	c.w.Skip(it.id)
-	c.look(i)
+	c.notePools(it, false)
+	c.writer.Skip(it.id)
+	c.review(i)
 }
 
-// away tells pools that a run stands at a call, which is no work, or goes on.
-func (c *Controller) away(it *item, away bool) {
+// notePools tells pools that a run stands at a call, which is no work, or goes on.
+func (c *Controller) notePools(it *item, away bool) {
 	if c.pools != nil {
 		c.pools.Away(c.now, it.id, away)
 	}
--- a/admission/controller.go
+++ b/admission/controller.go
@@ -16,30 +16,33 @@
 	rest = 5 * tick
 )
 
-// handler is what is derived for one handler, with its recent times.
+// handler is what is derived for one class of requests, with its recent times.
 type handler struct {
 	target, timeout, window Time
 	value                   float64
-	late, skips             bool    // an answer past the target still earns; a call can be skipped
-	uniq, once              bool    // repeats are known; it must not run twice
-	laps                    ring    // time of runs, calls included, over stated work
-	lap                     float64 // the last known ratio
+	lateEarns               bool    // an answer past the target still earns
+	canSkipCall             bool    // a call can be skipped
+	keyed                   bool    // repeats are known by their key
+	runsOnce                bool    // it must not run twice
+	serviceRatios           ring    // time of runs, calls included, over stated work
+	serviceRatio            float64 // the last known mean of them
 	work                    ring    // time of runs less their calls, over runs
-	met                     ring    // reqs done within the target, of those read
-	share, asked            float64 // that share, and the value asked for lately
-	own                     float64
-	unit                    float64 // stands in where a req states no work
-	needs                   float64 // what its call earns, as a share of the most that any handler's does
+	inTime                  ring    // requests served within the target, of those read
+	inTimeShare             float64 // their share lately
+	valueAsked              float64 // the value asked for lately
+	ownWork                 float64 // the mean of work
+	usualWork               float64 // stands in where a request states no work
+	callWorth               float64 // what its call earns, as a share of the most that any class's does
 }
 
 // tenant is one tenant's fair arrivals on this server, with what arrived lately.
 type tenant struct {
 	fair float64
 	came ring
-	full float64 // mean worth of its reqs as a share of their handler's, from what it sends beyond its share
+	full float64 // mean worth of its requests as a share of their class's, from what it sends beyond its share
 }
 
-// cell is one handler of one tenant: its recent work, what that earns, and where it stands among all.
+// cell is one class of one tenant: its recent work, what that earns, and where it stands among all.
 type cell struct {
 	work  ring
 	earns float64
@@ -48,101 +51,119 @@
 
 // Controller decides for one server.
 type Controller struct {
-	w            Writer
-	now, granule Time
-	h            []handler
-	t            []tenant
-	cells        []cell
-	byRank       []int // cells by what they earn
-	s            slab
-	due          wheel
-	byWork       bool
-	beyond       float64 // worth of what is beyond a share, as a share
-	worst        float64 // what the worst handler's share counts for, over that of the whole
-	stage        float64
-	awake        bool // a timer is pending
-
-	hold                  list
-	long                  bool // the line before the slots is long
-	lap                   Time // how long the last one to start had waited
-	cores, onCores        float64
-	running, limit        int
-	cold, fall            float64 // share of speed at the start; runs a core that a warm server survives
-	born, warmAt          Time
-	mem, memTop           float64
-	runKB, keyKB          float64 // memory of a run as a multiple of a held req's; of an entry in the table
-	stop                  Stop
-	fresh, linger         Time
-	shared, drain         bool
-	allowed, most         float64 // calls meant to be in hand in the mean, and never more than
-	calls                 list
-	nextCall              Time
-	hands                 level // calls in hand
-	ghosts                ring  // calls given up that linger
-	took, refused, passed ring
-	callTime, senders     float64
-	hung, swamped         bool
-	good                  bool // what health checks are told
-	stuck                 Time // how long started work has not moved
-	stale                 ring // what was read or done too late to be of use, of all
-	unread                ring // how long what was read had waited unread, in response targets
-	lastTick, slowTick    Time
-	lastCame              Time // when a req was read last
-	voice                 Voice
-	press, said           float64
-	idle, idleSaid        Time
-	turned                ring            // reqs shed, and reqs read
-	again                 ring            // further tries read, and reqs read
-	seen                  map[uint32]Time // when each caller last came
-	back                  ring            // reqs of callers that came shortly before, and reqs read
-	maxPause              Time
-	grace, graceEnd, kill Time
-	pools                 Pools
+	writer   Writer
+	now      Time
+	granule  Time
+	handlers []handler
+	tenants  []tenant
+	cells    []cell
+	byRank   []int // cells by what they earn
+	requests slab
+	due      wheel
+	byWork   bool
+	beyond   float64 // worth of what is beyond a share, as a share
+	worst    float64 // what the worst class's share counts for, over that of the whole
+	stage    float64
+	awake    bool // a timer is pending
+
+	queue     list // read and waiting for a run slot
+	queueLong bool
+	lastWait  Time // of the last request to start
+
+	cores, onCores float64
+	running, limit int
+	coldSpeed      float64 // share of speed at the start
+	fallMultiple   float64 // runs a core that a warm server survives
+	started        Time
+	warmAt         Time
+
+	memory, memoryMost float64
+	runKB              float64 // memory of a run as a multiple of a waiting request's
+	keyKB              float64 // of an entry in the table of keys
+
+	stop     Stop
+	freshFor Time
+	linger   Time
+	shared   bool
+	drain    bool
+
+	callsAllowed  float64 // calls meant to be in flight in the mean
+	callsMost     float64 // and never more than
+	callQueue     list
+	nextCall      Time
+	callsInFlight level
+	abandonedCalls,
+	callTimes,
+	callsRefused,
+	callsPassed ring
+	callTime float64
+	senders  float64
+
+	hung, swamped bool
+	healthy       bool // what health checks are told
+	stalledFor    Time // how long started work has not moved
+	tooLate       ring // what was read or done too late to be of use, of all
+	unreadTimes   ring // how long what was read had waited unread, in response targets
+	lastTick      Time
+	slowTick      Time
+	lastCame      Time // when a request was read last
+
+	signal               OverloadSignal
+	pressure, lastSignal float64
+	idle, idleSaid       Time
+	sheds                ring            // requests shed, and requests read
+	retries              ring            // further tries read, and requests read
+	callers              map[uint32]Time // when each caller last came
+	returning            ring            // requests of callers that came shortly before, and requests read
+	maxPause             Time
+	grace, graceEnd      Time
+	kill                 Time
+	pools                Pools
 }
 
 // New readies a controller for a server that starts now.
 func New(d *Deployment) *Controller {
 	c := &Controller{
-		s: newSlab(), hold: newList(), calls: newList(), granule: d.Granule, byWork: d.ByWork, beyond: d.Beyond,
-		cores: float64(d.Cores), limit: d.Cores, cold: 1, born: d.Start, warmAt: d.Start, fall: max(d.Fall, 1),
-		runKB: d.RunFactor, keyKB: d.KeyKB, stop: d.Stop, fresh: d.Fresh, maxPause: d.MaxPause,
-		voice: d.Voice, idle: d.Idle, idleSaid: d.Idle, senders: float64(d.Senders), stage: float64(d.Stage),
+		requests: newSlab(), queue: newList(), callQueue: newList(), granule: d.Granule, byWork: d.ByWork, beyond: d.Beyond,
+		cores: float64(d.Cores), limit: d.Cores, coldSpeed: 1, started: d.Start, warmAt: d.Start, fallMultiple: max(d.Fall, 1),
+		runKB: d.RunFactor, keyKB: d.KeyKB, stop: d.Stop, freshFor: d.Fresh, maxPause: d.MaxPause,
+		signal: d.OverloadSignal, idle: d.Idle, idleSaid: d.Idle, senders: float64(d.Senders), stage: float64(d.Stage),
 		linger: d.Linger, shared: d.Below == BelowShared && d.CallsOut > 0, grace: d.DrainGrace,
-		lastTick: d.Start, slowTick: d.Start, worst: d.Worst * one(d.Voice != SayLevel),
+		lastTick: d.Start, slowTick: d.Start, worst: d.Worst * one(d.OverloadSignal != SignalLevel),
 		// 4096 buckets of a tick reach 80 s, past every client timeout; what lies further is filed again.
-		due:   newWheel(4096, tick, d.Start),
-		stale: newRing(4, Second/4), unread: newRing(4, Second/4),
+		due:     newWheel(4096, tick, d.Start),
+		tooLate: newRing(4, Second/4), unreadTimes: newRing(4, Second/4),
 		// Two seconds of calls, in steps short beside a trouble: long enough for a mean at a few calls a second.
-		took: newRing(8, Second/4), refused: newRing(8, Second/4), passed: newRing(8, Second/4),
-		hands:  level{ring: newRing(10, max(d.Span, Second)/10), at: d.Start},
-		ghosts: newRing(5, max(d.Linger, 4)/4),
+		callTimes: newRing(8, Second/4), callsRefused: newRing(8, Second/4), callsPassed: newRing(8, Second/4),
+		callsInFlight:  level{ring: newRing(10, max(d.Span, Second)/10), at: d.Start},
+		abandonedCalls: newRing(5, max(d.Linger, 4)/4),
 		// Four seconds of reqs: dozens at a server's rate, and shorter than a storm.
-		turned: newRing(8, Second/2), again: newRing(8, Second/2), back: newRing(8, Second),
-		seen: map[uint32]Time{}, pools: d.Pools,
+		sheds: newRing(8, Second/2), retries: newRing(8, Second/2), returning: newRing(8, Second),
+		callers: map[uint32]Time{}, pools: d.Pools,
 	}
 	if d.Cold && d.ColdSpeed > 0 && d.ColdSpeed < 1 {
-		c.cold, c.warmAt = d.ColdSpeed, d.Start+d.WarmAfter
+		c.coldSpeed, c.warmAt = d.ColdSpeed, d.Start+d.WarmAfter
 	}
 	// A twentieth of memory is left free: what a round brings in is counted only after it was read.
-	c.memTop = d.MemKB * 0.95
+	c.memoryMost = d.MemKB * 0.95
 	// The pace aims at half of what it survives (a quarter lost where a server's calls are few, all of it even),
 	// and never are more than nine tenths in hand, so that no mean over the span can come to the whole.
-	c.allowed, c.most = d.CallsOut/2, d.CallsOut*0.9
+	c.callsAllowed, c.callsMost = d.CallsOut/2, d.CallsOut*0.9
 	for _, h := range d.Handlers {
 		// Four seconds of runs: dozens at a server's rate, and soon past a change of its speed.
-		c.h = append(c.h, handler{late: h.LateValue > 0, skips: h.LeanValue > 0, uniq: h.Repeat == Uniqued,
-			once: h.Repeat != Replayable, laps: newRing(8, Second/2), work: newRing(8, Second/2),
-			met: newRing(8, Second), unit: 1, own: float64(h.Target) / 8})
+		c.handlers = append(c.handlers, handler{lateEarns: h.LateValue > 0, canSkipCall: h.LeanValue > 0, keyed: h.Repeat == Uniqued,
+			runsOnce: h.Repeat != Replayable, serviceRatios: newRing(8, Second/2), work: newRing(8, Second/2),
+			inTime: newRing(8, Second), usualWork: 1, ownWork: float64(h.Target) / 8})
 	}
 	for range d.Tenants {
 		// Five seconds of arrivals: some dozens at a server's rate, and shorter than a surge lasts.
-		c.t = append(c.t, tenant{came: newRing(10, Second/2), full: 1})
+		c.tenants = append(c.tenants, tenant{came: newRing(10, Second/2), full: 1})
 	}
 	c.Adopt(d)
-	if len(c.t) == 0 {
-		c.t = append(c.t, tenant{came: newRing(1, Second), full: 1, fair: math.Inf(1)})
+	if len(c.tenants) == 0 {
+		c.tenants = append(c.tenants, tenant{came: newRing(1, Second), full: 1, fair: math.Inf(1)})
 	}
-	c.cells = make([]cell, len(c.h)*len(c.t))
+	c.cells = make([]cell, len(c.handlers)*len(c.tenants))
 	for k := range c.cells {
 		c.cells[k].work, c.cells[k].stand = newRing(10, Second/2), 1
 		c.byRank = append(c.byRank, k)
@@ -158,55 +179,55 @@
 		most = max(most, h.Value*(1-h.LeanValue))
 	}
 	for k, h := range d.Handlers {
-		o := &c.h[k]
+		o := &c.handlers[k]
 		o.target, o.timeout, o.window, o.value = h.Target, h.Timeout, h.Window, h.Value
-		o.needs = h.Value * (1 - h.LeanValue) / most
+		o.callWorth = h.Value * (1 - h.LeanValue) / most
 	}
 	for k, t := range d.Tenants {
-		c.t[k].fair = t.Quota / float64(d.Fleet) * float64(c.t[k].came.span()) / float64(Second)
+		c.tenants[k].fair = t.Quota / float64(d.Fleet) * float64(c.tenants[k].came.span()) / float64(Second)
 	}
 }
 
 // Handlers is the number of handlers known.
-func (c *Controller) Handlers() int { return len(c.h) }
+func (c *Controller) Handlers() int { return len(c.handlers) }
 
 // Decide takes a round and writes what is decided.
 func (c *Controller) Decide(r *Round, w Writer) {
-	c.now, c.w = max(r.Now, c.now), w
-	c.health()
+	c.now, c.writer = max(r.Now, c.now), w
+	c.updateHealth()
 	if r.Drain {
-		c.leave(r.Kill)
+		c.startDrain(r.Kill)
 	}
 	for _, b := range r.Returned {
-		c.returned(b)
+		c.callReturned(b)
 	}
 	for _, id := range r.Needs {
-		c.needs(c.s.find(id))
+		c.runNeedsCall(c.requests.find(id))
 	}
 	for _, e := range r.Ended {
-		c.ended(e)
+		c.runEnded(e)
 	}
 	for k := range r.Arrived {
-		c.enter(&r.Arrived[k])
+		c.register(&r.Arrived[k])
 	}
 	for k := range r.Arrived {
-		c.door(c.s.find(r.Arrived[k].ID), &r.Arrived[k])
+		c.admit(c.requests.find(r.Arrived[k].ID), &r.Arrived[k])
 	}
 	for _, id := range r.Gone {
-		c.gone(c.s.find(id))
+		c.abandon(c.requests.find(id))
 	}
 	if r.Woke {
 		c.awake = false
 		c.onTick(r)
 	}
-	for i := c.due.next(&c.s, c.now); i != none; i = c.due.next(&c.s, c.now) {
-		c.look(i)
+	for i := c.due.next(&c.requests, c.now); i != none; i = c.due.next(&c.requests, c.now) {
+		c.review(i)
 	}
 	c.makeCalls()
 	c.start()
 	if !c.awake {
 		c.awake = true
-		if len(c.s.ids) > 0 {
+		if len(c.requests.ids) > 0 {
 			w.Wake(c.now + tick)
 		} else {
 			w.Wake(c.now + rest)
@@ -221,25 +242,25 @@
 	c.lastTick = c.now
 	if r.Gauged {
 		c.onCores = r.Gauges.OnCores
-		c.grow()
+		c.adjustLimit()
 	}
 	if c.pools != nil {
-		c.pools.Tick(c.now, min(c.limit, c.ceiling()))
+		c.pools.Tick(c.now, min(c.limit, c.runCeiling()))
 		for _, line := range c.pools.Told() {
-			c.w.Log(line)
+			c.writer.Log(line)
 		}
 	}
 	// An eighth of the target unread is well past what reading itself takes; a quarter scored the same.
-	c.long = float64(c.hold.n) >= c.cores || c.unread.mean(c.now, 0) > 0.125
-	c.watch(dt)
+	c.queueLong = float64(c.queue.n) >= c.cores || c.unreadTimes.mean(c.now, 0) > 0.125
+	c.detectHang(dt)
 	if c.now-c.slowTick < rest {
 		return
 	}
-	c.rank()
+	c.rankCells()
 	if r.Gauged {
-		c.thin(r.Gauges.Links)
+		c.shortenIdleTime(r.Gauges.Links)
 	}
-	c.advise(float64(c.now-c.slowTick) / float64(Second))
+	c.signalOverload(float64(c.now-c.slowTick) / float64(Second))
 	c.slowTick = c.now
 }
 
--- a/admission/endings.go
+++ b/admission/endings.go
@@ -7,36 +7,36 @@
 // the share of what is read that was shed here and that of further tries come to more than eight tenths:
 // then the fleet is likely full and reading it once more serves nobody. Could harm where one of few is slow.
 func (c *Controller) shed(i int32, waited bool) {
-	it := &c.s.at[i]
+	it := &c.requests.at[i]
 	// Six tenths for the two shares lost what it gained, seven, nine and ten gained less.
-	full := c.press > 0.5 || c.turned.mean(c.now, 0)+c.again.mean(c.now, 0) > 0.8
-	last := waited && (it.again || full || c.now-it.came > c.h[it.h].target/3)
-	c.w.Shed(it.id, last, c.comeBack(int(it.h)))
-	c.turned.add(c.now, 1, 0)
+	full := c.pressure > 0.5 || c.sheds.mean(c.now, 0)+c.retries.mean(c.now, 0) > 0.8
+	last := waited && (it.again || full || c.now-it.came > c.handlers[it.h].target/3)
+	c.writer.Shed(it.id, last, c.backOff(int(it.h)))
+	c.sheds.add(c.now, 1, 0)
 	it.answered, it.failed = true, true
 	if c.pools != nil && it.phase != held {
 		c.pools.Refused(c.now, int(it.h))
 	}
-	c.unhold(i, true)
+	c.leaveQueueUnrun(i, true)
 }
 
-// outOfHold takes a req out of the hold that gets no run.
-func (c *Controller) outOfHold(i int32, shed bool) {
-	c.hold.remove(&c.s, i)
+// leaveQueue takes a req out of the hold that gets no run.
+func (c *Controller) leaveQueue(i int32, shed bool) {
+	c.queue.remove(&c.requests, i)
 	if c.pools != nil {
-		c.pools.Left(c.now, c.s.at[i].id, shed)
+		c.pools.Left(c.now, c.requests.at[i].id, shed)
 	}
 }
 
-// unhold takes out a req that never ran; the first of those that wait for it takes its place in the table.
-func (c *Controller) unhold(i int32, shed bool) {
-	it := &c.s.at[i]
+// leaveQueueUnrun takes out a req that never ran; the first of those that wait for it takes its place in the table.
+func (c *Controller) leaveQueueUnrun(i int32, shed bool) {
+	it := &c.requests.at[i]
 	if it.phase == held {
-		c.outOfHold(i, shed)
+		c.leaveQueue(i, shed)
 	}
-	c.s.part(i)
+	c.requests.part(i)
 	c.forget(it)
-	if first := c.s.pass(i); first != none {
+	if first := c.requests.pass(i); first != none {
 		c.remember(first)
 	}
 	c.release(i)
@@ -44,97 +44,97 @@
 
 // release ends what a req holds; only an entry in the table may be left.
 func (c *Controller) release(i int32) {
-	it := &c.s.at[i]
-	c.mem -= it.kb
+	it := &c.requests.at[i]
+	c.memory -= it.kb
 	it.phase = over
 	if it.kept > 0 || it.known > 0 {
 		// A repeat that reached the machine by now may be read as late as its own client timeout.
-		it.known = max(it.kept, c.now) + c.h[it.h].timeout
+		it.known = max(it.kept, c.now) + c.handlers[it.h].timeout
 	}
-	c.look(i)
+	c.review(i)
 }
 
-// fail answers a req that ran, or waits for a run, with an error, and stops its work where that can be.
-func (c *Controller) fail(i int32) {
-	c.s.at[i].failed = true
-	c.w.Fail(c.s.at[i].id)
-	c.quit(i, true)
+// failRequest answers a req that ran, or waits for a run, with an error, and stops its work where that can be.
+func (c *Controller) failRequest(i int32) {
+	c.requests.at[i].failed = true
+	c.writer.Fail(c.requests.at[i].id)
+	c.stopWaiting(i, true)
 }
 
-// gone takes a req whose caller is known to have left. A uniqued one runs on: a repeat may want its answer.
-func (c *Controller) gone(i int32) {
-	if i != none && !c.s.at[i].answered {
-		c.quit(i, !c.h[c.s.at[i].h].once)
+// abandon takes a req whose caller is known to have left. A uniqued one runs on: a repeat may want its answer.
+func (c *Controller) abandon(i int32) {
+	if i != none && !c.requests.at[i].answered {
+		c.stopWaiting(i, !c.handlers[c.requests.at[i].h].runsOnce)
 	}
 }
 
-// quit ends the wait of a req that owes no answer any more; what runs is counted until its end is reported.
-func (c *Controller) quit(i int32, stop bool) {
-	it := &c.s.at[i]
+// stopWaiting ends the wait of a req that owes no answer any more; what runs is counted until its end is reported.
+func (c *Controller) stopWaiting(i int32, stop bool) {
+	it := &c.requests.at[i]
 	it.answered = true
 	switch it.phase {
 	case held:
 		it.failed = true
-		c.unhold(i, false)
+		c.leaveQueueUnrun(i, false)
 		return
 	case read, sharing:
 		it.failed = true
 		c.release(i)
 		return
 	case calling:
-		c.unline(i)
+		c.leaveCallQueue(i)
 	case running:
 		if stop && c.stop != StopNever && !it.lent {
-			c.w.Pause(it.id)
+			c.writer.Pause(it.id)
 		}
 	}
-	c.look(i)
+	c.review(i)
 }
 
-// ended takes the end of a run.
-func (c *Controller) ended(e End) {
-	i := c.s.find(e.ID)
+// runEnded takes the end of a run.
+func (c *Controller) runEnded(e End) {
+	i := c.requests.find(e.ID)
 	if i == none {
 		return
 	}
-	it := &c.s.at[i]
-	h := &c.h[it.h]
+	it := &c.requests.at[i]
+	h := &c.handlers[it.h]
 	late := c.now-it.came > h.target
 	switch it.phase {
 	case held, over:
 		return
 	case sharing:
 		it.failed, it.answered = e.How != OK, true
-		h.met.add(c.now, one(e.How == OK && !late), 0)
+		h.inTime.add(c.now, one(e.How == OK && !late), 0)
 		c.release(i)
 		return
 	case calling:
-		c.unline(i)
+		c.leaveCallQueue(i)
 	case outside:
-		c.hands.move(c.now, -1)
-		c.giveUpCall()
+		c.callsInFlight.move(c.now, -1)
+		c.countAbandonedCall()
 	}
 	c.running--
 	if c.pools != nil {
 		c.pools.Ended(c.now, it.id, e.How == OK, e.How == OK && !late)
 	}
-	c.mem -= it.kb * (c.runKB - 1)
+	c.memory -= it.kb * (c.runKB - 1)
 	it.failed = it.failed || e.How != OK
-	h.met.add(c.now, 0, -one(e.How == Unrun)) // it was no req that any caller meant: not to be counted
+	h.inTime.add(c.now, 0, -one(e.How == Unrun)) // it was no req that any caller meant: not to be counted
 	if e.How == OK {
-		c.moved()
-		c.judge(late)
-		h.met.add(c.now, one(!late), 0)
-		h.laps.add(c.now, float64(e.Ran), it.cost)
+		c.noteProgress()
+		c.countLate(late)
+		h.inTime.add(c.now, one(!late), 0)
+		h.serviceRatios.add(c.now, float64(e.Ran), it.cost)
 		h.work.add(c.now, float64(max(e.Ran-it.spent, 0)), 1)
 	}
 	switch {
-	case h.once && e.How != Unrun || it.kept == 0:
+	case h.runsOnce && e.How != Unrun || it.kept == 0:
 	case it.failed:
 		c.forget(it)
 	default:
-		it.kept = c.now + c.fresh
-		c.w.Remember(it.id, c.fresh)
+		it.kept = c.now + c.freshFor
+		c.writer.Remember(it.id, c.freshFor)
 	}
 	it.answered = true
 	c.release(i)
--- a/admission/intake.go
+++ b/admission/intake.go
@@ -2,13 +2,13 @@
 
 // This file decides how a request that was just read is taken in: registered, shed at once, or put into the queue.
 
-// enter gives a req its index and counts it as arrived.
-func (c *Controller) enter(q *Req) {
+// register gives a req its index and counts it as arrived.
+func (c *Controller) register(q *Req) {
 	c.lastCame = c.now
-	i := c.s.take(q.ID)
-	it, h := &c.s.at[i], &c.h[q.Handler]
+	i := c.requests.take(q.ID)
+	it, h := &c.requests.at[i], &c.handlers[q.Handler]
 	it.h, it.kb, it.came, it.again = int32(q.Handler), q.KB, min(q.Came, c.now), q.Again
-	if q.Tenant > 0 && q.Tenant < len(c.t) {
+	if q.Tenant > 0 && q.Tenant < len(c.tenants) {
 		it.t = int32(q.Tenant)
 	}
 	if it.due = q.Due; it.due == 0 {
@@ -16,53 +16,53 @@
 	}
 	it.due = max(it.due, c.now)
 	if q.Hint > 0 {
-		h.unit = float64(q.Hint)
+		h.usualWork = float64(q.Hint)
 	}
-	it.cost = h.unit
-	c.mem += it.kb
+	it.cost = h.usualWork
+	c.memory += it.kb
 	if !q.Again {
 		// Further tries of what was turned away would make a tenant look beyond its share.
-		c.t[it.t].came.add(c.now, 1, 0)
+		c.tenants[it.t].came.add(c.now, 1, 0)
 	}
-	c.cell(it).work.add(c.now, h.own, 1)
-	h.met.add(c.now, 0, 1)
-	c.turned.add(c.now, 0, 1)
-	c.again.add(c.now, one(q.Again), 1)
-	if len(c.seen) > 4096 {
-		clear(c.seen) // several times the callers of any fleet seen; the share is only low for a moment
+	c.cell(it).work.add(c.now, h.ownWork, 1)
+	h.inTime.add(c.now, 0, 1)
+	c.sheds.add(c.now, 0, 1)
+	c.retries.add(c.now, one(q.Again), 1)
+	if len(c.callers) > 4096 {
+		clear(c.callers) // several times the callers of any fleet seen; the share is only low for a moment
 	}
-	came, ok := c.seen[q.Caller]
-	c.seen[q.Caller] = c.now
-	c.back.add(c.now, one(ok && c.now-came < 8*Second), 1)
+	came, ok := c.callers[q.Caller]
+	c.callers[q.Caller] = c.now
+	c.returning.add(c.now, one(ok && c.now-came < 8*Second), 1)
 	unread := float64(c.now-it.came) / float64(h.target)
-	c.judge(unread > 0.5)
-	c.unread.add(c.now, unread, 1)
+	c.countLate(unread > 0.5)
+	c.unreadTimes.add(c.now, unread, 1)
 }
 
-func (c *Controller) cell(it *item) *cell { return &c.cells[int(it.h)*len(c.t)+int(it.t)] }
+func (c *Controller) cell(it *item) *cell { return &c.cells[int(it.h)*len(c.tenants)+int(it.t)] }
 
-// door settles a repeat, sheds what can't be afforded, and lets the rest join the tail.
-func (c *Controller) door(i int32, q *Req) {
-	it := &c.s.at[i]
-	h := &c.h[it.h]
-	if q.Prior != 0 && c.repeat(i, c.s.find(q.Prior)) {
+// admit settles a repeat, sheds what can't be afforded, and lets the rest join the tail.
+func (c *Controller) admit(i int32, q *Req) {
+	it := &c.requests.at[i]
+	h := &c.handlers[it.h]
+	if q.Prior != 0 && c.settleRepeat(i, c.requests.find(q.Prior)) {
 		return
 	}
 	key := 0.0
-	if h.uniq {
+	if h.keyed {
 		key = c.keyKB
 	}
 	switch {
 	case c.drain && it.came > c.graceEnd:
 		c.shed(i, false)
-	case c.hung && (c.running > 0 || c.hold.n > 0 || h.once):
+	case c.hung && (c.running > 0 || c.queue.n > 0 || h.runsOnce):
 		// While work hangs one replayable req at a time is let in, to see whether it finishes again.
 		c.shed(i, false)
-	case it.prior == none && c.mem+key+it.kb*(c.runKB-1) > c.memTop:
+	case it.prior == none && c.memory+key+it.kb*(c.runKB-1) > c.memoryMost:
 		// Guards against a hold that fills the memory its runs need. Could harm where waiting would free it.
 		c.shed(i, false)
 	default:
-		c.hold.insertAfter(&c.s, i, c.hold.tail)
+		c.queue.insertAfter(&c.requests, i, c.queue.tail)
 		it.phase = held
 		if c.pools != nil {
 			c.pools.Arrived(c.now, q)
@@ -70,6 +70,6 @@
 		if it.prior == none {
 			c.remember(i)
 		}
-		c.look(i)
+		c.review(i)
 	}
 }
--- a/admission/interface.go
+++ b/admission/interface.go
@@ -34,14 +34,14 @@
 	StopPause
 )
 
-// Voice says what the callers make of the value that goes with every answer.
-type Voice uint8
+// OverloadSignal says what the callers make of the value that goes with every answer.
+type OverloadSignal uint8
 
 const (
-	Mute Voice = iota
-	SayLevel
-	SayCredit
-	SayWeight
+	SignalNone OverloadSignal = iota
+	SignalLevel
+	SignalCredit
+	SignalWeight
 )
 
 // Outcome is how a run or a call concluded.
@@ -99,12 +99,12 @@
 	Span     Time
 	Linger   Time
 
-	Stop       Stop
-	Fresh      Time // a read's answer may serve others for so long
-	DrainGrace Time
-	Voice      Voice
-	MaxPause   Time // longest time to come back that is passed on; 0: none is
-	Idle       Time
+	Stop           Stop
+	Fresh          Time // a read's answer may serve others for so long
+	DrainGrace     Time
+	OverloadSignal OverloadSignal
+	MaxPause       Time // longest time to come back that is passed on; 0: none is
+	Idle           Time
 
 	Pools Pools // nil: slots go to whoever has waited longest
 }
--- a/admission/recorded_test.go
+++ b/admission/recorded_test.go
@@ -110,7 +110,7 @@
 			ByWork: rnd.IntN(2) == 0, Beyond: 0.1, Worst: rnd.Float64(), Cores: 1 + rnd.IntN(8), Cold: rnd.IntN(2) == 0,
 			ColdSpeed: 0.3, WarmAfter: 8 * Second, Fall: 5, MemKB: 400 + 4000*rnd.Float64(), RunFactor: 8, KeyKB: 10,
 			Below: Below(rnd.IntN(3)), CallsOut: 4 * rnd.Float64(), Span: 2 * Second, Linger: Second / 5, Stop: Stop(rnd.IntN(3)),
-			Fresh: Time(rnd.IntN(2)) * Second, DrainGrace: 2 * Second, Voice: Voice(rnd.IntN(4)), MaxPause: 2 * Second, Idle: 30 * Second,
+			Fresh: Time(rnd.IntN(2)) * Second, DrainGrace: 2 * Second, OverloadSignal: OverloadSignal(rnd.IntN(4)), MaxPause: 2 * Second, Idle: 30 * Second,
 			Handlers: []Handler{{Target: 2 * Second, Timeout: 6 * Second, Value: 1, LeanValue: 0.5, Repeat: Replayable},
 				{Target: 3 * Second, Timeout: 8 * Second, Value: 2, LateValue: 0.2, Repeat: Uniqued, Window: 9 * Second},
 				{Target: 2 * Second, Timeout: 7 * Second, Value: 4, Repeat: NonReplayable}},
--- a/admission/runlimit.go
+++ b/admission/runlimit.go
@@ -6,16 +6,16 @@
 
 // This file decides how many runs may be in hand: the limit that follows the gauges, the ceiling that the server survives, and the budget of a slow start.
 
-// ceiling is how many runs this server survives on its cores, those at calls too: all may come back at once.
+// runCeiling is how many runs this server survives on its cores, those at calls too: all may come back at once.
 // A fifth is kept off as margin (a third: even); a cold start counts at its slowest lawful pace.
-func (c *Controller) ceiling() int {
+func (c *Controller) runCeiling() int {
 	speed := 1.0
 	if c.now < c.warmAt {
-		speed = c.cold + (1-c.cold)*float64(c.now-c.born)/float64(c.warmAt-c.born)
+		speed = c.coldSpeed + (1-c.coldSpeed)*float64(c.now-c.started)/float64(c.warmAt-c.started)
 	}
-	most := 0.8 * c.cores * (1 + (c.fall-1)*speed)
+	most := 0.8 * c.cores * (1 + (c.fallMultiple-1)*speed)
 	if speed < 1 {
-		most = min(most, slowStartBudget(c.cores*c.fall*speed))
+		most = min(most, slowStartBudget(c.cores*c.fallMultiple*speed))
 	}
 	return max(1, int(most))
 }
@@ -31,12 +31,12 @@
 	return n + 2*math.Sqrt(n) + 2
 }
 
-// grow moves the running limit by the gauge of the cores: up while they idle and work is held, down while
+// adjustLimit moves the running limit by the gauge of the cores: up while they idle and work is held, down while
 // more wants them than they are.
-func (c *Controller) grow() {
+func (c *Controller) adjustLimit() {
 	switch idle := c.cores - c.onCores; {
-	case c.hold.n > 0 && c.running >= c.limit && idle > 0:
-		c.limit = min(c.running+int(math.Ceil(idle/2)), c.ceiling())
+	case c.queue.n > 0 && c.running >= c.limit && idle > 0:
+		c.limit = min(c.running+int(math.Ceil(idle/2)), c.runCeiling())
 	case idle < -c.cores/2:
 		c.limit--
 	}
--- a/admission/scenario_test.go
+++ b/admission/scenario_test.go
@@ -127,8 +127,8 @@
 
 // An entry lasts past the window of a uniqued req, by what rounding to tenths of a ms may have taken off.
 func (s *scene) Remember(id uint32, span Time) {
-	it := &s.c.s.at[s.c.s.find(id)]
-	if h := &s.c.h[it.h]; h.uniq && s.now+span < it.came+h.window+2 {
+	it := &s.c.requests.at[s.c.requests.find(id)]
+	if h := &s.c.handlers[it.h]; h.keyed && s.now+span < it.came+h.window+2 {
 		s.t.Errorf("%s:%d: the entry of %d is short of its window", s.file, s.line, id)
 	}
 	s.note("remember %d", id)
@@ -200,7 +200,7 @@
 		"worst":  func() { d.Worst = s.num(v) },
 		"fleet":  func() { d.Fleet = int(s.num(v)) },
 		"say": func() {
-			d.Voice = map[string]Voice{"level": SayLevel, "credit": SayCredit, "weight": SayWeight}[v]
+			d.OverloadSignal = map[string]OverloadSignal{"level": SignalLevel, "credit": SignalCredit, "weight": SignalWeight}[v]
 		},
 		"mute": func() { d.MaxPause = 0 },
 	})
@@ -240,15 +240,15 @@
 	}
 	s.c.Decide(&r, s)
 	if s.pools != nil {
-		if held, running := len(s.pools.holds), len(s.pools.runs); held != s.c.hold.n || running != s.c.running {
-			s.fatal("pools know of %d held and %d running, expected %d and %d", held, running, s.c.hold.n, s.c.running)
+		if held, running := len(s.pools.holds), len(s.pools.runs); held != s.c.queue.n || running != s.c.running {
+			s.fatal("pools know of %d held and %d running, expected %d and %d", held, running, s.c.queue.n, s.c.running)
 		}
 	}
-	if s.c.mem < -0.01 || s.c.mem > s.d.MemKB {
-		s.fatal("memory in use is %.1f of %.1f", s.c.mem, s.d.MemKB)
+	if s.c.memory < -0.01 || s.c.memory > s.d.MemKB {
+		s.fatal("memory in use is %.1f of %.1f", s.c.memory, s.d.MemKB)
 	}
-	if s.c.running < 0 || s.c.hands.n < 0 || s.c.hold.n < 0 || s.c.calls.n < 0 {
-		s.fatal("runs %d, calls in hand %d, held %d", s.c.running, s.c.hands.n, s.c.hold.n)
+	if s.c.running < 0 || s.c.callsInFlight.n < 0 || s.c.queue.n < 0 || s.c.callQueue.n < 0 {
+		s.fatal("runs %d, calls in hand %d, held %d", s.c.running, s.c.callsInFlight.n, s.c.queue.n)
 	}
 }
 
--- a/admission/slots.go
+++ b/admission/slots.go
@@ -7,36 +7,36 @@
 // what is passed, by the slots of its pool at most. What starts may change who may, so each start looks from
 // the head again.
 func (c *Controller) start() {
-	top := c.ceiling()
-	for i := c.hold.head; i != none && c.running < min(c.limit, top); {
-		it := &c.s.at[i]
+	top := c.runCeiling()
+	for i := c.queue.head; i != none && c.running < min(c.limit, top); {
+		it := &c.requests.at[i]
 		if c.pools != nil && !c.pools.May(it.id) {
 			i = it.queue.next
 			continue
 		}
-		if c.mem+it.kb*(c.runKB-1) > c.memTop || c.hung && c.running > 0 {
+		if c.memory+it.kb*(c.runKB-1) > c.memoryMost || c.hung && c.running > 0 {
 			return
 		}
-		if c.drain && c.now+Time(c.est(it)*1.5)+2*tick > c.kill {
+		if c.drain && c.now+Time(c.expectedRun(it)*1.5)+2*tick > c.kill {
 			c.shed(i, false)
-			i = c.hold.head
+			i = c.queue.head
 			continue
 		}
-		c.lap = c.now - it.came
+		c.lastWait = c.now - it.came
 		if c.pools != nil {
-			c.pools.Started(c.now, it.id, c.lap)
+			c.pools.Started(c.now, it.id, c.lastWait)
 		}
-		c.hold.remove(&c.s, i)
+		c.queue.remove(&c.requests, i)
 		it.phase, it.ran = running, true
 		c.running++
-		c.mem += it.kb * (c.runKB - 1)
-		c.w.Run(it.id)
+		c.memory += it.kb * (c.runKB - 1)
+		c.writer.Run(it.id)
 		for k := it.heir; k != none; k = it.heir {
 			it.lent = true
-			c.s.part(k)
-			c.share(k)
+			c.requests.part(k)
+			c.shareResult(k)
 		}
-		c.look(i)
-		i = c.hold.head
+		c.review(i)
+		i = c.queue.head
 	}
 }
--- a/internal/profile/profile.go
+++ b/internal/profile/profile.go
@@ -80,8 +80,8 @@
 		"shared": admission.BelowShared, "tier": admission.BelowTier}
 	stops = map[string]admission.Stop{"": admission.StopNever, "off": admission.StopNever,
 		"drop": admission.StopDrop, "pause": admission.StopPause}
-	voices = map[string]admission.Voice{"": admission.Mute, "off": admission.Mute,
-		"level": admission.SayLevel, "credit": admission.SayCredit, "weight": admission.SayWeight}
+	voices = map[string]admission.OverloadSignal{"": admission.SignalNone, "off": admission.SignalNone,
+		"level": admission.SignalLevel, "credit": admission.SignalCredit, "weight": admission.SignalWeight}
 )
 
 // span turns microseconds to whole tenths of a millisecond, down.
@@ -131,7 +131,7 @@
 	if d.Stop, err = pick(stops, f.Preemption, "family_info.preemption"); err != nil {
 		return nil, err
 	}
-	if d.Voice, err = pick(voices, f.Say, "family_info.say"); err != nil {
+	if d.OverloadSignal, err = pick(voices, f.Say, "family_info.say"); err != nil {
 		return nil, err
 	}
 	out = &Profile{Deployment: d, Meters: f.Meters, Handlers: map[string]int{}, Tenants: map[string]int{}}
