--- a/admission/adopt_test.go
+++ b/admission/adopt_test.go
@@ -2,7 +2,7 @@
 
 import "testing"
 
-// counter takes decisions and remembers what became of each req.
+// counter takes decisions and remembers what became of each request.
 type counter struct {
 	run, shed map[uint32]bool
 }
@@ -30,7 +30,7 @@
 		Tenants:  []Tenant{{Quota: 100}}}
 	c, w := New(&d), &counter{map[uint32]bool{}, map[uint32]bool{}}
 	at := Second
-	c.Decide(&Round{Now: at, Arrived: []Req{{ID: 1, Came: at, KB: 1}, {ID: 2, Came: at, KB: 1}, {ID: 3, Handler: 1, Came: at, KB: 1}}}, w)
+	c.Decide(&Round{Now: at, Arrived: []Request{{ID: 1, Came: at, KB: 1}, {ID: 2, Came: at, KB: 1}, {ID: 3, Handler: 1, Came: at, KB: 1}}}, w)
 	if !w.run[1] || w.run[2] || w.run[3] {
 		t.Fatalf("runs %v, expected the first alone on one core", w.run)
 	}
@@ -45,7 +45,7 @@
 		t.Errorf("what was held is due at %d now, expected %d as it came", c.requests.at[i].due, at+10*Second)
 	}
 	at += Second / 100
-	c.Decide(&Round{Now: at, Ended: []End{{ID: 1, How: OK, Ran: Second / 100}}, Arrived: []Req{{ID: 4, Came: at, KB: 1}}}, w)
+	c.Decide(&Round{Now: at, Ended: []End{{ID: 1, How: OK, Ran: Second / 100}}, Arrived: []Request{{ID: 4, Came: at, KB: 1}}}, w)
 	if !w.run[2] || w.run[3] || len(w.shed) > 0 {
 		t.Errorf("after the first ended runs %v, shed %v; expected the second by its place", w.run, w.shed)
 	}
--- a/admission/advice.go
+++ b/admission/advice.go
@@ -8,7 +8,7 @@
 
 // shortenIdleTime has idle connections closed sooner where callers are more than sixteen a core, a small part of a table
 // (its size is told nowhere): each open one takes its part of the cores. Each new one costs work, so the time
-// goes by the cube of the share of reqs whose caller was here in the last eight seconds (square, fourth power
+// goes by the cube of the share of requests whose caller was here in the last eight seconds (square, fourth power
 // and fixed lost) or, if more, of the share shed where few further tries come: only this server is hot, and
 // what finds its table full goes where there is room. Could harm where many callers come every ten seconds.
 func (c *Controller) shortenIdleTime(links float64) {
--- a/admission/calls.go
+++ b/admission/calls.go
@@ -16,7 +16,7 @@
 	}
 }
 
-// enqueueCall lines up a call in the arrival order of the reqs.
+// enqueueCall lines up a call in the arrival order of the requests.
 func (c *Controller) enqueueCall(i int32) {
 	p := c.callQueue.tail
 	for p != none && c.requests.at[p].came > c.requests.at[i].came {
--- a/admission/controller.go
+++ b/admission/controller.go
@@ -1,6 +1,6 @@
 // The module: every decision of one server. New is given what a server is told at its start; Decide is
 // called once a round with all that came in and writes its decisions, in order, into the Writer passed
-// along. Deployment, Req, Round and Writer are in interface.go; ring.go and slab.go only keep state.
+// along. Deployment, Request, Round and Writer are in interface.go; ring.go and requestTable.go only keep state.
 //
 // One FIFO holds what was read; a slot is taken when a run starts, kept through calls, freed when it ends.
 package admission
@@ -58,7 +58,7 @@
 	tenants  []tenant
 	cells    []cell
 	byRank   []int // cells by what they earn
-	requests slab
+	requests requestTable
 	due      wheel
 	byWork   bool
 	beyond   float64 // worth of what is beyond a share, as a share
@@ -124,7 +124,7 @@
 // New readies a controller for a server that starts now.
 func New(d *Deployment) *Controller {
 	c := &Controller{
-		requests: newSlab(), queue: newList(), callQueue: newList(), granule: d.Granule, byWork: d.ByWork, beyond: d.Beyond,
+		requests: newRequestTable(), queue: newList(), callQueue: newList(), granule: d.Granule, byWork: d.ByWork, beyond: d.Beyond,
 		cores: float64(d.Cores), limit: d.Cores, coldSpeed: 1, started: d.Start, warmAt: d.Start, fallMultiple: max(d.Fall, 1),
 		runKB: d.RunFactor, keyKB: d.KeyKB, stop: d.Stop, freshFor: d.Fresh, maxPause: d.MaxPause,
 		signal: d.OverloadSignal, idle: d.Idle, idleSaid: d.Idle, senders: float64(d.Senders), stage: float64(d.Stage),
@@ -137,7 +137,7 @@
 		callTimes: newRing(8, Second/4), callsRefused: newRing(8, Second/4), callsPassed: newRing(8, Second/4),
 		callsInFlight:  level{ring: newRing(10, max(d.Span, Second)/10), at: d.Start},
 		abandonedCalls: newRing(5, max(d.Linger, 4)/4),
-		// Four seconds of reqs: dozens at a server's rate, and shorter than a storm.
+		// Four seconds of requests: dozens at a server's rate, and shorter than a storm.
 		sheds: newRing(8, Second/2), retries: newRing(8, Second/2), returning: newRing(8, Second),
 		callers: map[uint32]Time{}, pools: d.Pools,
 	}
@@ -151,8 +151,8 @@
 	c.callsAllowed, c.callsMost = d.CallsOut/2, d.CallsOut*0.9
 	for _, h := range d.Handlers {
 		// Four seconds of runs: dozens at a server's rate, and soon past a change of its speed.
-		c.handlers = append(c.handlers, handler{lateEarns: h.LateValue > 0, canSkipCall: h.LeanValue > 0, keyed: h.Repeat == Uniqued,
-			runsOnce: h.Repeat != Replayable, serviceRatios: newRing(8, Second/2), work: newRing(8, Second/2),
+		c.handlers = append(c.handlers, handler{lateEarns: h.LateValue > 0, canSkipCall: h.LeanValue > 0, keyed: h.Repeat == IdempotencyKeyed,
+			runsOnce: h.Repeat != Retryable, serviceRatios: newRing(8, Second/2), work: newRing(8, Second/2),
 			inTime: newRing(8, Second), usualWork: 1, ownWork: float64(h.Target) / 8})
 	}
 	for range d.Tenants {
--- a/admission/deadlines.go
+++ b/admission/deadlines.go
@@ -2,10 +2,10 @@
 
 // This file decides what is due and when: each request is looked at as its time comes.
 
-// answerMargin is how long before its due time a req is answered: the timer's period, the wheel's and a round.
+// answerMargin is how long before its due time a request is answered: the timer's period, the wheel's and a round.
 func (c *Controller) answerMargin() Time { return 2*tick + 2*c.granule }
 
-// review sees whether the time of a req has come and files it for its next one.
+// review sees whether the time of a request has come and files it for its next one.
 func (c *Controller) review(i int32) {
 	it := &c.requests.at[i]
 	h := &c.handlers[it.h]
@@ -15,7 +15,7 @@
 	}
 	if it.phase == calling && !h.canSkipCall && !h.lateEarns {
 		// Guards against slots held for calls that can't be made: a slow dependency would fill them all with
-		// reqs past use. Could harm where an answer that earns nothing is still wanted.
+		// requests past use. Could harm where an answer that earns nothing is still wanted.
 		end = min(end, it.came+h.target)
 	}
 	next := end
--- a/admission/endings.go
+++ b/admission/endings.go
@@ -2,7 +2,7 @@
 
 // This file decides how a request ends: shed, failed, abandoned by its caller, or with the end of its run.
 
-// shed answers a held req that never ran. It is not to be tried elsewhere if it waited long or is a further
+// shed answers a held request that never ran. It is not to be tried elsewhere if it waited long or is a further
 // try, which two servers have now turned away, if callers are told to keep half of what they have away, or if
 // the share of what is read that was shed here and that of further tries come to more than eight tenths:
 // then the fleet is likely full and reading it once more serves nobody. Could harm where one of few is slow.
@@ -20,7 +20,7 @@
 	c.leaveQueueUnrun(i, true)
 }
 
-// leaveQueue takes a req out of the hold that gets no run.
+// leaveQueue takes a request out of the hold that gets no run.
 func (c *Controller) leaveQueue(i int32, shed bool) {
 	c.queue.remove(&c.requests, i)
 	if c.pools != nil {
@@ -28,7 +28,7 @@
 	}
 }
 
-// leaveQueueUnrun takes out a req that never ran; the first of those that wait for it takes its place in the table.
+// leaveQueueUnrun takes out a request that never ran; the first of those that wait for it takes its place in the table.
 func (c *Controller) leaveQueueUnrun(i int32, shed bool) {
 	it := &c.requests.at[i]
 	if it.phase == held {
@@ -42,7 +42,7 @@
 	c.release(i)
 }
 
-// release ends what a req holds; only an entry in the table may be left.
+// release ends what a request holds; only an entry in the table may be left.
 func (c *Controller) release(i int32) {
 	it := &c.requests.at[i]
 	c.memory -= it.kb
@@ -54,21 +54,21 @@
 	c.review(i)
 }
 
-// failRequest answers a req that ran, or waits for a run, with an error, and stops its work where that can be.
+// failRequest answers a request that ran, or waits for a run, with an error, and stops its work where that can be.
 func (c *Controller) failRequest(i int32) {
 	c.requests.at[i].failed = true
 	c.writer.Fail(c.requests.at[i].id)
 	c.stopWaiting(i, true)
 }
 
-// abandon takes a req whose caller is known to have left. A uniqued one runs on: a repeat may want its answer.
+// abandon takes a request whose caller is known to have left. A uniqued one runs on: a repeat may want its answer.
 func (c *Controller) abandon(i int32) {
 	if i != none && !c.requests.at[i].answered {
 		c.stopWaiting(i, !c.handlers[c.requests.at[i].h].runsOnce)
 	}
 }
 
-// stopWaiting ends the wait of a req that owes no answer any more; what runs is counted until its end is reported.
+// stopWaiting ends the wait of a request that owes no answer any more; what runs is counted until its end is reported.
 func (c *Controller) stopWaiting(i int32, stop bool) {
 	it := &c.requests.at[i]
 	it.answered = true
@@ -120,7 +120,7 @@
 	}
 	c.memory -= it.kb * (c.runKB - 1)
 	it.failed = it.failed || e.How != OK
-	h.inTime.add(c.now, 0, -one(e.How == Unrun)) // it was no req that any caller meant: not to be counted
+	h.inTime.add(c.now, 0, -one(e.How == Unrun)) // it was no request that any caller meant: not to be counted
 	if e.How == OK {
 		c.noteProgress()
 		c.countLate(late)
--- a/admission/health.go
+++ b/admission/health.go
@@ -43,12 +43,12 @@
 	}
 }
 
-// countLate counts a req that was read, or a run that ended, as too late to be of use or not.
+// countLate counts a request that was read, or a run that ended, as too late to be of use or not.
 func (c *Controller) countLate(late bool) { c.tooLate.add(c.now, one(late), 1) }
 
 // updateHealth tells checks whether to send anything here. Where work hung, nothing of it is left and nothing has come for two
 // seconds (some checks' time), it says yes until something comes: else nobody would ever send what shows that it goes
-// on again. Guards against callers that obey checks to the letter; costs one req each two seconds while work does hang.
+// on again. Guards against callers that obey checks to the letter; costs one request each two seconds while work does hang.
 func (c *Controller) updateHealth() {
 	quiet := c.running == 0 && c.queue.n == 0 && c.now-c.lastCame > 2*Second
 	if good := (!c.hung || quiet) && !c.swamped && !c.drain; good != c.healthy {
--- a/admission/intake.go
+++ b/admission/intake.go
@@ -2,8 +2,8 @@
 
 // This file decides how a request that was just read is taken in: registered, shed at once, or put into the queue.
 
-// register gives a req its index and counts it as arrived.
-func (c *Controller) register(q *Req) {
+// register gives a request its index and counts it as arrived.
+func (c *Controller) register(q *Request) {
 	c.lastCame = c.now
 	i := c.requests.take(q.ID)
 	it, h := &c.requests.at[i], &c.handlers[q.Handler]
@@ -42,7 +42,7 @@
 func (c *Controller) cell(it *item) *cell { return &c.cells[int(it.h)*len(c.tenants)+int(it.t)] }
 
 // admit settles a repeat, sheds what can't be afforded, and lets the rest join the tail.
-func (c *Controller) admit(i int32, q *Req) {
+func (c *Controller) admit(i int32, q *Request) {
 	it := &c.requests.at[i]
 	h := &c.handlers[it.h]
 	if q.Prior != 0 && c.settleRepeat(i, c.requests.find(q.Prior)) {
@@ -56,7 +56,7 @@
 	case c.drain && it.came > c.graceEnd:
 		c.shed(i, false)
 	case c.hung && (c.running > 0 || c.queue.n > 0 || h.runsOnce):
-		// While work hangs one replayable req at a time is let in, to see whether it finishes again.
+		// While work hangs one replayable request at a time is let in, to see whether it finishes again.
 		c.shed(i, false)
 	case it.prior == none && c.memory+key+it.kb*(c.runKB-1) > c.memoryMost:
 		// Guards against a hold that fills the memory its runs need. Could harm where waiting would free it.
--- a/admission/interface.go
+++ b/admission/interface.go
@@ -7,16 +7,16 @@
 // Second is one second of Time.
 const Second Time = 10000
 
-// Repeat says what a second run of a handler's req may do.
+// Repeat says what a second run of a handler's request may do.
 type Repeat uint8
 
 const (
-	Replayable Repeat = iota
-	Uniqued
-	NonReplayable
+	Retryable Repeat = iota
+	IdempotencyKeyed
+	NonRetryable
 )
 
-// Below says what the reqs of a server call while they run.
+// Below says what the requests of a server call while they run.
 type Below uint8
 
 const (
@@ -56,7 +56,7 @@
 	Moot
 )
 
-// Handler is one kind of req.
+// Handler is one kind of request.
 type Handler struct {
 	Target    Time // answers within it earn the full value
 	Timeout   Time // the caller's, over all tries
@@ -64,12 +64,12 @@
 	LateValue float64 // share of Value earned past the target
 	LeanValue float64 // share of Value earned when a call is skipped; 0 if it can't be
 	Repeat    Repeat
-	Window    Time // a uniqued req may come again for so long
+	Window    Time // a uniqued request may come again for so long
 }
 
 // Tenant is one of those who share the fleet.
 type Tenant struct {
-	Quota float64 // reqs a second over the whole fleet
+	Quota float64 // requests a second over the whole fleet
 }
 
 // Deployment is what a server is told at its start.
@@ -111,7 +111,7 @@
 
 // Pools sets run slots apart by handler. It is told all that touches a slot and asked before one is given.
 type Pools interface {
-	Arrived(now Time, q *Req)            // joined the hold
+	Arrived(now Time, q *Request)        // joined the hold
 	Left(now Time, id uint32, shed bool) // left it without a run
 	Refused(now Time, handler int)       // was shed before it joined
 	May(id uint32) bool                  // take a slot now
@@ -123,8 +123,8 @@
 	Told() []string       // changes since it was last asked, for the log
 }
 
-// Req is one try of a caller's request, just read.
-type Req struct {
+// Request is one try of a caller's request, just read.
+type Request struct {
 	ID      uint32
 	Handler int
 	Tenant  int
@@ -159,7 +159,7 @@
 // Round is all that came in for one instance at one moment.
 type Round struct {
 	Now      Time
-	Arrived  []Req
+	Arrived  []Request
 	Returned []Return
 	Needs    []uint32
 	Ended    []End
--- a/admission/recorded_test.go
+++ b/admission/recorded_test.go
@@ -64,7 +64,7 @@
 		Gauges: Gauges{OnCores: float64(len(r.running)) * r.rand.Float64() * 1.5, Links: float64(r.rand.IntN(300))}}
 	for n := r.rand.IntN(4); n > 0; n-- {
 		*next++
-		q := Req{ID: *next, Handler: r.rand.IntN(len(d.Handlers)), Tenant: r.rand.IntN(len(d.Tenants)),
+		q := Request{ID: *next, Handler: r.rand.IntN(len(d.Handlers)), Tenant: r.rand.IntN(len(d.Tenants)),
 			Came: r.now - Time(r.rand.IntN(400)), KB: 1 + 30*r.rand.Float64(), Again: r.rand.IntN(5) == 0, Caller: uint32(r.rand.IntN(50))}
 		if r.rand.IntN(3) == 0 {
 			q.Due = q.Came + Time(r.rand.IntN(30000))
@@ -72,7 +72,7 @@
 		if r.rand.IntN(3) == 0 {
 			q.Hint = Time(1 + r.rand.IntN(3000))
 		}
-		if d.Handlers[q.Handler].Repeat != NonReplayable {
+		if d.Handlers[q.Handler].Repeat != NonRetryable {
 			key := uint32(q.Handler*1000 + r.rand.IntN(40))
 			q.Prior, r.holders[q.ID] = r.entries[key], key
 		}
@@ -111,9 +111,9 @@
 			ColdSpeed: 0.3, WarmAfter: 8 * Second, Fall: 5, MemKB: 400 + 4000*rnd.Float64(), RunFactor: 8, KeyKB: 10,
 			Below: Below(rnd.IntN(3)), CallsOut: 4 * rnd.Float64(), Span: 2 * Second, Linger: Second / 5, Stop: Stop(rnd.IntN(3)),
 			Fresh: Time(rnd.IntN(2)) * Second, DrainGrace: 2 * Second, OverloadSignal: OverloadSignal(rnd.IntN(4)), MaxPause: 2 * Second, Idle: 30 * Second,
-			Handlers: []Handler{{Target: 2 * Second, Timeout: 6 * Second, Value: 1, LeanValue: 0.5, Repeat: Replayable},
-				{Target: 3 * Second, Timeout: 8 * Second, Value: 2, LateValue: 0.2, Repeat: Uniqued, Window: 9 * Second},
-				{Target: 2 * Second, Timeout: 7 * Second, Value: 4, Repeat: NonReplayable}},
+			Handlers: []Handler{{Target: 2 * Second, Timeout: 6 * Second, Value: 1, LeanValue: 0.5, Repeat: Retryable},
+				{Target: 3 * Second, Timeout: 8 * Second, Value: 2, LateValue: 0.2, Repeat: IdempotencyKeyed, Window: 9 * Second},
+				{Target: 2 * Second, Timeout: 7 * Second, Value: 4, Repeat: NonRetryable}},
 			Tenants: []Tenant{{Quota: 50}, {Quota: 100}}}
 		c, next := New(d), uint32(0)
 		for i := range 3000 {
--- a/admission/repeats.go
+++ b/admission/repeats.go
@@ -2,7 +2,7 @@
 
 // This file decides requests that repeat another by key or resource: which take its result, and how long it is remembered.
 
-// settleRepeat settles a req that repeats prior; false lets it through the door as a new one.
+// settleRepeat settles a request that repeats prior; false lets it through the door as a new one.
 func (c *Controller) settleRepeat(i, p int32) bool {
 	it := &c.requests.at[i]
 	once := c.handlers[it.h].runsOnce
@@ -39,7 +39,7 @@
 	return true
 }
 
-// shareResult lets a req take the answer of the one it repeats; it needs no slot.
+// shareResult lets a request take the answer of the one it repeats; it needs no slot.
 func (c *Controller) shareResult(i int32) {
 	it := &c.requests.at[i]
 	if it.phase == held {
@@ -50,7 +50,7 @@
 	c.review(i)
 }
 
-// remember has the table hold an entry for a req: a uniqued one for what is left of its window, a read
+// remember has the table hold an entry for a request: a uniqued one for what is left of its window, a read
 // that others may share for as long as it may take and is fresh.
 func (c *Controller) remember(i int32) {
 	it := &c.requests.at[i]
@@ -69,7 +69,7 @@
 	c.writer.Remember(it.id, it.kept-c.now)
 }
 
-// forget takes a req's entry out of the table ahead of its time.
+// forget takes a request's entry out of the table ahead of its time.
 func (c *Controller) forget(it *item) {
 	if it.kept > 0 {
 		it.kept, it.known = 0, c.now
--- a/admission/slab.go
+++ b/admission/requesttable.go
@@ -2,10 +2,10 @@
 
 const none int32 = -1
 
-// link is a place in one of the lists that run through the slab.
+// link is a place in one of the lists that run through the request table.
 type link struct{ prev, next int32 }
 
-// list is a doubly linked list of slab indices, by their queue links.
+// list is a doubly linked list of its indices, by their queue links.
 type list struct {
 	head, tail int32
 	n          int
@@ -54,23 +54,23 @@
 	over                 // only its entry in the table is left
 )
 
-// slab maps ids to small indices and keeps what is known of each req in hand.
-type slab struct {
+// requestTable maps ids to small indices and keeps what is known of each request in hand.
+type requestTable struct {
 	at   []item
 	free []int32
 	ids  map[uint32]int32
 }
 
-func newSlab() slab { return slab{ids: make(map[uint32]int32)} }
+func newRequestTable() requestTable { return requestTable{ids: make(map[uint32]int32)} }
 
-func (s *slab) find(id uint32) int32 {
+func (s *requestTable) find(id uint32) int32 {
 	if i, ok := s.ids[id]; ok {
 		return i
 	}
 	return none
 }
 
-func (s *slab) take(id uint32) int32 {
+func (s *requestTable) take(id uint32) int32 {
 	var i int32
 	if n := len(s.free); n > 0 {
 		i = s.free[n-1]
@@ -84,13 +84,13 @@
 	return i
 }
 
-func (s *slab) drop(i int32) {
+func (s *requestTable) drop(i int32) {
 	delete(s.ids, s.at[i].id)
 	s.free = append(s.free, i)
 }
 
 // follow has i wait for the run of p, or of the one that p waits for.
-func (s *slab) follow(i, p int32) {
+func (s *requestTable) follow(i, p int32) {
 	if s.at[p].prior != none {
 		p = s.at[p].prior
 	}
@@ -103,7 +103,7 @@
 }
 
 // part takes i from those that wait for the same run.
-func (s *slab) part(i int32) {
+func (s *requestTable) part(i int32) {
 	it := &s.at[i]
 	if it.prior == none {
 		return
@@ -120,7 +120,7 @@
 }
 
 // pass gives those that wait for i to the first of them, and says which; the list runs from the newest.
-func (s *slab) pass(i int32) int32 {
+func (s *requestTable) pass(i int32) int32 {
 	first := none
 	for k := s.at[i].heir; k != none; k = s.at[k].kin.next {
 		first = k
@@ -136,7 +136,7 @@
 	return first
 }
 
-func (l *list) insertAfter(s *slab, i, p int32) {
+func (l *list) insertAfter(s *requestTable, i, p int32) {
 	it := &s.at[i].queue
 	it.prev = p
 	if p == none {
@@ -154,7 +154,7 @@
 	l.n++
 }
 
-func (l *list) remove(s *slab, i int32) {
+func (l *list) remove(s *requestTable, i int32) {
 	q := s.at[i].queue
 	if q.prev == none {
 		l.head = q.next
@@ -170,7 +170,7 @@
 }
 
 // put files i to be looked at once at has come; it leaves the place it had.
-func (w *wheel) put(s *slab, i int32, at Time) {
+func (w *wheel) put(s *requestTable, i int32, at Time) {
 	w.take(s, i)
 	slot := max(int64((at+w.step-1)/w.step), w.slot+1)
 	slot = min(slot, w.slot+int64(len(w.heads))-1)
@@ -183,7 +183,7 @@
 	w.heads[it.slot] = i
 }
 
-func (w *wheel) take(s *slab, i int32) {
+func (w *wheel) take(s *requestTable, i int32) {
 	it := &s.at[i]
 	if it.slot < 0 {
 		return
@@ -200,7 +200,7 @@
 }
 
 // next takes out one index whose time has come, or none.
-func (w *wheel) next(s *slab, now Time) int32 {
+func (w *wheel) next(s *requestTable, now Time) int32 {
 	for w.slot <= int64(now/w.step) {
 		k := w.slot % int64(len(w.heads))
 		if i := w.heads[k]; i != none {
--- a/admission/ring.go
+++ b/admission/ring.go
@@ -72,7 +72,7 @@
 	return l.sa / float64(l.span())
 }
 
-// wheel holds slab indices by the time they are to be looked at again.
+// wheel holds requestTable indices by the time they are to be looked at again.
 type wheel struct {
 	step  Time
 	slot  int64
--- a/admission/scenario_test.go
+++ b/admission/scenario_test.go
@@ -52,7 +52,7 @@
 	away        map[uint32]bool
 }
 
-func (p *tally) Arrived(_ Time, q *Req) {
+func (p *tally) Arrived(_ Time, q *Request) {
 	if _, twice := p.holds[q.ID]; twice {
 		p.t.Errorf("%d joined the hold twice", q.ID)
 	}
@@ -125,7 +125,7 @@
 }
 func (s *scene) Skip(id uint32) { s.busy[id] = true; s.note("skip %d", id) }
 
-// An entry lasts past the window of a uniqued req, by what rounding to tenths of a ms may have taken off.
+// An entry lasts past the window of a uniqued request, by what rounding to tenths of a ms may have taken off.
 func (s *scene) Remember(id uint32, span Time) {
 	it := &s.c.requests.at[s.c.requests.find(id)]
 	if h := &s.c.handlers[it.h]; h.keyed && s.now+span < it.came+h.window+2 {
@@ -215,8 +215,8 @@
 			"value":         func() { h.Value = s.num(v) },
 			"late":          func() { h.LateValue = s.num(v) },
 			"lean":          func() { h.LeanValue = s.num(v) },
-			"uniqued":       func() { h.Repeat, h.Window = Uniqued, 10*Second },
-			"nonreplayable": func() { h.Repeat = NonReplayable },
+			"uniqued":       func() { h.Repeat, h.Window = IdempotencyKeyed, 10*Second },
+			"nonreplayable": func() { h.Repeat = NonRetryable },
 		})
 	})
 	s.d.Handlers = append(s.d.Handlers, h)
@@ -273,7 +273,7 @@
 		}
 		switch w[0] {
 		case "arrive":
-			q := Req{ID: id, Came: when, KB: 1}
+			q := Request{ID: id, Came: when, KB: 1}
 			s.pairs(w[2:], func(k, v string) bool {
 				return set(k, map[string]func(){
 					"h":      func() { q.Handler = int(s.num(v)) },
--- a/admission/slots.go
+++ b/admission/slots.go
@@ -2,7 +2,7 @@
 
 // This file decides run slots, given in strict arrival order.
 
-// start gives free slots to the longest waiting, in strict arrival order. With pools, a req whose handler has
+// start gives free slots to the longest waiting, in strict arrival order. With pools, a request whose handler has
 // no room is passed by younger ones whose handler has. Guards against costly work that holds all slots; harms
 // what is passed, by the slots of its pool at most. What starts may change who may, so each start looks from
 // the head again.
--- a/admission/slowstart_test.go
+++ b/admission/slowstart_test.go
@@ -65,7 +65,7 @@
 		r := &Round{Now: now, Woke: now >= w.wake, Gauged: true} // all cores idle, by the gauges
 		for range 4 * d.Cores {
 			id++
-			r.Arrived = append(r.Arrived, Req{ID: id, Came: now, KB: 1})
+			r.Arrived = append(r.Arrived, Request{ID: id, Came: now, KB: 1})
 		}
 		c.Decide(r, w)
 		speed := min(d.ColdSpeed+(1-d.ColdSpeed)*float64(now-d.Start)/float64(d.WarmAfter), 1)
--- a/admission/waitbounds.go
+++ b/admission/waitbounds.go
@@ -7,7 +7,7 @@
 
 // This file decides how long a request may wait for a run, by what its class and tenant earn for the work.
 
-// waitBound is how long a held req may wait: half its response target, or what its run will leave of it if less.
+// waitBound is how long a held request may wait: half its response target, or what its run will leave of it if less.
 // Past the first tier only that tier's part of the target can be used.
 func (c *Controller) waitBound(it *item) Time {
 	h := &c.handlers[it.h]
@@ -31,7 +31,7 @@
 	return Time(b)
 }
 
-// expectedRun is how long the run of a req should take, calls included; 0 while no run has been seen.
+// expectedRun is how long the run of a request should take, calls included; 0 while no run has been seen.
 func (c *Controller) expectedRun(it *item) float64 {
 	h := &c.handlers[it.h]
 	h.serviceRatio = h.serviceRatios.mean(c.now, h.serviceRatio)
@@ -39,7 +39,7 @@
 }
 
 // rankCells finds what each handler of each tenant earns for its work and how much work earns less. If the worst
-// handler counts apart, a req of the one done least adds to that, fading out at a tenth above; not if a level
+// handler counts apart, a request of the one done least adds to that, fading out at a tenth above; not if a level
 // keeps the lowest away unread, which what is read doesn't show. Could harm if a handler fails by itself.
 func (c *Controller) rankCells() {
 	for k := range c.tenants {
--- a/internal/adopt/adopt.go
+++ b/internal/adopt/adopt.go
@@ -23,8 +23,8 @@
 	Retired    []bool        // handlers of which nothing new is taken
 }
 
-var kinds = map[string]admission.Repeat{conf.Replayable: admission.Replayable, conf.Uniqued: admission.Uniqued,
-	conf.NonReplayable: admission.NonReplayable}
+var kinds = map[string]admission.Repeat{conf.Replayable: admission.Retryable, conf.Uniqued: admission.IdempotencyKeyed,
+	conf.NonReplayable: admission.NonRetryable}
 
 func span(d time.Duration) admission.Time { return admission.Time(d / (100 * time.Microsecond)) }
 
@@ -57,9 +57,9 @@
 		} else if t > 0 {
 			h.Timeout = t
 		}
-		if w := span(c.Window); w < h.Window && h.Repeat == admission.Uniqued {
+		if w := span(c.Window); w < h.Window && h.Repeat == admission.IdempotencyKeyed {
 			fault("class %s.window: found %s, expected at least the platform's %s", c.Name, c.Window, word(h.Window))
-		} else if h.Repeat == admission.Uniqued {
+		} else if h.Repeat == admission.IdempotencyKeyed {
 			h.Window = w
 		}
 		h.Value, h.Target = c.Value, min(max(span(c.Target), 1), h.Timeout)
--- a/internal/backend/fleet.go
+++ b/internal/backend/fleet.go
@@ -621,7 +621,7 @@
 		return 503
 	}
 	var once []byte
-	if l.prof.Deployment.Handlers[handler].Repeat == admission.Uniqued {
+	if l.prof.Deployment.Handlers[handler].Repeat == admission.IdempotencyKeyed {
 		once = q.OnceKey
 	}
 	asked := zones.Asked{Handler: handler, Value: l.prof.Deployment.Handlers[handler].Value,
--- a/internal/backend/kept.go
+++ b/internal/backend/kept.go
@@ -41,8 +41,8 @@
 	untenanted kept.Key
 	body       uint64
 	stand      keptStand
-	runs       bool          // its own intent is durable: what becomes of the key is its to say
-	admit      admission.Req // while it is early
+	runs       bool              // its own intent is durable: what becomes of the key is its to say
+	admit      admission.Request // while it is early
 }
 
 // Modes of the part, as log, counters and health say them.
--- a/internal/backend/kept_test.go
+++ b/internal/backend/kept_test.go
@@ -54,7 +54,7 @@
 	log.SetOutput(io.Discard)
 	l := &loop{log: log, in: make(chan event, 64), reqs: newTable[req](8), conns: newTable[conn](2), names: []string{"put"},
 		keys: newKeys(10, 1000, 50), lim: NewLimits(1, 64, 256), prof: &profile.Profile{Deployment: &admission.Deployment{
-			MaxPause: 5 * admission.Second, Handlers: []admission.Handler{{Window: admission.Second, Repeat: admission.Uniqued}}}}}
+			MaxPause: 5 * admission.Second, Handlers: []admission.Handler{{Window: admission.Second, Repeat: admission.IdempotencyKeyed}}}}}
 	l.startClock(admission.Second)
 	l.kept = &keptPart{own: &operator.Kept{Entries: 100, MB: 1, Result: 100}, reads: make(chan func(), 1)}
 	store, book, found, err := kept.Open(d, wal.Sizes{Segment: 1 << 16, Bound: 1 << 20}, kept.Bounds{Entries: 100, Bytes: 1 << 18, Result: 100},
--- a/internal/backend/req.go
+++ b/internal/backend/req.go
@@ -72,7 +72,7 @@
 func (l *loop) take(c *conn, e event, name string, a *proto.Answer) int {
 	q := &e.req
 	i, known := l.handlerNamed(name)
-	hasKey := !known || l.prof.Deployment.Handlers[i].Repeat != admission.Uniqued || len(q.OnceKey) > 0
+	hasKey := !known || l.prof.Deployment.Handlers[i].Repeat != admission.IdempotencyKeyed || len(q.OnceKey) > 0
 	tenant, listed := l.prof.Tenants[string(q.Account)]
 	earliest, came, placed := l.placeStamp(q.ReceivedAt)
 	switch {
@@ -94,7 +94,7 @@
 			return s
 		}
 	}
-	if hd.Repeat == admission.Uniqued && l.keys.full(l.lim.PerRound) && l.keys.find(key) == nil {
+	if hd.Repeat == admission.IdempotencyKeyed && l.keys.full(l.lim.PerRound) && l.keys.find(key) == nil {
 		return 503 // it could not be told from its repeats
 	}
 	if h, old := l.byTask(q.ID); old != nil {
@@ -122,7 +122,7 @@
 		r.due = came + hd.Timeout
 	}
 	c.open = h
-	if l.kept != nil && hd.Repeat == admission.Uniqued {
+	if l.kept != nil && hd.Repeat == admission.IdempotencyKeyed {
 		r.kept = keptName(l.names[i], q.Account, q.OnceKey, q.Body)
 	}
 	l.tasks[r.task] = h
@@ -134,7 +134,7 @@
 	if l.fleet != nil {
 		l.fleet.meter.Came(steadyMS(), i, q.Again, false)
 	}
-	admit := admission.Req{ID: uint32(h), Handler: i, Tenant: tenant, Came: came, Due: due,
+	admit := admission.Request{ID: uint32(h), Handler: i, Tenant: tenant, Came: came, Due: due,
 		Hint: admission.Time(q.Estimate * 10), KB: q.KB, Again: q.Again, Caller: q.SentBy}
 	if r.kept != nil {
 		r.kept.admit = admit
@@ -164,20 +164,20 @@
 	d := l.prof.Deployment
 	name := fmt.Appendf(nil, "%d/%d/%s/", handler, len(q.Account), q.Account)
 	switch {
-	case d.Handlers[handler].Repeat == admission.Uniqued:
+	case d.Handlers[handler].Repeat == admission.IdempotencyKeyed:
 		// Guards against a key that comes with another body: it is another request, whose run the kernel refuses,
 		// and must neither be answered with the true one's result nor stand in its way, whichever comes first.
 		sum := sha256.Sum256(q.Body)
 		name = append(name, q.OnceKey...)
 		return string(append(name, sum[:16]...))
-	case d.Handlers[handler].Repeat == admission.Replayable && d.Fresh > 0 && len(q.ResourceKey) > 0:
+	case d.Handlers[handler].Repeat == admission.Retryable && d.Fresh > 0 && len(q.ResourceKey) > 0:
 		return string(append(name, q.ResourceKey...))
 	}
 	return ""
 }
 
 // admit has the module hear of a req in the next round.
-func (l *loop) admit(q *admission.Req) {
+func (l *loop) admit(q *admission.Request) {
 	l.next().Arrived = append(l.next().Arrived, *q)
 	if l.fleet != nil {
 		l.fleet.rec.Came(l.now, q)
@@ -194,8 +194,8 @@
 // arrange puts the reqs of a round in the order in which they reached the machine, as callbacks hand over in
 // any order what came at once, and says whom each repeats. Guards against two tries that are read in one
 // round, as after the machine stood still: neither is remembered yet, and both would run.
-func (l *loop) arrange(all []admission.Req) {
-	slices.SortStableFunc(all, func(a, b admission.Req) int { return cmp.Compare(a.Came, b.Came) })
+func (l *loop) arrange(all []admission.Request) {
+	slices.SortStableFunc(all, func(a, b admission.Request) int { return cmp.Compare(a.Came, b.Came) })
 	for i := range all {
 		q := &all[i]
 		key := l.reqs.get(handle(q.ID)).key
--- a/internal/backend/tables_test.go
+++ b/internal/backend/tables_test.go
@@ -172,11 +172,11 @@
 // A round is decided in the order in which its reqs came, and a key's later try repeats the earlier one.
 func TestArrange(t *testing.T) {
 	l := &loop{reqs: newTable[req](8), keys: newKeys(10, 100, 50)}
-	var all []admission.Req
+	var all []admission.Request
 	for i, came := range []admission.Time{30, 10, 20, 10, 15} {
 		h, r, _ := l.reqs.take()
 		r.key = []string{"a", "", "a", "b", "b"}[i]
-		all = append(all, admission.Req{ID: uint32(h), Came: came})
+		all = append(all, admission.Request{ID: uint32(h), Came: came})
 	}
 	ids := []uint32{all[1].ID, all[3].ID, all[4].ID, all[2].ID, all[0].ID}
 	priors := []uint32{0, 77, 77, 0, all[2].ID}
@@ -348,7 +348,7 @@
 	at, wall := time.Hour, 100*time.Hour
 	read := func() clock.Reading { return clock.Reading{Monotonic: at, Wall: wall} }
 	d := &admission.Deployment{Cores: 1, MemKB: 1e6, Handlers: []admission.Handler{{Target: 3 * admission.Second,
-		Timeout: 6 * admission.Second, Repeat: admission.Uniqued, Window: 8 * admission.Second}}}
+		Timeout: 6 * admission.Second, Repeat: admission.IdempotencyKeyed, Window: 8 * admission.Second}}}
 	l := &loop{prof: &profile.Profile{Deployment: d, Handlers: map[string]int{"put": 0}}, names: []string{"put"},
 		keys: newKeys(2000, 1000, 6*admission.Second), reqs: newTable[req](8), tasks: map[string]handle{},
 		lim: NewLimits(1, 64, 256), ctl: admission.New(d), stamps: clock.NewStamps(read, 12*time.Second)}
--- a/internal/host/host.go
+++ b/internal/host/host.go
@@ -157,7 +157,7 @@
 	switch e.Code() {
 	case simwire.Order:
 		flags := e.U8(39)
-		q := admission.Req{ID: id, Handler: e.U16(5), Tenant: int(e.U32(7)),
+		q := admission.Request{ID: id, Handler: e.U16(5), Tenant: int(e.U32(7)),
 			Came: admission.Time((nowUS - min(uint64(e.U32(44)), nowUS)) / 100),
 			Due:  admission.Time(e.U64(19) / 100), KB: e.F32(31),
 			Again: flags&2 != 0, Caller: e.U32(40), Prior: e.U32(48)}
--- a/internal/lab/emulated.go
+++ b/internal/lab/emulated.go
@@ -249,7 +249,7 @@
 	q.came = s.now
 	s.open[s.next] = &q
 	c := &s.classes[q.class]
-	s.round(&admission.Round{Arrived: []admission.Req{{ID: s.next, Handler: q.class, Tenant: q.tenant,
+	s.round(&admission.Round{Arrived: []admission.Request{{ID: s.next, Handler: q.class, Tenant: q.tenant,
 		Came: s.now,
 		Due:  q.first + c.handler.Timeout, KB: 8, Again: q.try > 0, Caller: q.caller}}})
 }
@@ -333,7 +333,7 @@
 // second.
 type plain struct {
 	slots, running int
-	queue          []admission.Req
+	queue          []admission.Request
 	wake           bool
 }
 
--- a/internal/pools/pools.go
+++ b/internal/pools/pools.go
@@ -204,7 +204,7 @@
 }
 
 // Arrived tells of a req that joins the hold.
-func (o *Pools) Arrived(now Time, q *admission.Req) {
+func (o *Pools) Arrived(now Time, q *admission.Request) {
 	w := waiter{q.Handler, 0, bucket(q.Caller)}
 	s := &o.c[w.class]
 	if q.Tenant > 0 && q.Tenant < len(s.tenants.held) {
--- a/internal/pools/pools_test.go
+++ b/internal/pools/pools_test.go
@@ -85,7 +85,7 @@
 
 func (b *bed) from(class, tenant int, caller uint32) {
 	b.next++
-	b.o.Arrived(b.now, &admission.Req{ID: b.next, Handler: class, Tenant: tenant, Caller: caller})
+	b.o.Arrived(b.now, &admission.Request{ID: b.next, Handler: class, Tenant: tenant, Caller: caller})
 	b.held = append(b.held, held{b.next, class})
 	b.since = append(b.since, b.now)
 }
@@ -266,7 +266,7 @@
 	o := New(Plan{Classes: []Class{{Name: "a"}}, Tenants: 3})
 	now := Second
 	for id := uint32(1); id <= enough; id++ {
-		o.Arrived(now, &admission.Req{ID: id})
+		o.Arrived(now, &admission.Request{ID: id})
 		o.Started(now, id, 0)
 		o.Ended(now+100, id, true, true)
 	}
@@ -274,7 +274,7 @@
 	now += Second
 	for id := uint32(100); id < 110; id++ {
 		tenant := int(id-100) * 4 / 16 // four, four and two
-		o.Arrived(now, &admission.Req{ID: id, Tenant: tenant})
+		o.Arrived(now, &admission.Request{ID: id, Tenant: tenant})
 		o.Started(now, id, 0)
 	}
 	o.Tick(now+2*Second, 20)
@@ -399,7 +399,7 @@
 	b.load(6, []float64{40, 10}, fixed(20, 200))
 	usual := b.o.c[1].usual
 	for id := uint32(1 << 20); id < 1<<20+2*enough; id++ {
-		b.o.Arrived(b.now, &admission.Req{ID: id, Handler: 1})
+		b.o.Arrived(b.now, &admission.Request{ID: id, Handler: 1})
 		b.o.Started(b.now, id, 0)
 	}
 	for i := 0; i < 40; i++ {
@@ -420,7 +420,7 @@
 	o := New(Plan{Classes: []Class{{Name: "a"}}, Tenants: 1})
 	now := Second
 	for id := uint32(1); id <= 60; id++ {
-		o.Arrived(now, &admission.Req{ID: id})
+		o.Arrived(now, &admission.Request{ID: id})
 		o.Started(now, id, 0)
 		o.Away(now+50, id, true)
 		o.Tick(now+Second, 12)
@@ -479,7 +479,7 @@
 			}
 			o := New(p)
 			b.ReportAllocs()
-			now, q := Second, admission.Req{}
+			now, q := Second, admission.Request{}
 			for i := 0; i < b.N; i++ {
 				id, class := uint32(i), i%n
 				q.ID, q.Handler, q.Tenant, q.Caller = id, class, i%12, id%40
--- a/internal/profile/profile.go
+++ b/internal/profile/profile.go
@@ -74,8 +74,8 @@
 }
 
 var (
-	repeats = map[string]admission.Repeat{"idempotent": admission.Replayable,
-		"deduplicated": admission.Uniqued, "at_most_once": admission.NonReplayable}
+	repeats = map[string]admission.Repeat{"idempotent": admission.Retryable,
+		"deduplicated": admission.IdempotencyKeyed, "at_most_once": admission.NonRetryable}
 	belows = map[string]admission.Below{"": admission.BelowNone, "off": admission.BelowNone,
 		"shared": admission.BelowShared, "tier": admission.BelowTier}
 	stops = map[string]admission.Stop{"": admission.StopNever, "off": admission.StopNever,
--- a/internal/shadow/shadow.go
+++ b/internal/shadow/shadow.go
@@ -43,7 +43,7 @@
 }
 
 // Came notes a req.
-func (r *Recording) Came(now admission.Time, q *admission.Req) {
+func (r *Recording) Came(now admission.Time, q *admission.Request) {
 	c := came{at: now, hint: q.Hint, kb: q.KB, caller: q.Caller, id: q.ID, handler: uint16(q.Handler),
 		tenn: uint16(max(q.Tenant, 0)), again: q.Again}
 	if q.Due > now {
@@ -231,7 +231,7 @@
 	if tenant >= max(1, len(s.d.Tenants)) {
 		tenant = 0
 	}
-	a := admission.Req{ID: id, Handler: int(q.handler), Tenant: tenant, Came: s.now, Hint: q.hint, KB: q.kb,
+	a := admission.Request{ID: id, Handler: int(q.handler), Tenant: tenant, Came: s.now, Hint: q.hint, KB: q.kb,
 		Again: q.again, Caller: q.caller}
 	if q.due > 0 {
 		a.Due = r.due
--- a/internal/shadow/shadow_test.go
+++ b/internal/shadow/shadow_test.go
@@ -21,7 +21,7 @@
 func record(n int, every, ran admission.Time) *Recording {
 	r := NewRecording(2)
 	for i := 0; i < n; i++ {
-		q := admission.Req{ID: uint32(i + 1), Handler: i % 2, KB: 10, Caller: uint32(i % 4)}
+		q := admission.Request{ID: uint32(i + 1), Handler: i % 2, KB: 10, Caller: uint32(i % 4)}
 		r.Came(admission.Time(i)*every, &q)
 		r.Ran(q.ID, ran)
 	}
