--- a/internal/backend/buffers.go
+++ b/internal/backend/buffers.go
@@ -75,13 +75,13 @@
 	p.mu.Unlock()
 }
 
-// crew are goroutines that wait for work, so that a piece of it need not start one and grow its stack: that
+// workers are goroutines that wait for work, so that a piece of it need not start one and grow its stack: that
 // was a tenth of the CPU samples. What comes while all are at work gets one of its own, so nothing waits for
 // another.
-type crew chan func()
+type workers chan func()
 
-func newCrew(n int) crew {
-	c := make(crew)
+func newWorkers(n int) workers {
+	c := make(workers)
 	for range n {
 		go func() {
 			for f := range c {
@@ -92,7 +92,7 @@
 	return c
 }
 
-func (c crew) run(f func()) {
+func (c workers) run(f func()) {
 	select {
 	case c <- f:
 	default:
@@ -100,11 +100,11 @@
 	}
 }
 
-// way is the way out of one connection.
-type way struct {
+// writer is the way out of one connection.
+type writer struct {
 	c       netpoll.Connection
 	pool    *pool
-	crew    crew
+	workers workers
 	busy    *atomic.Int64 // ways that still have something to send
 	mu      sync.Mutex
 	queue   []*buffer // waits for the flush that goes on
@@ -126,7 +126,7 @@
 )
 
 // send queues b; false if it would make more than most buffers wait, or nothing is taken any more.
-func (w *way) send(b []byte, most int) bool {
+func (w *writer) send(b []byte, most int) bool {
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	if w.shut || len(w.queue)+len(b)/bufSize >= most {
@@ -153,7 +153,7 @@
 	return true
 }
 
-func (w *way) buffer() *buffer {
+func (w *writer) buffer() *buffer {
 	if w.owesAnswers {
 		return w.pool.must()
 	}
@@ -161,7 +161,7 @@
 }
 
 // finish shuts the sending side down once what is queued has gone out.
-func (w *way) finish() {
+func (w *writer) finish() {
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	w.shut, w.end = true, max(w.end, endShutDown)
@@ -169,22 +169,22 @@
 }
 
 // close ends the connection once what is queued has gone out.
-func (w *way) close() {
+func (w *writer) close() {
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	w.shut, w.end = true, endClose
 	w.kick()
 }
 
-func (w *way) kick() {
+func (w *writer) kick() {
 	if !w.flushes {
 		w.flushes = true
 		w.busy.Add(1)
-		w.crew.run(w.flush)
+		w.workers.run(w.flush)
 	}
 }
 
-func (w *way) flush() {
+func (w *writer) flush() {
 	defer w.busy.Add(-1)
 	var out []*buffer
 	var failed error
@@ -223,7 +223,7 @@
 
 // write has netpoll send b. What it could not send for a moment stays in its buffer and is sent again. Guards
 // against an answer lost with its connection over a lack of memory that passes.
-func (w *way) write(b []byte) error {
+func (w *writer) write(b []byte) error {
 	// Write holds netpoll's own lock against a close from the other side; its Writer does not.
 	_, err := w.c.Write(b)
 	for try := 0; try < writeRetries && isMomentary(err); try++ {
--- a/internal/backend/closing_test.go
+++ b/internal/backend/closing_test.go
@@ -38,7 +38,7 @@
 	lim := NewLimits(1, 64, 256)
 	lim.Conns, lim.Crowd = conns, conns
 	l := &loop{log: log, lim: lim, in: make(chan event, 256), pool: pool{most: lim.Buffers},
-		crew: newCrew(1), conns: newTable[conn](conns), reqs: newTable[req](8), good: true, idle: admission.Second,
+		workers: newWorkers(1), conns: newTable[conn](conns), requests: newTable[request](8), good: true, idle: admission.Second,
 		prof: &profile.Profile{Deployment: &admission.Deployment{}}}
 	l.startClock(admission.Second)
 	ln, err := newListener("127.0.0.1:0", conns, time.Millisecond)
--- a/internal/backend/control.go
+++ b/internal/backend/control.go
@@ -32,7 +32,7 @@
 		return
 	}
 	l.out = proto.AppendReport(l.out[:0], c.addr, c.name, c.ready)
-	if !c.line.way.send(l.out, l.lim.LinkQueue) {
+	if !c.line.writer.send(l.out, l.lim.LinkQueue) {
 		l.linkDown(&c.link, errStuck)
 		return
 	}
--- a/internal/backend/counters.go
+++ b/internal/backend/counters.go
@@ -29,8 +29,8 @@
 func (l *loop) fields() logrus.Fields {
 	c := &l.count
 	runs, calls := 0, 0
-	for h, i := l.reqs.next(0); h != 0; h, i = l.reqs.next(i) {
-		r := l.reqs.get(h)
+	for h, i := l.requests.next(0); h != 0; h, i = l.requests.next(i) {
+		r := l.requests.get(h)
 		if r.run == runGoes {
 			runs++
 		}
@@ -38,7 +38,7 @@
 			calls++
 		}
 	}
-	out := logrus.Fields{"in_hand": l.reqs.n, "running": runs, "calls_out": calls, "conns_open": l.conns.n,
+	out := logrus.Fields{"in_hand": l.requests.n, "running": runs, "calls_out": calls, "conns_open": l.conns.n,
 		"wires_open": l.store.wires.n, "keys": l.keys.tab.n, "report_age_ms": inMS(l.now - l.control.last),
 		"conns": c.Conns, "reqs": c.Reqs, "checks": c.Checks, "bad": c.Bad, "again": c.Again,
 		"done": c.Done, "shed": c.Shed, "errored": c.Errored, "shared": c.Shared, "gone": c.Gone, "late": c.Late,
--- a/internal/backend/failures_test.go
+++ b/internal/backend/failures_test.go
@@ -81,7 +81,7 @@
 			t.Parallel()
 			f := &failing{errs: c.errs, closed: make(chan bool)}
 			p, busy := pool{most: 8}, atomic.Int64{}
-			w := &way{c: outgoing{f}, pool: &p, busy: &busy}
+			w := &writer{c: outgoing{f}, pool: &p, busy: &busy}
 			w.send([]byte("answer"), 4)
 			for end := time.Now().Add(patience); busy.Load() > 0 && time.Now().Before(end); time.Sleep(time.Millisecond) {
 			}
@@ -127,8 +127,8 @@
 				return dialTCP(address, within)
 			}
 			l.store = store1(store.addr, l.lim)
-			h, r, _ := l.reqs.take()
-			*r = req{task: long("1"), run: runGoes, ask: []byte("q")}
+			h, r, _ := l.requests.take()
+			*r = request{task: long("1"), run: runGoes, ask: []byte("q")}
 			l.call(h, r, l.now+admission.Second)
 			l.takes(1)
 			if got := l.next().Returned; len(got) != 1 || got[0].How != admission.Unrun {
@@ -147,7 +147,7 @@
 
 func store1(address string, lim Limits) store {
 	return store{addr: address, wires: newTable[wire](2), parser: func(b []byte) (e event, n int, err error) {
-		e.kind = newsReply
+		e.kind = eventReply
 		e.reply, n, err = proto.ParseReply(b, lim.Line)
 		return e, n, err
 	}}
--- a/internal/backend/fleet.go
+++ b/internal/backend/fleet.go
@@ -150,7 +150,7 @@
 		f.plans[at.v.Version], f.texts[at.v.Version] = p, at.text
 	}
 	f.patience = fetchLeast
-	end := func(e jobEnd) { l.put(event{kind: newsFleet, job: &e}) }
+	end := func(e jobEnd) { l.put(event{kind: eventFleet, job: &e}) }
 	f.ask, f.fetch, f.look = newAgent(end), newAgent(end), newAgent(end)
 	l.fleet = f
 	f.gate.Order(steadyMS(), f.m.Zone())
@@ -254,8 +254,8 @@
 
 // running counts the runs under way.
 func (l *loop) running() (n int) {
-	for h, i := l.reqs.next(0); h != 0; h, i = l.reqs.next(i) {
-		if l.reqs.get(h).run == runGoes {
+	for h, i := l.requests.next(0); h != 0; h, i = l.requests.next(i) {
+		if l.requests.get(h).run == runGoes {
 			n++
 		}
 	}
@@ -299,8 +299,8 @@
 // shedHeld sheds what is held and never ran, at once and with a time to come back.
 func (l *loop) shedHeld() {
 	f := l.fleet
-	for h, i := l.reqs.next(0); h != 0; h, i = l.reqs.next(i) {
-		r := l.reqs.get(h)
+	for h, i := l.requests.next(0); h != 0; h, i = l.requests.next(i) {
+		r := l.requests.get(h)
 		if r.answered || r.gone || r.run != runNot || r.paused || r.kept != nil && r.kept.stand == keptReads {
 			continue
 		}
@@ -370,7 +370,7 @@
 	r, folder := f.kept, f.own.Folder
 	go func() {
 		err := keepRecord(folder, &r)
-		l.put(event{kind: newsFleet, job: &jobEnd{job: &job{what: jobKeep, about: r}, err: err}})
+		l.put(event{kind: eventFleet, job: &jobEnd{job: &job{what: jobKeep, about: r}, err: err}})
 	}()
 }
 
@@ -422,7 +422,7 @@
 			a.close()
 		}
 		e.body = nil
-		l.put(event{kind: newsFleet, job: &e})
+		l.put(event{kind: eventFleet, job: &e})
 	}()
 }
 
@@ -565,7 +565,7 @@
 	f.patience = fetchLeast
 	t := tried{v: v, text: answer.Text, plan: plan}
 	done := func(why error) {
-		l.put(event{kind: newsFleet, job: &jobEnd{job: &job{what: jobTry, about: t}, err: why}})
+		l.put(event{kind: eventFleet, job: &jobEnd{job: &job{what: jobTry, about: t}, err: why}})
 	}
 	if f.decided || f.own.NoTrial {
 		go done(nil)
--- a/internal/backend/front.go
+++ b/internal/backend/front.go
@@ -22,7 +22,7 @@
 	wait    []event
 	since   admission.Time // when it was opened
 	last    admission.Time // when it last carried anything
-	said    said
+	usage   usage
 	ending  bool           // it is to be closed once nothing that was read on it is owed an answer
 	closing bool           // its sending side is shut down, or will be once its last answer is out
 	until   admission.Time // while closing: the other side has so long to close it
@@ -30,13 +30,13 @@
 	passed  admission.Time // it could not be closed for room then
 }
 
-// said is what a connection has brought whole so far.
-type said uint8
+// usage is what a connection has brought whole so far.
+type usage uint8
 
 const (
-	saidNothing said = iota
-	saidCheck
-	saidReq
+	usedForNothing usage = iota
+	usedForChecks
+	usedForRequests
 )
 
 // serve starts to take connections.
@@ -44,7 +44,7 @@
 	l.listener, l.accepts = ln, true
 	go func() {
 		ln.run(l.enter, func(err error) { l.log.Warnf("accept: %v", err) })
-		l.put(event{kind: newsNoAccept})
+		l.put(event{kind: eventNoAccept})
 	}()
 }
 
@@ -61,10 +61,10 @@
 	nc.SetWriteTimeout(l.lim.WriteStuck)
 	nc.AddCloseCallback(func(netpoll.Connection) error {
 		p.release()
-		l.put(event{kind: newsGone, from: p})
+		l.put(event{kind: eventGone, from: p})
 		return nil
 	})
-	l.put(event{kind: newsOpen, from: p})
+	l.put(event{kind: eventOpen, from: p})
 	nc.SetOnRequest(func(_ context.Context, nc netpoll.Connection) error { return l.heard(p, nc) })
 	if !nc.IsActive() {
 		nc.Close() // it ended before anybody listened for that
@@ -89,7 +89,7 @@
 // close is sent again by its sidecar.
 func (l *loop) makeRoom() {
 	l.endLingering()
-	for l.usable() > l.lim.Crowd {
+	for l.conns.n > l.lim.Crowd && l.usable() > l.lim.Crowd {
 		c := l.leastUsed()
 		if c == nil {
 			return
@@ -130,13 +130,13 @@
 	for h, i := l.conns.next(0); h != 0; h, i = l.conns.next(i) {
 		c := l.conns.get(h)
 		least := l.lim.IdleLeast
-		if c.said == saidNothing {
+		if c.usage == usedForNothing {
 			least = l.lim.SilentLeast
 		}
 		if c.closing || c.passed == l.now || c.owes() || l.now-c.last < least {
 			continue
 		}
-		if out == nil || c.said < out.said || c.said == out.said && c.last < out.last {
+		if out == nil || c.usage < out.usage || c.usage == out.usage && c.last < out.last {
 			out = c
 		}
 	}
@@ -198,7 +198,7 @@
 		l.reply(c, h, proto.Answer{Status: l.bad("a message does not get to its end"), Close: true})
 	case c.ending:
 		l.closeIdle(c, l.now-c.last >= l.lim.Linger)
-	case c.said == saidNothing && l.now-c.since >= l.lim.FirstWord:
+	case c.usage == usedForNothing && l.now-c.since >= l.lim.FirstWord:
 		if l.closeIdle(c, false) {
 			l.count.Silent++
 		}
@@ -209,7 +209,7 @@
 
 // idleMost is how long a connection may be idle.
 func (l *loop) idleMost(c *conn) admission.Time {
-	if c.said == saidCheck {
+	if c.usage == usedForChecks {
 		return min(l.idle, l.lim.CheckIdle)
 	}
 	return l.idle
@@ -237,7 +237,7 @@
 	l.conns.drop(p.h)
 	p.h = 0
 	p.close()
-	if r := l.reqs.get(open); r != nil && !r.answered {
+	if r := l.requests.get(open); r != nil && !r.answered {
 		r.gone = true
 		l.trace(r, "gone")
 		r.waits = false
@@ -266,15 +266,15 @@
 func (l *loop) begin(c *conn, e event) {
 	h := e.from.h
 	e.from.ahead.Add(-1)
-	if e.kind == newsBad {
+	if e.kind == eventBad {
 		l.reply(c, h, l.refusal(e.err))
 		return
 	}
-	a := proto.Answer{Close: e.req.Close}
-	switch method, path := string(e.req.Method), string(e.req.Path); {
+	a := proto.Answer{Close: e.request.Close}
+	switch method, path := string(e.request.Method), string(e.request.Path); {
 	case path == "/health" && method == "GET":
 		l.count.Checks++
-		c.said = max(c.said, saidCheck)
+		c.usage = max(c.usage, usedForChecks)
 		if a.Status = 200; !l.good {
 			a.Status = 503
 		}
@@ -283,7 +283,7 @@
 		}
 	case len(path) > 5 && path[:5] == "/rpc/" && method == "POST":
 		if a.Status = l.take(c, e, path[5:], &a); a.Status != 400 {
-			c.said = saidReq
+			c.usage = usedForRequests
 		}
 		if a.Status == 0 {
 			return
--- a/internal/backend/history_test.go
+++ b/internal/backend/history_test.go
@@ -56,8 +56,8 @@
 	stop   time.Duration // the kill comes so long after the notice
 }
 
-// request is what a history says of one id.
-type request struct {
+// requestHistory is what a history says of one id.
+type requestHistory struct {
 	sent, ended record
 	answers     []record
 	left, gone  bool
@@ -67,14 +67,14 @@
 // broken gives what in a history breaks a rule.
 func (h *history) broken(r rules) (out []string) {
 	say := func(format string, args ...any) { out = append(out, fmt.Sprintf(format, args...)) }
-	requests, order := map[string]*request{}, []string{}
+	requests, order := map[string]*requestHistory{}, []string{}
 	notices, exits := map[int]record{}, map[int]record{}
 	ran := map[string]record{} // the last run of a key at a server
 	for _, e := range h.records {
 		q := requests[e.id]
 		switch e.kind {
 		case recordSent:
-			requests[e.id] = &request{sent: e}
+			requests[e.id] = &requestHistory{sent: e}
 			order = append(order, e.id)
 		case recordAnswered:
 			q.answers = append(q.answers, e)
@@ -119,7 +119,7 @@
 }
 
 // check holds one request to its one answer in time.
-func (q *request) check(r rules, say func(string, ...any)) {
+func (q *requestHistory) check(r rules, say func(string, ...any)) {
 	id := q.sent.id
 	switch {
 	case len(q.answers) > 1:
--- a/internal/backend/kept.go
+++ b/internal/backend/kept.go
@@ -125,7 +125,7 @@
 			store, book, found, err = kept.Open(wal.Dir(own.Folder), sizes, kept.Bounds{Entries: own.Entries, Bytes: most,
 				Result: own.Result, Window: window}, now, boot)
 		}
-		l.put(event{kind: newsKept, then: func() { l.keptOpened(store, book, found, err) }})
+		l.put(event{kind: eventKept, then: func() { l.keptOpened(store, book, found, err) }})
 	}()
 }
 
@@ -156,7 +156,7 @@
 	early := k.early
 	k.early = nil
 	for _, h := range early {
-		r := l.reqs.get(h)
+		r := l.requests.get(h)
 		if r == nil || r.kept == nil || r.kept.stand != keptEarly || r.answered || r.gone {
 			continue
 		}
@@ -168,7 +168,7 @@
 }
 
 // keptWord is the door's word on a try: false, and the module hears of it as of any other.
-func (l *loop) keptWord(h handle, r *req) bool {
+func (l *loop) keptWord(h handle, r *request) bool {
 	a := proto.Answer{}
 	if a.Status = l.keptDoor(h, r, &a); a.Status != 0 {
 		a.Close = a.Status == 400
@@ -223,10 +223,10 @@
 
 // keptDoor says what a try gets: a status answers it here, with what a says beside it; a stand other than free has it wait;
 // else the module hears of it as of any other.
-func (l *loop) keptDoor(h handle, r *req, a *proto.Answer) int {
+func (l *loop) keptDoor(h handle, r *request, a *proto.Answer) int {
 	k, q := l.kept, r.kept
 	if k.book == nil {
-		if k.broken == nil && len(k.early) < l.reqs.most/4 {
+		if k.broken == nil && len(k.early) < l.requests.most/4 {
 			q.stand, k.early = keptEarly, append(k.early, h)
 			l.due.set(min(l.now+keptPatience, l.lastMoment(r)), dueKept, h)
 			return 0
@@ -279,7 +279,7 @@
 }
 
 // lastMoment is by when a req has its answer that waits for the disk.
-func (l *loop) lastMoment(r *req) admission.Time {
+func (l *loop) lastMoment(r *request) admission.Time {
 	at := r.due
 	if l.drains {
 		at = min(at, l.kill)
@@ -288,13 +288,13 @@
 }
 
 // keptRead has a result read, off the loop: the try of a key that ran is answered by it.
-func (l *loop) keptRead(h handle, r *req, place uint64) int {
+func (l *loop) keptRead(h handle, r *request, place uint64) int {
 	k := l.kept
 	store := k.store
 	select {
 	case k.reads <- func() {
 		result, err := store.Result(place)
-		l.put(event{kind: newsKept, then: func() { l.keptFound(h, result, err) }})
+		l.put(event{kind: eventKept, then: func() { l.keptFound(h, result, err) }})
 	}:
 	default:
 		k.errs++
@@ -306,7 +306,7 @@
 }
 
 func (l *loop) keptFound(h handle, result []byte, err error) {
-	r := l.reqs.get(h)
+	r := l.requests.get(h)
 	if r == nil || r.kept == nil || r.kept.stand != keptReads {
 		return
 	}
@@ -326,7 +326,7 @@
 
 // keptLate answers what waited for the disk until its last moment.
 func (l *loop) keptLate(h handle) {
-	r := l.reqs.get(h)
+	r := l.requests.get(h)
 	if r == nil || r.kept == nil || r.answered || r.gone {
 		return
 	}
@@ -347,8 +347,8 @@
 	if l.kept == nil {
 		return
 	}
-	for h, i := l.reqs.next(0); h != 0; h, i = l.reqs.next(i) {
-		if r := l.reqs.get(h); r.kept != nil && r.kept.stand != keptFree && !r.answered {
+	for h, i := l.requests.next(0); h != 0; h, i = l.requests.next(i) {
+		if r := l.requests.get(h); r.kept != nil && r.kept.stand != keptFree && !r.answered {
 			l.due.set(l.lastMoment(r), dueKept, h)
 		}
 	}
@@ -357,7 +357,7 @@
 // write hands a record over; then hears whether it is durable.
 func (k *keptPart) write(l *loop, rec kept.Record, then func(err error)) bool {
 	ok := k.store.Put(rec, func(place uint64, err error) {
-		l.put(event{kind: newsKept, then: func() {
+		l.put(event{kind: eventKept, then: func() {
 			k.waits = k.waits[1:]
 			if err == nil {
 				k.next = max(k.next, place+1)
@@ -381,7 +381,7 @@
 }
 
 // intend has the intent of a run that was given its slot made durable; SCHED goes out after that. It keeps slot and place.
-func (l *loop) intend(h handle, r *req) {
+func (l *loop) intend(h handle, r *request) {
 	k, q := l.kept, r.kept
 	v, shed := kept.Full, proto.Answer{}
 	if !k.shut(l.now) {
@@ -414,14 +414,14 @@
 }
 
 // unrun ends a run that never was one.
-func (l *loop) unrun(h handle, r *req, a proto.Answer) {
+func (l *loop) unrun(h handle, r *request, a proto.Answer) {
 	l.answer(h, r, a)
 	l.runEnded(h, r, admission.Unrun, 0, nil)
 }
 
 // intended goes on with a run whose intent is durable, or never will be.
 func (l *loop) intended(h handle, err error) {
-	r := l.reqs.get(h)
+	r := l.requests.get(h)
 	if r == nil || r.kept == nil || r.kept.stand != keptIntends {
 		return
 	}
@@ -447,7 +447,7 @@
 
 // keptEnd takes the end of a run. waits tells that its answer waits until its result is durable, ok that there is a result to
 // tell.
-func (l *loop) keptEnd(h handle, r *req, how admission.Outcome, result []byte) (waits, ok bool) {
+func (l *loop) keptEnd(h handle, r *request, how admission.Outcome, result []byte) (waits, ok bool) {
 	k, q := l.kept, r.kept
 	if !q.runs { // it never ran, and another try of its key may run, or have run
 		return false, false
@@ -491,7 +491,7 @@
 
 // keptDone tells a result that is durable now, or an error where it is not.
 func (l *loop) keptDone(h handle, key string, ok bool, result []byte) {
-	if r := l.reqs.get(h); r != nil && r.kept != nil && r.kept.stand == keptEnds {
+	if r := l.requests.get(h); r != nil && r.kept != nil && r.kept.stand == keptEnds {
 		r.kept.stand = keptFree
 		if ok {
 			l.answer(h, r, proto.Answer{Status: 200, Body: result})
@@ -525,7 +525,7 @@
 			store := k.store
 			go func() {
 				err := store.Release(first)
-				l.put(event{kind: newsKept, then: func() {
+				l.put(event{kind: eventKept, then: func() {
 					if k.frees = false; err != nil {
 						l.logf("kept results: what is over can't be let go of: %v", err)
 					}
--- a/internal/backend/kept_test.go
+++ b/internal/backend/kept_test.go
@@ -52,7 +52,7 @@
 func keptLoop(t *testing.T, d *heldDisk) *loop {
 	log := logrus.New()
 	log.SetOutput(io.Discard)
-	l := &loop{log: log, in: make(chan event, 64), reqs: newTable[req](8), conns: newTable[conn](2), names: []string{"put"},
+	l := &loop{log: log, in: make(chan event, 64), requests: newTable[request](8), conns: newTable[conn](2), names: []string{"put"},
 		keys: newKeys(10, 1000, 50), lim: NewLimits(1, 64, 256), prof: &profile.Profile{Deployment: &admission.Deployment{
 			MaxPause: 5 * admission.Second, Handlers: []admission.Handler{{Window: admission.Second, Repeat: admission.IdempotencyKeyed}}}}}
 	l.startClock(admission.Second)
@@ -67,9 +67,9 @@
 }
 
 // takes is a try that has its slot.
-func (l *loop) takes(key string) (handle, *req) {
-	h, r, _ := l.reqs.take()
-	*r = req{kept: keptName("put", nil, []byte(key), []byte("body")), run: runGoes, came: l.now, due: l.now + 2*admission.Second}
+func (l *loop) takes(key string) (handle, *request) {
+	h, r, _ := l.requests.take()
+	*r = request{kept: keptName("put", nil, []byte(key), []byte("body")), run: runGoes, came: l.now, due: l.now + 2*admission.Second}
 	return h, r
 }
 
@@ -104,7 +104,7 @@
 	l.Fail(uint32(h)) // the module: its time is over
 	close(d.gate)
 	l.hears(t)
-	r = l.reqs.get(h) // the table may have grown
+	r = l.requests.get(h) // the table may have grown
 	if r.schedNo != 0 || r.run != runOver || len(l.next().Ended) != 1 || l.next().Ended[0].How != admission.Unrun {
 		t.Errorf("what was answered meanwhile ran: %+v, ends %v", r, l.next().Ended)
 	}
@@ -210,14 +210,14 @@
 	r.kept.admit.ID = uint32(h)
 	l.keptWord(h, r)
 	l.keptOpened(k.store, book, kept.Opened{}, nil)
-	if in := l.next().Arrived; len(in) != 1 || in[0].ID != uint32(h) || l.reqs.get(h).answered {
+	if in := l.next().Arrived; len(in) != 1 || in[0].ID != uint32(h) || l.requests.get(h).answered {
 		t.Errorf("%v came to the module, expected the one that waited", in)
 	}
 	k.book = nil
 	h, r = l.takes("c")
 	l.keptWord(h, r)
 	l.keptOpened(nil, nil, kept.Opened{}, wal.ErrLocked)
-	if !l.reqs.get(h).answered || l.count.Shed != 2 || k.mode != keptFailed {
+	if !l.requests.get(h).answered || l.count.Shed != 2 || k.mode != keptFailed {
 		t.Errorf("%s, and it still waits for a folder that can't be opened", k.mode)
 	}
 	h, r = l.takes("d")
@@ -249,7 +249,7 @@
 			t.Errorf("%s: the one that runs is %s, expected it %s", c.body, is, first)
 		}
 	}
-	l.runEnded(h, l.reqs.get(h), admission.OK, 1, []byte("result"))
+	l.runEnded(h, l.requests.get(h), admission.OK, 1, []byte("result"))
 	if l.hears(t); l.count.Done != 1 {
 		t.Errorf("%d done, expected the first", l.count.Done)
 	}
--- a/internal/backend/kernel.go
+++ b/internal/backend/kernel.go
@@ -41,7 +41,7 @@
 func (l *loop) kernelUp() {
 	k := &l.kernel
 	k.stand, k.fresh = kernelOpened, true
-	k.line.way.send(proto.AppendOpen(l.out[:0], k.index), l.lim.LinkQueue)
+	k.line.writer.send(proto.AppendOpen(l.out[:0], k.index), l.lim.LinkQueue)
 }
 
 func (l *loop) kernelDown() {
@@ -56,7 +56,7 @@
 	if k.stand != kernelLive {
 		return unsent
 	}
-	if !k.line.way.send(l.out, l.lim.LinkQueue) {
+	if !k.line.writer.send(l.out, l.lim.LinkQueue) {
 		l.relink = true // not from within a round: what is lost is sent again on the next link
 		return unsent
 	}
@@ -64,33 +64,33 @@
 	return k.sent
 }
 
-func (l *loop) sched(r *req) {
+func (l *loop) sched(r *request) {
 	l.out = proto.AppendSched(l.out[:0], r.task, l.names[r.handler], r.body)
 	r.schedNo = l.tell()
 }
 
-func (l *loop) preempt(r *req) {
+func (l *loop) preempt(r *request) {
 	l.out = proto.AppendTask(l.out[:0], "PREEMPT", r.task)
 	r.haltNo = l.tell()
 }
 
-func (l *loop) resched(r *req) {
+func (l *loop) resched(r *request) {
 	l.out = proto.AppendTask(l.out[:0], "RESCHED", r.task)
 	r.schedNo, r.resumed, r.paused = l.tell(), true, false
 }
 
-func (l *loop) ioDone(r *req, reply []byte) {
+func (l *loop) ioDone(r *request, reply []byte) {
 	r.reply = append(r.reply[:0], reply...)
 	r.goes = goesWithReply
 	l.goOn(r)
 }
 
-func (l *loop) noIO(r *req) {
+func (l *loop) noIO(r *request) {
 	r.goes = goesWithout
 	l.goOn(r)
 }
 
-func (l *loop) goOn(r *req) {
+func (l *loop) goOn(r *request) {
 	if r.goes == goesWithReply {
 		l.out = proto.AppendIODone(l.out[:0], r.task, r.reply)
 	} else {
@@ -205,7 +205,7 @@
 	k.stand, k.wait = kernelReplays, 0
 	k.sent++
 	k.replay = k.sent
-	if !k.line.way.send(proto.AppendSysInfo(l.out[:0], k.replay), l.lim.LinkQueue) {
+	if !k.line.writer.send(proto.AppendSysInfo(l.out[:0], k.replay), l.lim.LinkQueue) {
 		l.linkDown(&k.link, errStuck)
 		return
 	}
@@ -254,8 +254,8 @@
 		return
 	}
 	k.stand = kernelLive
-	for h, i := l.reqs.next(0); h != 0; h, i = l.reqs.next(i) {
-		r := l.reqs.get(h)
+	for h, i := l.requests.next(0); h != 0; h, i = l.requests.next(i) {
+		r := l.requests.get(h)
 		if r.run != runGoes {
 			continue
 		}
--- a/internal/backend/limits.go
+++ b/internal/backend/limits.go
@@ -24,7 +24,7 @@
 	Entries   int // keys known
 	Results   int // bytes of kept results
 	Buffers   int // buffers that are out at one time
-	Crew      int // goroutines kept for work on connections
+	Workers   int // goroutines kept for work on connections
 	HandOver  int // events handed over and not taken yet
 	PerRound  int // events taken into one round
 	LinkQueue int // buffers waiting to go out on a link
@@ -87,7 +87,7 @@
 		Entries: memoryMB << 20 / 12 / 256, Results: memoryMB << 20 / 12,
 		// A round of all connections at once, several times over.
 		// A usual round writes to no more connections than this.
-		Crew: 16, HandOver: 4096, PerRound: 1024,
+		Workers: 16, HandOver: 4096, PerRound: 1024,
 		LinkQueue: 128, ConnQueue: 4,
 		Request: proto.Bounds{Head: 4 << 10, Body: 2 << 10},
 		Line:    proto.Bounds{Head: bufSize - 64, Body: bufSize - 512},
--- a/internal/backend/link.go
+++ b/internal/backend/link.go
@@ -32,9 +32,9 @@
 // line is one dial and the connection that came of it.
 type line struct {
 	which  int
-	wire   handle // the store's, where it is one of those
-	way    *way   // nil until it is open
-	err    error  // it ended, maybe before the loop had heard that it began
+	wire   handle  // the store's, where it is one of those
+	writer *writer // nil until it is open
+	err    error   // it ended, maybe before the loop had heard that it began
 	parser parser
 }
 
@@ -70,7 +70,7 @@
 	parser parser
 }
 
-func (k *link) up() bool { return k.line != nil && k.line.way != nil }
+func (k *link) up() bool { return k.line != nil && k.line.writer != nil }
 
 // dial opens a link unless that goes on already or its wait is not over.
 func (l *loop) dial(k *link) {
@@ -94,18 +94,18 @@
 	go func() {
 		c, err := l.dialTo(addr, l.lim.Dial)
 		if err != nil {
-			l.put(event{kind: newsDialled, line: n, err: err})
+			l.put(event{kind: eventDialled, line: n, err: err})
 			return
 		}
 		c.SetWriteTimeout(l.lim.WriteStuck)
 		in := &intake{pool: &l.pool}
-		down := func(err error) { l.put(event{kind: newsDown, line: n, err: err}) }
+		down := func(err error) { l.put(event{kind: eventDown, line: n, err: err}) }
 		c.AddCloseCallback(func(netpoll.Connection) error {
 			in.drop()
 			down(errClosed)
 			return nil
 		})
-		l.put(event{kind: newsDialled, line: n, conn: c})
+		l.put(event{kind: eventDialled, line: n, conn: c})
 		c.SetOnRequest(func(_ context.Context, c netpoll.Connection) error {
 			err := in.read(c.Reader(), n.parser, func(e event) {
 				e.line = n
@@ -133,7 +133,7 @@
 // lined takes news of a line, unless its owner has let go of it.
 func (l *loop) lined(e event) {
 	n := e.line
-	if e.kind == newsDown && n.err == nil {
+	if e.kind == eventDown && n.err == nil {
 		n.err = e.err
 	}
 	var w *wire
@@ -147,12 +147,12 @@
 		return
 	}
 	switch e.kind {
-	case newsDialled:
+	case eventDialled:
 		if e.err == nil {
 			e.err = n.err
 		}
 		if e.err == nil {
-			n.way = &way{c: e.conn, pool: &l.pool, crew: l.crew, busy: &l.busy}
+			n.writer = &writer{c: e.conn, pool: &l.pool, workers: l.workers, busy: &l.busy}
 			l.lineUp(n, w)
 			return
 		}
@@ -160,15 +160,15 @@
 			e.conn.Close()
 		}
 		l.lineLost(n, w, e.err)
-	case newsDown:
-		if n.way != nil {
+	case eventDown:
+		if n.writer != nil {
 			l.lineLost(n, w, e.err)
 		}
-	case newsNotice:
+	case eventNotice:
 		l.noticed(*e.notice)
-	case newsReply:
+	case eventReply:
 		l.replied(n.wire, w, e.reply)
-	case newsReport:
+	case eventReport:
 		l.reported(e.status)
 	}
 }
@@ -200,8 +200,8 @@
 	if k.line == nil {
 		return
 	}
-	if k.line.way != nil {
-		k.line.way.close()
+	if k.line.writer != nil {
+		k.line.writer.close()
 	}
 	k.line = nil // whatever is still to come of it is late news
 	if err == nil {
--- a/internal/backend/loop.go
+++ b/internal/backend/loop.go
@@ -24,42 +24,42 @@
 	"umberwinch/internal/proto"
 )
 
-type news uint8
+type eventKind uint8
 
 const (
-	newsOpen news = iota
-	newsReq
-	newsBad
-	newsGone
-	newsDialled
-	newsDown
-	newsNotice
-	newsReply
-	newsReport
-	newsDrain
-	newsCount
-	newsReload
-	newsFleet
-	newsKept
-	newsFlood    // more comes on a sealed connection than is borne
-	newsNoAccept // the listener is closed, and what it had accepted was told before
+	eventOpen eventKind = iota
+	eventRequest
+	eventBad
+	eventGone
+	eventDialled
+	eventDown
+	eventNotice
+	eventReply
+	eventReport
+	eventDrain
+	eventCount
+	eventReload
+	eventFleet
+	eventKept
+	eventFlood    // more comes on a sealed connection than is borne
+	eventNoAccept // the listener is closed, and what it had accepted was told before
 )
 
 // event is one thing handed over.
 type event struct {
-	kind   news
-	from   *peer
-	line   *line
-	conn   netpoll.Connection
-	err    error
-	buf    *buffer
-	req    proto.Request
-	notice *proto.Notice
-	reply  proto.Reply
-	status proto.Response
-	node   *Node
-	job    *jobEnd
-	then   func() // of the disk
+	kind    eventKind
+	from    *peer
+	line    *line
+	conn    netpoll.Connection
+	err     error
+	buf     *buffer
+	request proto.Request
+	notice  *proto.Notice
+	reply   proto.Reply
+	status  proto.Response
+	node    *Node
+	job     *jobEnd
+	then    func() // of the disk
 }
 
 type loop struct {
@@ -70,7 +70,7 @@
 	log      *logrus.Logger
 	in       chan event
 	pool     pool
-	crew     crew
+	workers  workers
 	listener *listener
 	accepts  bool         // the listener is open
 	busy     atomic.Int64 // ways out that still have something to send
@@ -89,7 +89,7 @@
 	wakes bool // a wake-up is due and waits for its gauges
 
 	conns     table[conn]
-	reqs      table[req]
+	requests  table[request]
 	tasks     map[string]handle
 	keys      keys
 	due       deadlines
@@ -175,7 +175,7 @@
 }
 
 // trace writes what happens to one req, when asked to by the log's level.
-func (l *loop) trace(r *req, what string, args ...any) {
+func (l *loop) trace(r *request, what string, args ...any) {
 	if l.debug {
 		l.log.WithField("req", r.task).Debugf(what, args...)
 	}
@@ -207,11 +207,11 @@
 			l.put(make())
 		}
 	}
-	go events(signals.Drain, func() event { return event{kind: newsDrain} })
-	go events(signals.Count, func() event { return event{kind: newsCount} })
+	go events(signals.Drain, func() event { return event{kind: eventDrain} })
+	go events(signals.Count, func() event { return event{kind: eventCount} })
 	go events(signals.Reload, func() event {
 		next, err := signals.Read()
-		return event{kind: newsReload, node: next, err: err}
+		return event{kind: eventReload, node: next, err: err}
 	})
 }
 
@@ -223,16 +223,16 @@
 	// What lives is a few MB: collections twice as often as usual cost no CPU that showed and keep the
 	// memory level from early on (churn: 7.8, 8.4, 9.0 MB from half the day on; 8.4, 10.6, 10.9 as usual).
 	debug.SetGCPercent(50)
-	crew := newCrew(lim.Crew)
+	workers := newWorkers(lim.Workers)
 	if err := netpoll.Configure(netpoll.Config{PollerNum: lim.Cores, LoggerOutput: &lines{log: log, clock: clock.New()},
 		LoadBalance: netpoll.RoundRobin,
-		Runner:      func(_ context.Context, f func()) { crew.run(f) }}); err != nil {
+		Runner:      func(_ context.Context, f func()) { workers.run(f) }}); err != nil {
 		return err
 	}
 	log.Infof("%s on %s: %g cores, %d MB, %d descriptors, %d connections, %d to the store", c.Name, c.Listen,
 		c.Limits.Cores, lim.MemoryMB, c.Limits.Sockets, lim.Conns, lim.Wires)
 	l := newLoop(c, lim, log)
-	l.crew = crew
+	l.workers = workers
 	if err := l.joinFleet(); err != nil {
 		return err
 	}
@@ -258,7 +258,7 @@
 		in: make(chan event, lim.HandOver), pool: pool{most: lim.Buffers}, timer: time.NewTimer(time.Hour),
 		told: c, prof: prof,
 		names: make([]string, len(prof.Deployment.Handlers)),
-		conns: newTable[conn](lim.Conns + 8), reqs: newTable[req](lim.Reqs), tasks: map[string]handle{},
+		conns: newTable[conn](lim.Conns + 8), requests: newTable[request](lim.Reqs), tasks: map[string]handle{},
 		keys: newKeys(lim.Entries, lim.Results, late), good: true, health: true,
 		// Sidecars close idle connections by themselves; until the module says more this only ends dead ones.
 		idle: 2 * max(prof.Idle, 30*admission.Second), stop: admission.Time(c.StopMS) * 10}
@@ -274,17 +274,17 @@
 				return e, 0, err
 			}
 			note, err := proto.ParseNotice(line)
-			return event{kind: newsNotice, notice: &note}, n, err
+			return event{kind: eventNotice, notice: &note}, n, err
 		}}
 	l.store = store{addr: c.Store, wires: newTable[wire](lim.Wires),
 		parser: func(b []byte) (e event, n int, err error) {
-			e.kind = newsReply
+			e.kind = eventReply
 			e.reply, n, err = proto.ParseReply(b, bounds)
 			return e, n, err
 		}}
 	l.control = control{name: c.Name, ready: true, link: link{which: toControl, what: "control", addr: c.Control,
 		retry: dueControl, parser: func(b []byte) (e event, n int, err error) {
-			e.kind = newsReport
+			e.kind = eventReport
 			e.status, n, err = proto.ParseResponse(b, bounds)
 			return e, n, err
 		}}}
@@ -323,30 +323,30 @@
 // handle takes one event.
 func (l *loop) handle(e event) {
 	switch e.kind {
-	case newsOpen:
+	case eventOpen:
 		l.opened(e.from)
-	case newsReq, newsBad:
-		if e.kind == newsReq {
+	case eventRequest, eventBad:
+		if e.kind == eventRequest {
 			l.last = l.now
 		}
 		l.came(e)
 		return // the message's buffer goes with the req
-	case newsGone:
+	case eventGone:
 		l.left(e.from)
-	case newsFlood:
+	case eventFlood:
 		l.flooded(e.from)
-	case newsNoAccept:
+	case eventNoAccept:
 		l.accepts = false
-	case newsDrain:
+	case eventDrain:
 		l.drain()
-	case newsCount:
+	case eventCount:
 		l.log.WithFields(l.fields()).Info("counters")
 		l.showPools()
-	case newsReload:
+	case eventReload:
 		l.reload(e.node, e.err)
-	case newsFleet:
+	case eventFleet:
 		l.fleetNews(e.job)
-	case newsKept:
+	case eventKept:
 		e.then()
 	default:
 		l.lined(e)
@@ -463,7 +463,7 @@
 func (l *loop) closeAllIdle(force bool) {
 	for h, i := l.conns.next(0); h != 0; h, i = l.conns.next(i) {
 		c := l.conns.get(h)
-		if force || c.said != saidNothing || l.now-c.since >= l.lim.LeaveCrosses {
+		if force || c.usage != usedForNothing || l.now-c.since >= l.lim.LeaveCrosses {
 			l.closeIdle(c, force)
 		}
 	}
--- a/internal/backend/peer.go
+++ b/internal/backend/peer.go
@@ -21,7 +21,7 @@
 
 // peer is shared by the connection's callbacks and the loop.
 type peer struct {
-	way
+	writer
 	fd    int
 	h     handle       // the loop's
 	ahead atomic.Int32 // messages handed over and not begun
@@ -39,7 +39,7 @@
 
 func newPeer(nc netpoll.Connection, fd int, l *loop) *peer {
 	p := &peer{fd: fd, in: intake{pool: &l.pool}}
-	p.way = way{c: nc, pool: &l.pool, crew: l.crew, busy: &l.busy, owesAnswers: true, shutDown: p.shutDownWrite}
+	p.writer = writer{c: nc, pool: &l.pool, workers: l.workers, busy: &l.busy, owesAnswers: true, shutDown: p.shutDownWrite}
 	return p
 }
 
@@ -61,7 +61,7 @@
 		p.in.drop()
 		p.half.Store(0)
 		p.ahead.Add(1)
-		l.put(event{kind: newsBad, from: p, err: err})
+		l.put(event{kind: eventBad, from: p, err: err})
 	}
 	return l.discard(p, nc.Reader())
 }
@@ -69,8 +69,8 @@
 // parse reads one request. netpoll reads on whatever is done here, so the only bound on pipelined requests
 // that holds is to take no more of them.
 func (p *peer) parse(b []byte, lim Limits) (e event, n int, err error) {
-	e.kind, e.from = newsReq, p
-	e.req, n, err = proto.ParseRequest(b, lim.Request)
+	e.kind, e.from = eventRequest, p
+	e.request, n, err = proto.ParseRequest(b, lim.Request)
 	if n > 0 && err == nil && int(p.ahead.Load()) > lim.Ahead {
 		err = errAhead
 	}
@@ -106,7 +106,7 @@
 	p.discarded += n
 	if p.discarded > l.lim.Deaf && !p.flooded {
 		p.flooded = true
-		l.put(event{kind: newsFlood, from: p})
+		l.put(event{kind: eventFlood, from: p})
 	}
 	r.Skip(n)
 	return r.Release()
--- a/internal/backend/req.go
+++ b/internal/backend/request.go
@@ -39,7 +39,7 @@
 )
 
 // req is one req in hand.
-type req struct {
+type request struct {
 	task     string // its id, as the kernel and the store know it
 	conn     handle
 	close    bool // its connection is not to be used again
@@ -70,7 +70,7 @@
 
 // take brings a new req before the module; a status other than 0 answers it here, with what a says beside it.
 func (l *loop) take(c *conn, e event, name string, a *proto.Answer) int {
-	q := &e.req
+	q := &e.request
 	i, known := l.handlerNamed(name)
 	hasKey := !known || l.prof.Deployment.Handlers[i].Repeat != admission.IdempotencyKeyed || len(q.OnceKey) > 0
 	tenant, listed := l.prof.Tenants[string(q.Account)]
@@ -104,19 +104,19 @@
 		delete(l.tasks, old.task)
 		l.spent = append(l.spent, h)
 	}
-	h, r, ok := l.reqs.take()
+	h, r, ok := l.requests.take()
 	if !ok {
 		return 503
 	}
 	// Where the wall clock was stepped and two times are possible, the earlier one counts for the deadline and for
 	// whom it repeats, the later one for how long its key is kept and for the grace of a drain.
 	due := admission.Time(0)
-	if q.Budget > 0 {
+	if q.HasBudget {
 		due = earliest + admission.Time(q.Budget*10)
 	} else if earliest != came {
 		due = earliest + hd.Timeout
 	}
-	*r = req{task: string(q.ID), conn: e.from.h, close: q.Close, handler: i, buf: e.buf, body: q.Body,
+	*r = request{task: string(q.ID), conn: e.from.h, close: q.Close, handler: i, buf: e.buf, body: q.Body,
 		key: key, earliest: earliest, came: came, due: due}
 	if due == 0 {
 		r.due = came + hd.Timeout
@@ -198,13 +198,13 @@
 	slices.SortStableFunc(all, func(a, b admission.Request) int { return cmp.Compare(a.Came, b.Came) })
 	for i := range all {
 		q := &all[i]
-		key := l.reqs.get(handle(q.ID)).key
+		key := l.requests.get(handle(q.ID)).key
 		if key == "" {
 			continue
 		}
-		q.Prior = l.keys.prior(key, l.reqs.get(handle(q.ID)).earliest)
+		q.Prior = l.keys.prior(key, l.requests.get(handle(q.ID)).earliest)
 		for k := 0; k < i && q.Prior == 0; k++ {
-			if l.reqs.get(handle(all[k].ID)).key == key {
+			if l.requests.get(handle(all[k].ID)).key == key {
 				q.Prior = all[k].ID
 			}
 		}
@@ -213,13 +213,13 @@
 
 func inMS(t admission.Time) float64 { return float64(t) / 10 }
 
-func (l *loop) byTask(id []byte) (handle, *req) {
+func (l *loop) byTask(id []byte) (handle, *request) {
 	h := l.tasks[string(id)]
-	return h, l.reqs.get(h)
+	return h, l.requests.get(h)
 }
 
 // answer gives a req its answer, if it is still owed one.
-func (l *loop) answer(h handle, r *req, a proto.Answer) {
+func (l *loop) answer(h handle, r *request, a proto.Answer) {
 	l.spent = append(l.spent, h)
 	if r.answered {
 		return
@@ -251,7 +251,7 @@
 }
 
 // runEnded takes the end of a run: its result is the answer, and that of those who wait for it.
-func (l *loop) runEnded(h handle, r *req, how admission.Outcome, ms float64, result []byte) {
+func (l *loop) runEnded(h handle, r *request, how admission.Outcome, ms float64, result []byte) {
 	l.trace(r, "run ended %d after %.1f ms", how, ms)
 	r.run = runOver
 	l.count.Ends++
@@ -288,7 +288,7 @@
 
 // shareEnded ends a req that takes another's result.
 func (l *loop) shareEnded(h handle, ok bool, result []byte) {
-	r := l.reqs.get(h)
+	r := l.requests.get(h)
 	if r == nil || r.answered || r.gone {
 		return
 	}
@@ -306,7 +306,7 @@
 // free lets go of reqs of which nothing is left to come.
 func (l *loop) free() {
 	for _, h := range l.spent {
-		r := l.reqs.get(h)
+		r := l.requests.get(h)
 		if r == nil || !(r.answered || r.gone) || r.run == runGoes || r.waits {
 			continue
 		}
@@ -314,7 +314,7 @@
 		if l.tasks[r.task] == h {
 			delete(l.tasks, r.task)
 		}
-		l.reqs.drop(h)
+		l.requests.drop(h)
 	}
 	l.spent = l.spent[:0]
 }
@@ -323,7 +323,7 @@
 
 // Run starts a run, or goes on with a paused one.
 func (l *loop) Run(id uint32) {
-	r := l.reqs.get(handle(id))
+	r := l.requests.get(handle(id))
 	switch {
 	case r == nil || r.run != runNot && !r.paused:
 	case r.paused && r.kept != nil && r.kept.stand == keptIntends:
@@ -345,7 +345,7 @@
 }
 
 func (l *loop) Pause(id uint32) {
-	if r := l.reqs.get(handle(id)); r != nil && r.run == runGoes {
+	if r := l.requests.get(handle(id)); r != nil && r.run == runGoes {
 		l.trace(r, "pause")
 		l.count.Pauses++
 		if r.paused = true; r.kept == nil || r.kept.stand != keptIntends { // else it is told with the run
@@ -355,13 +355,13 @@
 }
 
 func (l *loop) Shed(id uint32, last bool, comeBack admission.Time) {
-	if r := l.reqs.get(handle(id)); r != nil {
+	if r := l.requests.get(handle(id)); r != nil {
 		l.answer(handle(id), r, proto.Answer{Status: 503, Final: last, BackOff: int64(comeBack+9) / 10})
 	}
 }
 
 func (l *loop) Fail(id uint32) {
-	if r := l.reqs.get(handle(id)); r != nil {
+	if r := l.requests.get(handle(id)); r != nil {
 		l.dropCall(handle(id), r)
 		r.waits = false
 		l.answer(handle(id), r, proto.Answer{Status: 500})
@@ -369,26 +369,26 @@
 }
 
 func (l *loop) Call(id uint32, until admission.Time) {
-	if r := l.reqs.get(handle(id)); r != nil && r.run == runGoes {
+	if r := l.requests.get(handle(id)); r != nil && r.run == runGoes {
 		l.call(handle(id), r, until)
 	}
 }
 
 func (l *loop) Skip(id uint32) {
-	if r := l.reqs.get(handle(id)); r != nil && r.run == runGoes {
+	if r := l.requests.get(handle(id)); r != nil && r.run == runGoes {
 		l.count.Skips++
 		l.noIO(r)
 	}
 }
 
 func (l *loop) Remember(id uint32, span admission.Time) {
-	if r := l.reqs.get(handle(id)); r != nil && r.key != "" {
+	if r := l.requests.get(handle(id)); r != nil && r.key != "" {
 		l.keys.remember(r.key, id, l.now+span, &l.due)
 	}
 }
 
 func (l *loop) Forget(id uint32) {
-	if r := l.reqs.get(handle(id)); r != nil && r.key != "" {
+	if r := l.requests.get(handle(id)); r != nil && r.key != "" {
 		for _, h := range l.keys.forget(r.key, id) {
 			l.shareEnded(h, false, nil)
 		}
@@ -398,7 +398,7 @@
 // Reuse answers a req with the result of the one it repeats, now or when that is there.
 func (l *loop) Reuse(id uint32) {
 	h := handle(id)
-	r := l.reqs.get(h)
+	r := l.requests.get(h)
 	if r == nil {
 		return
 	}
--- a/internal/backend/store.go
+++ b/internal/backend/store.go
@@ -36,7 +36,7 @@
 func (w *wire) idle() bool { return len(w.out) == 0 }
 
 // call makes the call that a run stands at.
-func (l *loop) call(h handle, r *req, until admission.Time) {
+func (l *loop) call(h handle, r *request, until admission.Time) {
 	r.call, r.callAt, r.callUntil = callWaits, l.now, until
 	l.count.Calls++
 	l.trace(r, "call until %.1f ms", inMS(until-l.now))
@@ -54,14 +54,14 @@
 	r.wire, r.wires = at, append(slices.DeleteFunc(r.wires, gone), at)
 	w.out = append(w.out, h)
 	l.due.set(until+l.lim.CallGrace, dueCall, h)
-	if w.line.way != nil {
+	if w.line.writer != nil {
 		l.sendCall(h, r, w)
 	}
 }
 
 // pickWire finds the wire for a call: the idle one used last, else a new one, else the one with the fewest
 // calls.
-func (l *loop) pickWire(r *req) (best handle, _ *wire) {
+func (l *loop) pickWire(r *request) (best handle, _ *wire) {
 	s := &l.store
 	l.sweepWires()
 	for h, i := s.wires.next(0); h != 0; h, i = s.wires.next(i) {
@@ -99,8 +99,8 @@
 }
 
 func (l *loop) dropWire(h handle, w *wire) {
-	if w.line.way != nil {
-		w.line.way.close()
+	if w.line.writer != nil {
+		w.line.writer.close()
 	}
 	l.store.wires.drop(h)
 }
@@ -113,10 +113,10 @@
 	}
 }
 
-func (l *loop) sendCall(h handle, r *req, w *wire) {
+func (l *loop) sendCall(h handle, r *request, w *wire) {
 	wait := max((r.callUntil-l.now+9)/10, 1)
 	l.out = proto.AppendCall(l.out[:0], r.task, int64(wait), r.ask)
-	if !w.line.way.send(l.out, l.lim.LinkQueue) {
+	if !w.line.writer.send(l.out, l.lim.LinkQueue) {
 		// The queue is full because the store takes nothing: this call never left, the others may have.
 		at := r.wire
 		l.callEnded(h, r, admission.Unrun)
@@ -127,7 +127,7 @@
 }
 
 // callEnded tells the module of the end of a call, in the next round.
-func (l *loop) callEnded(h handle, r *req, how admission.Outcome) {
+func (l *loop) callEnded(h handle, r *request, how admission.Outcome) {
 	made := r.call != callNone
 	l.endCall(h, r)
 	l.trace(r, "call ended %d after %.1f ms", how, inMS(l.now-r.callAt))
@@ -147,7 +147,7 @@
 }
 
 // endCall takes a call off its wire.
-func (l *loop) endCall(h handle, r *req) {
+func (l *loop) endCall(h handle, r *request) {
 	if w := l.store.wires.get(r.wire); w != nil {
 		if i := slices.Index(w.out, h); i >= 0 {
 			w.out = slices.Delete(w.out, i, i+1)
@@ -160,10 +160,10 @@
 }
 
 // dropCall gives up a call that nobody waits for any more. Its wire may still bring the reply.
-func (l *loop) dropCall(h handle, r *req) {
+func (l *loop) dropCall(h handle, r *request) {
 	if w := l.store.wires.get(r.wire); w != nil && r.call == callOut {
 		l.out = proto.AppendDrop(l.out[:0], r.task)
-		w.line.way.send(l.out, l.lim.LinkQueue)
+		w.line.writer.send(l.out, l.lim.LinkQueue)
 		l.count.Dropped++
 		w.done = true
 	}
@@ -197,7 +197,7 @@
 
 // callLate gives up a call that the store did not end in its time.
 func (l *loop) callLate(h handle) {
-	r := l.reqs.get(h)
+	r := l.requests.get(h)
 	if r == nil || r.call == callNone {
 		return
 	}
@@ -217,7 +217,7 @@
 	l.store.backoff = backoff{}
 	w.used = l.now
 	for _, h := range slices.Clone(w.out) {
-		if r := l.reqs.get(h); r != nil && r.call == callWaits && l.store.wires.get(at) != nil {
+		if r := l.requests.get(h); r != nil && r.call == callWaits && l.store.wires.get(at) != nil {
 			l.sendCall(h, r, w)
 		}
 	}
@@ -228,7 +228,7 @@
 	if w == nil {
 		return
 	}
-	if w.line.way == nil {
+	if w.line.writer == nil {
 		l.store.failed(l) // it could not be opened
 	}
 	if len(w.out) > 0 {
@@ -238,7 +238,7 @@
 	w.done = false // or the last of its calls would end it again
 	for _, h := range slices.Clone(w.out) {
 		how := admission.Unrun
-		if r := l.reqs.get(h); r != nil {
+		if r := l.requests.get(h); r != nil {
 			if r.call == callOut {
 				how = admission.Unclear
 			}
@@ -257,7 +257,7 @@
 	s.addr, s.backoff = addr, backoff{}
 	for h, i := s.wires.next(0); h != 0; h, i = s.wires.next(i) {
 		w := s.wires.get(h)
-		if w.line.way != nil {
+		if w.line.writer != nil {
 			l.retire(h, w)
 			continue
 		}
--- a/internal/backend/tables_test.go
+++ b/internal/backend/tables_test.go
@@ -46,7 +46,7 @@
 func TestWayOutNeverWaits(t *testing.T) {
 	s := &slow{let: make(chan bool), closed: make(chan bool)}
 	p, busy := pool{most: 8}, atomic.Int64{}
-	w := &way{c: s, pool: &p, busy: &busy}
+	w := &writer{c: s, pool: &p, busy: &busy}
 	part, sent := bytes.Repeat([]byte("0123456789abcdef"), bufSize/32), 0
 	for w.send(part, 4) {
 		sent++
@@ -171,10 +171,10 @@
 
 // A round is decided in the order in which its reqs came, and a key's later try repeats the earlier one.
 func TestArrange(t *testing.T) {
-	l := &loop{reqs: newTable[req](8), keys: newKeys(10, 100, 50)}
+	l := &loop{requests: newTable[request](8), keys: newKeys(10, 100, 50)}
 	var all []admission.Request
 	for i, came := range []admission.Time{30, 10, 20, 10, 15} {
-		h, r, _ := l.reqs.take()
+		h, r, _ := l.requests.take()
 		r.key = []string{"a", "", "a", "b", "b"}[i]
 		all = append(all, admission.Request{ID: uint32(h), Came: came})
 	}
@@ -217,7 +217,7 @@
 	if l.move(k, "127.0.0.1:3"); k.line == first || k.line == nil {
 		t.Error("a dial to the old address holds up the new one")
 	}
-	e := event{kind: newsDialled, line: first, err: errClosed}
+	e := event{kind: eventDialled, line: first, err: errClosed}
 	if l.lined(e); k.line == nil || k.wait != 0 {
 		t.Error("the end of the old dial counts against the new one")
 	}
@@ -332,9 +332,9 @@
 // TestCallsGivenUp: a call that nobody waited for to the end counts with the time that it had, or a service that answers
 // nothing would look like one that nobody calls.
 func TestCallsGivenUp(t *testing.T) {
-	l := &loop{now: 5000, reqs: newTable[req](8), lim: NewLimits(1, 64, 256),
+	l := &loop{now: 5000, requests: newTable[request](8), lim: NewLimits(1, 64, 256),
 		fleet: &fleetPart{meter: zones.NewMeter(steadyMS(), []float64{1})}}
-	r := &req{call: callOut, callAt: 2000}
+	r := &request{call: callOut, callAt: 2000}
 	l.dropCall(1, r)
 	l.dropCall(1, r) // there is none any more
 	if got := l.fleet.meter.Load(steadyMS(), true, 1, 0); got.Calls != 1 || got.CallMS != 300 || got.Bad != 0 {
@@ -350,7 +350,7 @@
 	d := &admission.Deployment{Cores: 1, MemKB: 1e6, Handlers: []admission.Handler{{Target: 3 * admission.Second,
 		Timeout: 6 * admission.Second, Repeat: admission.IdempotencyKeyed, Window: 8 * admission.Second}}}
 	l := &loop{prof: &profile.Profile{Deployment: d, Handlers: map[string]int{"put": 0}}, names: []string{"put"},
-		keys: newKeys(2000, 1000, 6*admission.Second), reqs: newTable[req](8), tasks: map[string]handle{},
+		keys: newKeys(2000, 1000, 6*admission.Second), requests: newTable[request](8), tasks: map[string]handle{},
 		lim: NewLimits(1, 64, 256), ctl: admission.New(d), stamps: clock.NewStamps(read, 12*time.Second)}
 	stamp := wall
 	at, wall = at+2500*time.Millisecond, wall+2500*time.Millisecond
@@ -362,7 +362,7 @@
 	}
 	l.keys.remember(l.repeatKey(0, &proto.Request{OnceKey: []byte("k")}), 77, l.now-admission.Second, &l.due)
 	c := &conn{}
-	e := event{from: &peer{}, req: proto.Request{ID: []byte("0000000000000001"), ReceivedAt: stamp.Milliseconds(),
+	e := event{from: &peer{}, request: proto.Request{ID: []byte("0000000000000001"), ReceivedAt: stamp.Milliseconds(),
 		HasSender: true, KB: 1, OnceKey: []byte("k")}}
 	if status := l.take(c, e, "put", &proto.Answer{}); status != 0 || len(l.next().Arrived) != 1 {
 		t.Fatalf("status %d, %d are told to the module", status, len(l.next().Arrived))
--- a/internal/proto/http.go
+++ b/internal/proto/http.go
@@ -27,7 +27,8 @@
 	SentBy               uint32
 	HasSender            bool
 	Again                bool
-	Budget               float64 // milliseconds that the caller waits, from ReceivedAt on; 0: not stated
+	Budget               float64 // milliseconds that the caller waits, from ReceivedAt on
+	HasBudget            bool
 	Estimate             float64 // milliseconds of work expected; 0: not stated
 	KB                   float64
 	Rank                 float64
@@ -252,6 +253,7 @@
 		}
 	case is(name, "budget-ms"):
 		q.Budget, err = decimal(value, 1e9)
+		q.HasBudget = true
 	case is(name, "work-estimate"):
 		q.Estimate, err = decimal(value, 1e9)
 	case is(name, "once-key"):
