--- a/internal/backend/agent.go
+++ b/internal/backend/agent.go
@@ -156,6 +156,16 @@
 	return errors.Join(d.Sync(), d.Close())
 }
 
+// removeUnfinished removes what a kill left of records that were being written. Guards against a folder that fills with
+// them, one for each such kill.
+func removeUnfinished(folder string) error {
+	unfinished, err := filepath.Glob(filepath.Join(folder, recordFile+".*"))
+	for _, file := range unfinished {
+		err = errors.Join(err, os.Remove(file))
+	}
+	return err
+}
+
 // readRecord reads what keepRecord wrote; a folder without one is a new node's.
 func readRecord(folder string, r any) (bool, error) {
 	raw, err := os.ReadFile(filepath.Join(folder, recordFile))
--- a/internal/backend/closing_test.go
+++ b/internal/backend/closing_test.go
@@ -37,9 +37,9 @@
 	log.SetOutput(io.Discard)
 	lim := NewLimits(1, 64, 256)
 	lim.Conns, lim.Crowd = conns, conns
-	l := &loop{log: log, lim: lim, in: make(chan event, 256), pool: pool{most: lim.Buffers},
-		workers: newWorkers(1), conns: newTable[conn](conns), requests: newTable[request](8), good: true, idle: admission.Second,
-		prof: &profile.Profile{Deployment: &admission.Deployment{}}}
+	l := &loop{log: log, limits: lim, events: make(chan event, 256), pool: pool{most: lim.Buffers},
+		workers: newWorkers(1), conns: newTable[conn](conns), requests: newTable[request](8), healthy: true, idleClose: admission.Second,
+		profile: &profile.Profile{Deployment: &admission.Deployment{}}}
 	l.startClock(admission.Second)
 	ln, err := newListener("127.0.0.1:0", conns, time.Millisecond)
 	if err != nil {
@@ -70,9 +70,9 @@
 // waits until so many events are handed over, and takes none.
 func (l *handLoop) waits(events int) {
 	l.t.Helper()
-	for end := time.Now().Add(patience); len(l.in) < events; time.Sleep(time.Millisecond) {
+	for end := time.Now().Add(patience); len(l.events) < events; time.Sleep(time.Millisecond) {
 		if time.Now().After(end) {
-			l.t.Fatalf("%d events are handed over, expected %d", len(l.in), events)
+			l.t.Fatalf("%d events are handed over, expected %d", len(l.events), events)
 		}
 	}
 }
@@ -81,7 +81,7 @@
 	l.t.Helper()
 	l.waits(events)
 	for range events {
-		l.handle(<-l.in)
+		l.handle(<-l.events)
 	}
 }
 
@@ -112,8 +112,8 @@
 func TestHandedOverRequestKeepsItsConnection(t *testing.T) {
 	for name, closes := range map[string]func(l *handLoop){
 		"idle":     func(l *handLoop) { l.later(10 * admission.Second) },
-		"silent":   func(l *handLoop) { l.later(l.lim.FirstWord) },
-		"eviction": func(l *handLoop) { l.lim.Crowd = 0; l.now += l.lim.IdleLeast; l.makeRoom() },
+		"silent":   func(l *handLoop) { l.later(l.limits.FirstWord) },
+		"eviction": func(l *handLoop) { l.limits.Crowd = 0; l.now += l.limits.IdleLeast; l.makeRoom() },
 		"drain":    func(l *handLoop) { l.closeAllIdle(true) },
 	} {
 		t.Run(name, func(t *testing.T) {
@@ -196,7 +196,7 @@
 	check(c)
 	check(c)
 	time.Sleep(20 * time.Millisecond) // nothing is to come of them
-	if len(l.in) > 0 {
+	if len(l.events) > 0 {
 		t.Error("a request is handed over that came after the end")
 	}
 	c.Close()
@@ -212,12 +212,12 @@
 	l.dial()
 	l.takes(1)
 	l.later(2 * admission.Second)
-	l.later(l.lim.Linger)
+	l.later(l.limits.Linger)
 	l.takes(1)
 	flood := l.dial()
 	l.takes(1)
 	l.later(2 * admission.Second)
-	flood.Write(make([]byte, l.lim.Deaf+1))
+	flood.Write(make([]byte, l.limits.Deaf+1))
 	l.takes(1) // word of the flood
 	l.takes(1) // its end
 	if l.conns.n != 0 {
@@ -243,8 +243,8 @@
 		check(asks[len(asks)-1])
 	}
 	time.Sleep(50 * time.Millisecond)
-	if len(l.in) != 2 {
-		t.Fatalf("%d events: connections are accepted that have no slot", len(l.in))
+	if len(l.events) != 2 {
+		t.Fatalf("%d events: connections are accepted that have no slot", len(l.events))
 	}
 	l.takes(2)
 	l.takes(4)
@@ -265,9 +265,9 @@
 	l.takes(2)
 	waits := l.dial()
 	check(waits)
-	l.later(l.lim.FirstWord)
-	l.later(l.lim.LeaveCrosses - 1)
-	if l.conns.n != 2 || len(l.in) > 0 {
+	l.later(l.limits.FirstWord)
+	l.later(l.limits.LeaveCrosses - 1)
+	if l.conns.n != 2 || len(l.events) > 0 {
 		t.Fatal("closed before what crosses the end could have come")
 	}
 	l.later(1)
@@ -394,7 +394,7 @@
 	if !gets(t, bufio.NewReader(b), 503) {
 		t.Error("what is not read whole goes on")
 	}
-	if l.count.Bad != 0 {
+	if l.counters.Bad != 0 {
 		t.Error("its sender did nothing wrong")
 	}
 }
@@ -464,7 +464,7 @@
 	check(c)
 	check(c)
 	l.waits(2)
-	l.drains = true
+	l.draining = true
 	r := bufio.NewReader(c)
 	l.takes(1)
 	if gets(t, r, 200) {
@@ -492,7 +492,7 @@
 		time.Sleep(time.Millisecond)
 	}
 	if !l.first().closing {
-		l.later(l.lim.Linger)
+		l.later(l.limits.Linger)
 	}
 	if b, err := io.ReadAll(r); err != nil || strings.Contains(string(b), "200") {
 		t.Errorf("reads %q, %v, expected the end", b, err)
--- a/internal/backend/control.go
+++ b/internal/backend/control.go
@@ -31,13 +31,13 @@
 		l.dial(&c.link)
 		return
 	}
-	l.out = proto.AppendReport(l.out[:0], c.addr, c.name, c.ready)
-	if !c.line.writer.send(l.out, l.lim.LinkQueue) {
+	l.scratch = proto.AppendReport(l.scratch[:0], c.addr, c.name, c.ready)
+	if !c.line.writer.send(l.scratch, l.limits.LinkQueue) {
 		l.linkDown(&c.link, errStuck)
 		return
 	}
 	c.sending, c.owed, c.last = true, false, l.now
-	l.count.Reports++
+	l.counters.Reports++
 }
 
 // reported takes the answer to a report.
@@ -48,7 +48,7 @@
 	}
 	c.sending, c.wait = false, 0
 	if p.Status != 204 {
-		l.count.ReportsLost++
+		l.counters.ReportsLost++
 		l.logf("control plane answered %d", p.Status)
 	}
 	if p.Close {
@@ -64,7 +64,7 @@
 
 func (l *loop) controlDown() {
 	if c := &l.control; c.sending {
-		l.count.ReportsLost++
+		l.counters.ReportsLost++
 		c.sending, c.owed = false, true
 	}
 }
--- a/internal/backend/counters.go
+++ b/internal/backend/counters.go
@@ -27,7 +27,7 @@
 }
 
 func (l *loop) fields() logrus.Fields {
-	c := &l.count
+	c := &l.counters
 	runs, calls := 0, 0
 	for h, i := l.requests.next(0); h != 0; h, i = l.requests.next(i) {
 		r := l.requests.get(h)
--- a/internal/backend/failures_test.go
+++ b/internal/backend/failures_test.go
@@ -5,6 +5,7 @@
 import (
 	"bufio"
 	"bytes"
+	"encoding/json"
 	"errors"
 	"fmt"
 	"io"
@@ -126,7 +127,7 @@
 				}
 				return dialTCP(address, within)
 			}
-			l.store = store1(store.addr, l.lim)
+			l.store = store1(store.addr, l.limits)
 			h, r, _ := l.requests.take()
 			*r = request{task: long("1"), run: runGoes, ask: []byte("q")}
 			l.call(h, r, l.now+admission.Second)
@@ -135,7 +136,7 @@
 				t.Fatalf("the module hears %v, expected that the call never ran", got)
 			}
 			fails = 0
-			l.now += l.lim.RetryMost
+			l.now += l.limits.RetryMost
 			l.call(h, r, l.now+admission.Second)
 			l.takes(1)
 			if line, ok := store.next(""); !ok || line != "CALL 1 q" {
@@ -155,13 +156,13 @@
 
 // The waits between dials double up to a bound, and two servers that lose one peer together do not come back together.
 func TestBackoffHasJitter(t *testing.T) {
-	l := &loop{now: 1000, lim: NewLimits(1, 64, 256)}
+	l := &loop{now: 1000, limits: NewLimits(1, 64, 256)}
 	seen := map[admission.Time]bool{}
 	for range 20 {
 		var b backoff
 		for range 10 {
 			b.failed(l)
-			if wait := b.again - l.now; wait < b.wait/2 || wait > b.wait || b.wait > l.lim.RetryMost {
+			if wait := b.again - l.now; wait < b.wait/2 || wait > b.wait || b.wait > l.limits.RetryMost {
 				t.Fatalf("waits %d of %d", wait, b.wait)
 			}
 		}
@@ -251,11 +252,39 @@
 	}
 }
 
+// A kill at any byte of a record's write leaves the one before, and nothing that piles up.
+func TestKillAmidRecord(t *testing.T) {
+	folder := t.TempDir()
+	if err := keepRecord(folder, member.Record{Version: 7, Text: "seven"}); err != nil {
+		t.Fatal(err)
+	}
+	next, err := json.Marshal(member.Record{Version: 8, Text: "eight"})
+	if err != nil {
+		t.Fatal(err)
+	}
+	for n := range next { // so much was written, and it was not renamed
+		name := filepath.Join(folder, fmt.Sprintf("%s.%d", recordFile, n))
+		if err := os.WriteFile(name, next[:n], 0o600); err != nil {
+			t.Fatal(err)
+		}
+	}
+	if err := removeUnfinished(folder); err != nil {
+		t.Fatal(err)
+	}
+	var r member.Record
+	if there, err := readRecord(folder, &r); !there || err != nil || r.Version != 7 || r.Text != "seven" {
+		t.Errorf("%v, %v, %+v, expected the record before", there, err, r)
+	}
+	if left, _ := os.ReadDir(folder); len(left) != 1 {
+		t.Errorf("%d files are left, expected the record alone", len(left))
+	}
+}
+
 // A record that can't be written is written again after a pause, not at once and without end.
 func TestRecordWaitsForItsDisk(t *testing.T) {
 	log := logrus.New()
 	log.SetOutput(io.Discard)
-	l := &loop{log: log, in: make(chan event, 4), lim: NewLimits(1, 64, 256)}
+	l := &loop{log: log, events: make(chan event, 4), limits: NewLimits(1, 64, 256)}
 	f := &fleetPart{own: &operator.Fleet{Folder: filepath.Join(t.TempDir(), "gone")}, keeps: true,
 		m: member.New(member.Plan{Name: "n1", Control: []string{"127.0.0.1:1"}}, nil, steadyMS())}
 	l.fleet = f
@@ -272,7 +301,7 @@
 	if l.keepOwed(f.keepAgain); !f.keeps || f.owes {
 		t.Error("not written again after its pause")
 	}
-	if e := <-l.in; e.job.err == nil {
+	if e := <-l.events; e.job.err == nil {
 		t.Error("a folder that is gone takes a record")
 	}
 }
--- a/internal/backend/fleet.go
+++ b/internal/backend/fleet.go
@@ -94,24 +94,24 @@
 
 // joinFleet readies the part, if the operator's file has one.
 func (l *loop) joinFleet() error {
-	if l.told.own == nil || l.told.own.Fleet == nil {
+	if l.startup.own == nil || l.startup.own.Fleet == nil {
 		return nil
 	}
-	o := l.told.own.Fleet
-	f := &fleetPart{own: o, base: l.prof.Deployment, plans: map[uint64]*adopt.Plan{}, texts: map[uint64]string{},
-		rec: shadow.NewRecording(len(l.prof.Deployment.Handlers)), retired: make([]bool, len(l.prof.Deployment.Handlers)),
+	o := l.startup.own.Fleet
+	f := &fleetPart{own: o, base: l.profile.Deployment, plans: map[uint64]*adopt.Plan{}, texts: map[uint64]string{},
+		rec: shadow.NewRecording(len(l.profile.Deployment.Handlers)), retired: make([]bool, len(l.profile.Deployment.Handlers)),
 		meter: zones.NewMeter(steadyMS(), l.values())}
 	var nonce [12]byte
 	rand.Read(nonce[:]) // never fails
-	plan := member.Plan{Name: o.Name, Zone: o.Zone, Addr: l.told.Listen, Control: o.Control,
+	plan := member.Plan{Name: o.Name, Zone: o.Zone, Addr: l.startup.Listen, Control: o.Control,
 		Nonce: hex.EncodeToString(nonce[:]), Seed: crc32.ChecksumIEEE(append(nonce[:], o.Name...))}
 	if o.At != "" {
 		plan.Addr = o.At
 	}
 	if plan.Name == "" {
-		plan.Name = l.told.Name
+		plan.Name = l.startup.Name
 	}
-	f.gate = zones.NewGate(len(l.prof.Deployment.Handlers), plan.Seed)
+	f.gate = zones.NewGate(len(l.profile.Deployment.Handlers), plan.Seed)
 	if !operator.IsName(plan.Name) {
 		return fmt.Errorf("fleet.name: found %.50q, expected up to 40 letters, digits, '-', '_' and '.'", plan.Name)
 	}
@@ -124,6 +124,9 @@
 	}
 	var kept *member.Record
 	if o.Folder != "" {
+		if err := removeUnfinished(o.Folder); err != nil { // the folder serves without it
+			l.log.Warnf("fleet: what a kill left in the folder stays: %v", err)
+		}
 		there, err := readRecord(o.Folder, &f.kept)
 		if err != nil {
 			return err
@@ -155,7 +158,7 @@
 	l.fleet = f
 	f.gate.Order(steadyMS(), f.m.Zone())
 	f.fenced = true
-	l.good, l.control.ready = false, false // until it may serve
+	l.healthy, l.control.ready = false, false // until it may serve
 	l.log.Infof("fleet: node %s of zone %s, control at %v", plan.Name, plan.Zone, o.Control)
 	return nil
 }
@@ -170,7 +173,7 @@
 	if err != nil {
 		return nil, err
 	}
-	return adopt.Make(v.Version, l.prof, doc, l.pools != nil || len(l.told.own.Pools) > 0)
+	return adopt.Make(v.Version, l.profile, doc, l.pools != nil || len(l.startup.own.Pools) > 0)
 }
 
 // steer lets the member look at the time and at what came: it is called at the begin of each round and before its
@@ -185,7 +188,7 @@
 		l.takeOver(now, v)
 	}
 	ok, why := f.m.May(now)
-	if l.drains {
+	if l.draining {
 		f.m.Leave(now)
 	}
 	switch {
@@ -194,11 +197,11 @@
 	case ok && f.fenced:
 		f.fenced = false
 		l.log.Infof("fleet: serves under version %d", f.m.Serves())
-		l.Health(l.health)
+		l.Health(l.moduleHealthy)
 	}
 	if f.alone && f.gate.Alone(now, f.meter.Well(now, l.running())) {
 		l.log.Warnf("fleet: alone for long, takes %d of %d of what comes by its own rule", f.gate.Share(), fleet.Whole)
-		l.Health(l.health)
+		l.Health(l.moduleHealthy)
 	}
 	if alone := ok && f.m.Alone(now); alone != f.alone {
 		if f.alone = alone; alone {
@@ -212,7 +215,7 @@
 	l.keepOwed(now)
 	if a, no, due := f.m.Ask(now); due {
 		if f.m.Zone() != nil {
-			a.Load = f.meter.Load(now, l.kernel.stand == kernelLive, float64(l.prof.Deployment.Cores), l.running())
+			a.Load = f.meter.Load(now, l.kernel.stand == kernelLive, float64(l.profile.Deployment.Cores), l.running())
 			a.Seen, f.seen = f.seen, nil
 		}
 		body, err := json.Marshal(&a)
@@ -238,7 +241,7 @@
 	}
 	if at = min(max(at, now+1), now+1000); f.armed <= now || at < f.armed {
 		f.armed = at
-		l.due.set(l.now+admission.Time(at-now)*10, dueFleet, 0)
+		l.deadlines.set(l.now+admission.Time(at-now)*10, dueFleet, 0)
 	}
 }
 
@@ -246,9 +249,9 @@
 func (l *loop) fence(why string) {
 	f := l.fleet
 	f.fenced = true
-	l.count.Fenced++
+	l.counters.Fenced++
 	l.log.Warnf("fleet: fenced: %s", why)
-	l.Health(l.health)
+	l.Health(l.moduleHealthy)
 	l.shedHeld()
 }
 
@@ -264,8 +267,8 @@
 
 // values gives what a req of each handler is worth.
 func (l *loop) values() []float64 {
-	out := make([]float64, len(l.prof.Deployment.Handlers))
-	for i, h := range l.prof.Deployment.Handlers {
+	out := make([]float64, len(l.profile.Deployment.Handlers))
+	for i, h := range l.profile.Deployment.Handlers {
 		out[i] = h.Value
 	}
 	return out
@@ -280,7 +283,7 @@
 	}
 	l.log.Infof("fleet: zones epoch %d: takes %d of %d", f.gate.Epoch(), f.gate.Share(), fleet.Whole)
 	if out := f.gate.Out(); out != was {
-		l.Health(l.health)
+		l.Health(l.moduleHealthy)
 		if out {
 			l.shedHeld()
 		}
@@ -315,7 +318,7 @@
 
 // comeBack is a time to come back within the bound of the settings, in ms.
 func (l *loop) comeBack(s *comeback.Spread, after uint64) int64 {
-	return s.Next(int64(l.prof.MaxPause)/10, int64(min(after, 1e9)))
+	return s.Next(int64(l.profile.MaxPause)/10, int64(min(after, 1e9)))
 }
 
 // takeOver has the module go on under another version. It is between two rounds here.
@@ -327,21 +330,21 @@
 		return
 	}
 	d := *p.Deployment
-	d.Pools, d.Start = l.prof.Deployment.Pools, l.prof.Deployment.Start
-	d.Cold = l.prof.Deployment.Cold
-	l.prof.Deployment = &d
-	if l.ctl != nil {
-		l.ctl.Adopt(&d)
+	d.Pools, d.Start = l.profile.Deployment.Pools, l.profile.Deployment.Start
+	d.Cold = l.profile.Deployment.Cold
+	l.profile.Deployment = &d
+	if l.controller != nil {
+		l.controller.Adopt(&d)
 	}
 	if l.pools != nil && p.Pools != nil {
-		plan := l.told.poolPlan()
+		plan := l.startup.poolPlan()
 		copy(plan.Classes, p.Pools)
 		l.pools.Set(plan)
 	}
 	f.retired = p.Retired
 	f.meter.Values(l.values())
 	f.m.Took(now, v, p.Doc.Fleet.Alone)
-	l.count.Versions++
+	l.counters.Versions++
 	l.log.Infof("fleet: version %d taken over", v.Version)
 	for n := range f.plans { // each is judged alone
 		if n < v.Version {
@@ -441,14 +444,14 @@
 			err = json.Unmarshal(e.answer, &t)
 		}
 		if err != nil {
-			l.count.FleetLost++
+			l.counters.FleetLost++
 			l.logf("fleet: control at %s: %v", e.addr, err)
 			f.m.Failed(now, e.about.(uint64))
 			return
 		}
 		floor, gen := f.m.Floor(), f.m.Told().Gen
 		if err = f.m.Answered(now, e.about.(uint64), t); err != nil {
-			l.count.FleetLost++
+			l.counters.FleetLost++
 			l.log.Warnf("fleet: control at %s is not believed: %v", e.addr, err)
 			return
 		}
@@ -571,7 +574,7 @@
 		go done(nil)
 		return
 	}
-	base, rec, bounds := *l.prof.Deployment, f.rec.Copy(), shadow.Bounds{MaxShed: plan.Doc.Rollout.MaxShed,
+	base, rec, bounds := *l.profile.Deployment, f.rec.Copy(), shadow.Bounds{MaxShed: plan.Doc.Rollout.MaxShed,
 		MaxLate: plan.Doc.Rollout.MaxLate}
 	go func() {
 		started := time.Now()
@@ -613,7 +616,7 @@
 	now := steadyMS()
 	switch {
 	case f.fenced:
-		l.count.FenceShed++
+		l.counters.FenceShed++
 		a.BackOff = l.comeBack(&f.spread, 0)
 		return 503
 	case f.retired[handler]:
@@ -621,14 +624,14 @@
 		return 503
 	}
 	var once []byte
-	if l.prof.Deployment.Handlers[handler].Repeat == admission.IdempotencyKeyed {
+	if l.profile.Deployment.Handlers[handler].Repeat == admission.IdempotencyKeyed {
 		once = q.OnceKey
 	}
-	asked := zones.Asked{Handler: handler, Value: l.prof.Deployment.Handlers[handler].Value,
+	asked := zones.Asked{Handler: handler, Value: l.profile.Deployment.Handlers[handler].Value,
 		Hash: zones.Hash(once, q.Account, q.SentBy), Again: q.Again, Known: key != "" && l.keys.find(key) != nil}
 	ok, last := f.gate.Take(now, asked)
 	if !ok {
-		l.count.Turned++
+		l.counters.Turned++
 		f.meter.Came(now, handler, q.Again, true)
 		a.Final, a.BackOff = last, l.comeBack(&f.spread, f.gate.Back(now, asked))
 		return 503
--- a/internal/backend/front.go
+++ b/internal/backend/front.go
@@ -58,7 +58,7 @@
 		return
 	}
 	p := newPeer(nc, fd, l)
-	nc.SetWriteTimeout(l.lim.WriteStuck)
+	nc.SetWriteTimeout(l.limits.WriteStuck)
 	nc.AddCloseCallback(func(netpoll.Connection) error {
 		p.release()
 		l.put(event{kind: eventGone, from: p})
@@ -78,8 +78,8 @@
 		p.close()
 		return
 	}
-	p.h, c.p, c.since, c.last, l.met = h, p, l.now, l.now, l.now
-	l.count.Conns++
+	p.h, c.p, c.since, c.last, l.lastConnection = h, p, l.now, l.now, l.now
+	l.counters.Conns++
 	l.makeRoom()
 }
 
@@ -89,13 +89,13 @@
 // close is sent again by its sidecar.
 func (l *loop) makeRoom() {
 	l.endLingering()
-	for l.conns.n > l.lim.Crowd && l.usable() > l.lim.Crowd {
+	for l.conns.n > l.limits.Crowd && l.usable() > l.limits.Crowd {
 		c := l.leastUsed()
 		if c == nil {
 			return
 		}
 		if l.closeIdle(c, false) {
-			l.count.Evicted++
+			l.counters.Evicted++
 		} else {
 			c.passed = l.now
 		}
@@ -104,12 +104,12 @@
 
 // endLingering closes connections whose other side has had the time to close them, while all places are taken.
 func (l *loop) endLingering() {
-	if l.conns.n < l.lim.Conns {
+	if l.conns.n < l.limits.Conns {
 		return
 	}
 	for h, i := l.conns.next(0); h != 0; h, i = l.conns.next(i) {
 		c := l.conns.get(h)
-		if c.closing && !c.ended && l.now >= c.until-l.lim.Linger+l.lim.LeaveCrosses {
+		if c.closing && !c.ended && l.now >= c.until-l.limits.Linger+l.limits.LeaveCrosses {
 			l.abort(c)
 		}
 	}
@@ -129,9 +129,9 @@
 func (l *loop) leastUsed() (out *conn) {
 	for h, i := l.conns.next(0); h != 0; h, i = l.conns.next(i) {
 		c := l.conns.get(h)
-		least := l.lim.IdleLeast
+		least := l.limits.IdleLeast
 		if c.usage == usedForNothing {
-			least = l.lim.SilentLeast
+			least = l.limits.SilentLeast
 		}
 		if c.closing || c.passed == l.now || c.owes() || l.now-c.last < least {
 			continue
@@ -159,7 +159,7 @@
 // finish ends a connection whose reading is sealed: its sending side is shut down after what waits to go out.
 func (l *loop) finish(c *conn) {
 	c.closing = true
-	c.until = l.now + l.lim.Linger
+	c.until = l.now + l.limits.Linger
 	c.p.finish()
 }
 
@@ -173,7 +173,7 @@
 // sweep looks over all connections: those whose other side should have closed them, those that don't get to
 // the end of a message, and those idle for as long as the module lets them be.
 func (l *loop) sweep(at admission.Time) {
-	if l.now-at >= l.lim.Sweep {
+	if l.now-at >= l.limits.Sweep {
 		return // this process stood still: what came meanwhile is not read yet
 	}
 	l.makeRoom()
@@ -190,17 +190,17 @@
 			l.abort(c)
 		}
 	case c.owes():
-	case half != 0 && l.now-max(half, c.last) >= l.lim.FirstWord:
+	case half != 0 && l.now-max(half, c.last) >= l.limits.FirstWord:
 		if !c.p.seal(true) {
 			return // more of it is being read at this moment
 		}
-		l.count.Silent++
+		l.counters.Silent++
 		l.reply(c, h, proto.Answer{Status: l.bad("a message does not get to its end"), Close: true})
 	case c.ending:
-		l.closeIdle(c, l.now-c.last >= l.lim.Linger)
-	case c.usage == usedForNothing && l.now-c.since >= l.lim.FirstWord:
+		l.closeIdle(c, l.now-c.last >= l.limits.Linger)
+	case c.usage == usedForNothing && l.now-c.since >= l.limits.FirstWord:
 		if l.closeIdle(c, false) {
-			l.count.Silent++
+			l.counters.Silent++
 		}
 	case half == 0 && l.now-c.last >= l.idleMost(c):
 		l.closeIdle(c, false)
@@ -210,9 +210,9 @@
 // idleMost is how long a connection may be idle.
 func (l *loop) idleMost(c *conn) admission.Time {
 	if c.usage == usedForChecks {
-		return min(l.idle, l.lim.CheckIdle)
+		return min(l.idleClose, l.limits.CheckIdle)
 	}
-	return l.idle
+	return l.idleClose
 }
 
 // flooded takes word that more comes on a sealed connection than is borne: it is closed, but not before what
@@ -241,9 +241,9 @@
 		r.gone = true
 		l.trace(r, "gone")
 		r.waits = false
-		l.count.Gone++
+		l.counters.Gone++
 		l.next().Gone = append(l.next().Gone, uint32(open))
-		l.spent = append(l.spent, open)
+		l.finishedRequests = append(l.finishedRequests, open)
 	}
 }
 
@@ -273,9 +273,9 @@
 	a := proto.Answer{Close: e.request.Close}
 	switch method, path := string(e.request.Method), string(e.request.Path); {
 	case path == "/health" && method == "GET":
-		l.count.Checks++
+		l.counters.Checks++
 		c.usage = max(c.usage, usedForChecks)
-		if a.Status = 200; !l.good {
+		if a.Status = 200; !l.healthy {
 			a.Status = 503
 		}
 		if l.kept != nil && l.kept.mode != keptWell {
@@ -299,7 +299,7 @@
 // refusal answers what could not be read.
 func (l *loop) refusal(err error) proto.Answer {
 	if errors.Is(err, errNoBuffer) { // its sender has done nothing wrong
-		l.count.Shed++
+		l.counters.Shed++
 		return proto.Answer{Status: 503, Close: true}
 	}
 	return proto.Answer{Status: l.bad("%v", err), Close: true}
@@ -309,11 +309,11 @@
 // connection is to be closed is still answered on it: only the last answer says that it closes.
 func (l *loop) reply(c *conn, h handle, a proto.Answer) {
 	c.open, c.last = 0, l.now
-	c.ending = c.ending || a.Close || l.drains
+	c.ending = c.ending || a.Close || l.draining
 	a.Close = c.ending && !c.owes() && c.p.seal(false)
-	a.Hint, a.Says = l.hint, l.says
-	l.out = proto.AppendAnswer(l.out[:0], a)
-	if !c.p.send(l.out, l.lim.ConnQueue) {
+	a.Hint, a.Says = l.hint, l.hasHint
+	l.scratch = proto.AppendAnswer(l.scratch[:0], a)
+	if !c.p.send(l.scratch, l.limits.ConnQueue) {
 		l.abort(c) // it takes nothing: given up
 		return
 	}
--- a/internal/backend/kept.go
+++ b/internal/backend/kept.go
@@ -94,10 +94,10 @@
 
 // keepResults readies the part, if the operator's file has one.
 func (l *loop) keepResults() {
-	if l.told.own == nil || l.told.own.Kept == nil {
+	if l.startup.own == nil || l.startup.own.Kept == nil {
 		return
 	}
-	k := &keptPart{own: l.told.own.Kept, mode: keptOpening, reads: make(chan func(), keptReaders)}
+	k := &keptPart{own: l.startup.own.Kept, mode: keptOpening, reads: make(chan func(), keptReaders)}
 	l.kept = k
 	go func() {
 		for f := range k.reads {
@@ -110,8 +110,8 @@
 // openKept reads the folder, off the loop.
 func (l *loop) openKept(after time.Duration) {
 	own, window := l.kept.own, uint64(0)
-	for i := range l.prof.Deployment.Handlers {
-		window = max(window, keptWindow(&l.prof.Deployment.Handlers[i]))
+	for i := range l.profile.Deployment.Handlers {
+		window = max(window, keptWindow(&l.profile.Deployment.Handlers[i]))
 	}
 	go func() {
 		time.Sleep(after)
@@ -228,7 +228,7 @@
 	if k.book == nil {
 		if k.broken == nil && len(k.early) < l.requests.most/4 {
 			q.stand, k.early = keptEarly, append(k.early, h)
-			l.due.set(min(l.now+keptPatience, l.lastMoment(r)), dueKept, h)
+			l.deadlines.set(min(l.now+keptPatience, l.lastMoment(r)), dueKept, h)
 			return 0
 		}
 		return l.keptBlind(q, a)
@@ -281,8 +281,8 @@
 // lastMoment is by when a req has its answer that waits for the disk.
 func (l *loop) lastMoment(r *request) admission.Time {
 	at := r.due
-	if l.drains {
-		at = min(at, l.kill)
+	if l.draining {
+		at = min(at, l.killAt)
 	}
 	return at - keptSpare
 }
@@ -301,7 +301,7 @@
 		return 500
 	}
 	r.kept.stand = keptReads
-	l.due.set(l.lastMoment(r), dueKept, h)
+	l.deadlines.set(l.lastMoment(r), dueKept, h)
 	return 0
 }
 
@@ -319,7 +319,7 @@
 	}
 	l.kept.answers++
 	if !r.answered && !r.gone {
-		l.count.Shared++
+		l.counters.Shared++
 	}
 	l.answer(h, r, proto.Answer{Status: 200, Body: result})
 }
@@ -349,7 +349,7 @@
 	}
 	for h, i := l.requests.next(0); h != 0; h, i = l.requests.next(i) {
 		if r := l.requests.get(h); r.kept != nil && r.kept.stand != keptFree && !r.answered {
-			l.due.set(l.lastMoment(r), dueKept, h)
+			l.deadlines.set(l.lastMoment(r), dueKept, h)
 		}
 	}
 }
@@ -390,7 +390,7 @@
 	switch v {
 	case kept.Run:
 		k.point("intent")
-		rec := k.book.Intend(steadyMS(), q.key, q.body, keptWindow(&l.prof.Deployment.Handlers[r.handler]))
+		rec := k.book.Intend(steadyMS(), q.key, q.body, keptWindow(&l.profile.Deployment.Handlers[r.handler]))
 		q.stand = keptIntends
 		if k.write(l, rec, func(err error) { l.intended(h, err) }) {
 			l.trace(r, "intent on its way")
@@ -479,7 +479,7 @@
 		if q.stand = keptEnds; k.without("result") {
 			l.keptDone(h, key, true, rec.Result)
 		}
-		l.due.set(l.lastMoment(r), dueKept, h)
+		l.deadlines.set(l.lastMoment(r), dueKept, h)
 		return true, false
 	}
 	// That it failed need not be durable before it is told: without that record it may have run, which is errored too.
@@ -590,7 +590,7 @@
 		return
 	}
 	go func() {
-		for range l.in { // nobody takes these any more, and the store's goroutine must not wait for that
+		for range l.events { // nobody takes these any more, and the store's goroutine must not wait for that
 		}
 	}()
 	done := make(chan struct{})
@@ -602,7 +602,7 @@
 	}()
 	select {
 	case <-done:
-	case <-time.After(durationOf(l.kill+l.before/2) - l.clock.Now()):
+	case <-time.After(durationOf(l.killAt+l.killMargin/2) - l.clock.Now()):
 		l.log.Warn("kept results: the disk did not take all in time; what is missing may have run")
 	}
 }
--- a/internal/backend/kept_test.go
+++ b/internal/backend/kept_test.go
@@ -52,8 +52,8 @@
 func keptLoop(t *testing.T, d *heldDisk) *loop {
 	log := logrus.New()
 	log.SetOutput(io.Discard)
-	l := &loop{log: log, in: make(chan event, 64), requests: newTable[request](8), conns: newTable[conn](2), names: []string{"put"},
-		keys: newKeys(10, 1000, 50), lim: NewLimits(1, 64, 256), prof: &profile.Profile{Deployment: &admission.Deployment{
+	l := &loop{log: log, events: make(chan event, 64), requests: newTable[request](8), conns: newTable[conn](2), names: []string{"put"},
+		keys: newKeys(10, 1000, 50), limits: NewLimits(1, 64, 256), profile: &profile.Profile{Deployment: &admission.Deployment{
 			MaxPause: 5 * admission.Second, Handlers: []admission.Handler{{Window: admission.Second, Repeat: admission.IdempotencyKeyed}}}}}
 	l.startClock(admission.Second)
 	l.kept = &keptPart{own: &operator.Kept{Entries: 100, MB: 1, Result: 100}, reads: make(chan func(), 1)}
@@ -77,7 +77,7 @@
 func (l *loop) hears(t *testing.T) {
 	t.Helper()
 	select {
-	case e := <-l.in:
+	case e := <-l.events:
 		l.handle(e)
 	case <-time.After(patience):
 		t.Fatal("the disk says nothing")
@@ -98,7 +98,7 @@
 	l.now += keptStall + 1
 	l.watchKept()
 	h2, new := l.takes("b")
-	if l.keptWord(h2, new); l.kept.mode != keptStalled || !new.answered || l.count.Shed != 1 {
+	if l.keptWord(h2, new); l.kept.mode != keptStalled || !new.answered || l.counters.Shed != 1 {
 		t.Errorf("%s, and a new key is not shed", l.kept.mode)
 	}
 	l.Fail(uint32(h)) // the module: its time is over
@@ -131,16 +131,16 @@
 		t.Fatal("answered before its result was durable")
 	}
 	l.hears(t)
-	if l.count.Errored != 1 || l.count.Done != 0 || l.kept.book.Find(steadyMS(), r.kept.key) != kept.May {
-		t.Errorf("%d errored, %d done, key %s", l.count.Errored, l.count.Done, l.kept.book.Find(steadyMS(), r.kept.key))
+	if l.counters.Errored != 1 || l.counters.Done != 0 || l.kept.book.Find(steadyMS(), r.kept.key) != kept.May {
+		t.Errorf("%d errored, %d done, key %s", l.counters.Errored, l.counters.Done, l.kept.book.Find(steadyMS(), r.kept.key))
 	}
 	h2, new := l.takes("new")
-	if l.keptWord(h2, new); l.kept.mode != keptFailed || l.count.Shed != 1 {
+	if l.keptWord(h2, new); l.kept.mode != keptFailed || l.counters.Shed != 1 {
 		t.Errorf("%s, and a new key is not shed", l.kept.mode)
 	}
 	h3, held := l.takes("held") // it passed the door before
 	l.intend(h3, held)
-	if held.schedNo != 0 || held.run != runOver || l.count.Shed != 2 {
+	if held.schedNo != 0 || held.run != runOver || l.counters.Shed != 2 {
 		t.Error("it ran on a disk that fails")
 	}
 	d.fails.Store(false)
@@ -169,17 +169,17 @@
 	l.hears(t)
 	d.gate = make(chan struct{})
 	l.runEnded(h, r, admission.OK, 1, []byte("result"))
-	l.drains, l.kill = true, l.now+admission.Second/10
+	l.draining, l.killAt = true, l.now+admission.Second/10
 	l.keptLeaves()
-	l.now = l.kill - keptSpare
+	l.now = l.killAt - keptSpare
 	l.fire()
-	if !r.answered || l.count.Errored != 1 {
+	if !r.answered || l.counters.Errored != 1 {
 		t.Fatal("not answered before the kill")
 	}
 	close(d.gate)
 	l.hears(t)
-	if l.count.Done+l.count.Errored != 1 {
-		t.Errorf("%d answers", l.count.Done+l.count.Errored)
+	if l.counters.Done+l.counters.Errored != 1 {
+		t.Errorf("%d answers", l.counters.Done+l.counters.Errored)
 	}
 	if l.kept.book.Find(steadyMS(), r.kept.key) != kept.Done {
 		t.Error("its result is durable, and not known")
@@ -203,7 +203,7 @@
 		t.Fatal("answered too soon")
 	}
 	l.now = at + keptPatience
-	if l.fire(); !r.answered || l.count.Shed != 1 {
+	if l.fire(); !r.answered || l.counters.Shed != 1 {
 		t.Fatal("it waits for too long")
 	}
 	h, r = l.takes("b")
@@ -217,12 +217,12 @@
 	h, r = l.takes("c")
 	l.keptWord(h, r)
 	l.keptOpened(nil, nil, kept.Opened{}, wal.ErrLocked)
-	if !l.requests.get(h).answered || l.count.Shed != 2 || k.mode != keptFailed {
+	if !l.requests.get(h).answered || l.counters.Shed != 2 || k.mode != keptFailed {
 		t.Errorf("%s, and it still waits for a folder that can't be opened", k.mode)
 	}
 	h, r = l.takes("d")
 	r.kept.admit.Again = true // nobody knows whether its first try ran: shed, it would be tried elsewhere
-	if l.keptWord(h, r); !r.answered || l.count.Errored != 1 || l.count.Shed != 2 {
+	if l.keptWord(h, r); !r.answered || l.counters.Errored != 1 || l.counters.Shed != 2 {
 		t.Error("a further try of a key that nobody can know of is shed")
 	}
 }
@@ -242,16 +242,16 @@
 		h, r := l.takes("a")
 		r.kept = keptName("put", nil, []byte("a"), []byte(c.body))
 		l.intend(h, r)
-		if r.schedNo != 0 || r.run != runOver || l.count.Shed != c.shed || l.count.Errored != c.failed {
-			t.Errorf("%s: sent as %d, %d shed, %d errored, expected %d, %d", c.body, r.schedNo, l.count.Shed, l.count.Errored, c.shed, c.failed)
+		if r.schedNo != 0 || r.run != runOver || l.counters.Shed != c.shed || l.counters.Errored != c.failed {
+			t.Errorf("%s: sent as %d, %d shed, %d errored, expected %d, %d", c.body, r.schedNo, l.counters.Shed, l.counters.Errored, c.shed, c.failed)
 		}
 		if is := l.kept.book.Find(steadyMS(), r.kept.key); is != first || is != kept.Started {
 			t.Errorf("%s: the one that runs is %s, expected it %s", c.body, is, first)
 		}
 	}
 	l.runEnded(h, l.requests.get(h), admission.OK, 1, []byte("result"))
-	if l.hears(t); l.count.Done != 1 {
-		t.Errorf("%d done, expected the first", l.count.Done)
+	if l.hears(t); l.counters.Done != 1 {
+		t.Errorf("%d done, expected the first", l.counters.Done)
 	}
 }
 
--- a/internal/backend/kernel.go
+++ b/internal/backend/kernel.go
@@ -41,7 +41,7 @@
 func (l *loop) kernelUp() {
 	k := &l.kernel
 	k.stand, k.fresh = kernelOpened, true
-	k.line.writer.send(proto.AppendOpen(l.out[:0], k.index), l.lim.LinkQueue)
+	k.line.writer.send(proto.AppendOpen(l.scratch[:0], k.index), l.limits.LinkQueue)
 }
 
 func (l *loop) kernelDown() {
@@ -50,13 +50,13 @@
 	l.ungauged()
 }
 
-// tell sends a command that stands in l.out, and gives its number.
+// tell sends a command that stands in l.scratch, and gives its number.
 func (l *loop) tell() uint64 {
 	k := &l.kernel
 	if k.stand != kernelLive {
 		return unsent
 	}
-	if !k.line.writer.send(l.out, l.lim.LinkQueue) {
+	if !k.line.writer.send(l.scratch, l.limits.LinkQueue) {
 		l.relink = true // not from within a round: what is lost is sent again on the next link
 		return unsent
 	}
@@ -65,17 +65,17 @@
 }
 
 func (l *loop) sched(r *request) {
-	l.out = proto.AppendSched(l.out[:0], r.task, l.names[r.handler], r.body)
+	l.scratch = proto.AppendSched(l.scratch[:0], r.task, l.names[r.handler], r.body)
 	r.schedNo = l.tell()
 }
 
 func (l *loop) preempt(r *request) {
-	l.out = proto.AppendTask(l.out[:0], "PREEMPT", r.task)
+	l.scratch = proto.AppendTask(l.scratch[:0], "PREEMPT", r.task)
 	r.haltNo = l.tell()
 }
 
 func (l *loop) resched(r *request) {
-	l.out = proto.AppendTask(l.out[:0], "RESCHED", r.task)
+	l.scratch = proto.AppendTask(l.scratch[:0], "RESCHED", r.task)
 	r.schedNo, r.resumed, r.paused = l.tell(), true, false
 }
 
@@ -92,9 +92,9 @@
 
 func (l *loop) goOn(r *request) {
 	if r.goes == goesWithReply {
-		l.out = proto.AppendIODone(l.out[:0], r.task, r.reply)
+		l.scratch = proto.AppendIODone(l.scratch[:0], r.task, r.reply)
 	} else {
-		l.out = proto.AppendNoIO(l.out[:0], r.task, r.asked)
+		l.scratch = proto.AppendNoIO(l.scratch[:0], r.task, r.asked)
 	}
 	r.goNo = l.tell()
 }
@@ -106,10 +106,10 @@
 		l.ungauged()
 		return
 	}
-	l.out = proto.AppendSysInfo(l.out[:0], k.sent+1)
+	l.scratch = proto.AppendSysInfo(l.scratch[:0], k.sent+1)
 	if no := l.tell(); no != unsent {
-		k.asked, k.askBy = no, l.now+l.lim.GaugeWait
-		l.due.set(k.askBy, dueGauge, 0)
+		k.asked, k.askBy = no, l.now+l.limits.GaugeWait
+		l.deadlines.set(k.askBy, dueGauge, 0)
 		return
 	}
 	l.ungauged()
@@ -117,9 +117,9 @@
 
 // ungauged lets a wake-up that is due come without gauges.
 func (l *loop) ungauged() {
-	if l.wakes {
-		l.wakes = false
-		l.count.Ungauged++
+	if l.wakePending {
+		l.wakePending = false
+		l.counters.Ungauged++
 		l.next().Woke = true
 	}
 }
@@ -135,7 +135,7 @@
 		l.info(n)
 		return
 	case "EINVAL":
-		l.count.Refused++
+		l.counters.Refused++
 		l.logf("kernel did not carry out %q for %q", n.Outcome, n.Task)
 		if h, r := l.byTask(n.Task); r != nil && string(n.Outcome) == "SCHED" && r.run == runGoes {
 			// It never ran and never will, as it is no req that the kernel knows of: nobody else can answer it,
@@ -191,25 +191,25 @@
 	if k.stand != kernelOpened {
 		return
 	}
-	if l.ctl == nil {
-		d := l.prof.Deployment
+	if l.controller == nil {
+		d := l.profile.Deployment
 		d.Start, d.Cold = l.now-admission.Time(n.Spent*10), string(n.Outcome) == "COLD"
 		l.logf("kernel is up, %s for %.0f ms", n.Outcome, n.Spent)
 		l.makePools()
-		l.ctl = admission.New(d)
-		l.wakes = true
-		if l.drains {
-			l.next().Drain, l.next().Kill = true, l.kill
+		l.controller = admission.New(d)
+		l.wakePending = true
+		if l.draining {
+			l.next().Drain, l.next().Kill = true, l.killAt
 		}
 	}
 	k.stand, k.wait = kernelReplays, 0
 	k.sent++
 	k.replay = k.sent
-	if !k.line.writer.send(proto.AppendSysInfo(l.out[:0], k.replay), l.lim.LinkQueue) {
+	if !k.line.writer.send(proto.AppendSysInfo(l.scratch[:0], k.replay), l.limits.LinkQueue) {
 		l.linkDown(&k.link, errStuck)
 		return
 	}
-	l.due.set(l.now+l.lim.ReplayWait, dueReplay, handle(k.replay))
+	l.deadlines.set(l.now+l.limits.ReplayWait, dueReplay, handle(k.replay))
 }
 
 // info takes gauges; the first on a link says that all that was missed has been told.
@@ -225,14 +225,14 @@
 	if k.stand != kernelLive || no > k.sent {
 		return
 	}
-	if l.now >= k.proofAt+l.lim.AckLag {
+	if l.now >= k.proofAt+l.limits.AckLag {
 		k.acked, k.proof, k.proofAt = k.proof, no, l.now
 	}
-	if l.wakes && (no == k.asked || no == k.replay) {
-		k.asked, l.wakes = 0, false
+	if l.wakePending && (no == k.asked || no == k.replay) {
+		k.asked, l.wakePending = 0, false
 		r := l.next()
 		r.Woke, r.Gauged = true, true
-		r.Gauges = l.prof.Gauges(n.Readings[:n.Count])
+		r.Gauges = l.profile.Gauges(n.Readings[:n.Count])
 		if l.fleet != nil {
 			l.fleet.meter.Gauged(steadyMS(), r.Gauges.OnCores)
 		}
@@ -266,15 +266,15 @@
 			} else {
 				l.sched(r)
 			}
-			l.count.Resent++
+			l.counters.Resent++
 		}
 		if goes && r.goes != goesNot {
 			l.goOn(r)
-			l.count.Resent++
+			l.counters.Resent++
 		}
 		if halt {
 			l.preempt(r)
-			l.count.Resent++
+			l.counters.Resent++
 		}
 	}
 }
--- a/internal/backend/link.go
+++ b/internal/backend/link.go
@@ -47,7 +47,7 @@
 // failed doubles the wait. Half of it is left to chance, so that servers which lost the same peer at the same
 // moment do not come back to it together.
 func (b *backoff) failed(l *loop) {
-	b.wait = min(max(2*b.wait, l.lim.RetryLeast), l.lim.RetryMost)
+	b.wait = min(max(2*b.wait, l.limits.RetryLeast), l.limits.RetryMost)
 	b.again = l.now + b.wait/2 + admission.Time(rand.Int64N(int64(b.wait/2)+1))
 }
 
@@ -81,7 +81,7 @@
 		// Guards against a deadline more for every report that finds the link down: one is enough.
 		if k.armed != k.again {
 			k.armed = k.again
-			l.due.set(k.again, k.retry, 0)
+			l.deadlines.set(k.again, k.retry, 0)
 		}
 		return
 	}
@@ -92,12 +92,12 @@
 // open dials a line; what comes of it is handed over under its name.
 func (l *loop) open(n *line, addr string) {
 	go func() {
-		c, err := l.dialTo(addr, l.lim.Dial)
+		c, err := l.dialTo(addr, l.limits.Dial)
 		if err != nil {
 			l.put(event{kind: eventDialled, line: n, err: err})
 			return
 		}
-		c.SetWriteTimeout(l.lim.WriteStuck)
+		c.SetWriteTimeout(l.limits.WriteStuck)
 		in := &intake{pool: &l.pool}
 		down := func(err error) { l.put(event{kind: eventDown, line: n, err: err}) }
 		c.AddCloseCallback(func(netpoll.Connection) error {
@@ -176,13 +176,13 @@
 func (l *loop) lineUp(n *line, w *wire) {
 	switch n.which {
 	case toKernel:
-		l.count.KernelLinks++
+		l.counters.KernelLinks++
 		l.kernelUp()
 	case toStore:
-		l.count.StoreLinks++
+		l.counters.StoreLinks++
 		l.wireUp(n.wire, w)
 	case toControl:
-		l.count.ControlLinks++
+		l.counters.ControlLinks++
 		l.controlUp()
 	}
 }
@@ -238,21 +238,21 @@
 		l.log.Errorf("start-up file not taken, the old one stays: %v", err)
 		return
 	}
-	l.count.Reloads++
-	if what := l.told.fixed(c); what != "" {
+	l.counters.Reloads++
+	if what := l.startup.fixed(c); what != "" {
 		l.log.Warnf("start-up file: %s can't change while the program serves and stays as it was", what)
 	}
 	l.log.Infof("start-up file taken: kernel %s, store %s, control plane %s", c.Kernel, c.Store, c.Control)
 	l.move(&l.kernel.link, c.Kernel)
 	l.move(&l.control.link, c.Control)
 	l.moveStore(c.Store)
-	if !c.own.Fleet.Same(l.told.own.Fleet) {
+	if !c.own.Fleet.Same(l.startup.own.Fleet) {
 		l.log.Warn("operator's file: [fleet] can't change while the program serves and stays as it was")
-		c.own.Fleet = l.told.own.Fleet
+		c.own.Fleet = l.startup.own.Fleet
 	}
-	if !operator.SameKept(c.own.Kept, l.told.own.Kept) {
+	if !operator.SameKept(c.own.Kept, l.startup.own.Kept) {
 		l.log.Warn("operator's file: [kept] can't change while the program serves and stays as it was")
-		c.own.Kept = l.told.own.Kept
+		c.own.Kept = l.startup.own.Kept
 	}
 	l.movePools(c)
 }
--- /dev/null
+++ b/internal/backend/looptime.go
@@ -0,0 +1,44 @@
+// Time of the loop: monotonic, and the wall-clock stamps of requests placed on it.
+package backend
+
+import (
+	"time"
+
+	"umberwinch/admission"
+	"umberwinch/internal/clock"
+)
+
+// timeUnit is one unit of admission.Time.
+const timeUnit = time.Second / time.Duration(admission.Second)
+
+func timeOf(d time.Duration) admission.Time { return admission.Time(d / timeUnit) }
+
+func durationOf(t admission.Time) time.Duration { return time.Duration(t) * timeUnit }
+
+// startClock begins to measure time; requests are taken that reached the machine up to oldest ago.
+func (l *loop) startClock(oldest admission.Time) {
+	l.clock = clock.New()
+	l.stamps = clock.NewStamps(l.clock.Read, durationOf(oldest))
+	l.now = timeOf(l.clock.Now())
+}
+
+// lookAtClock brings the loop's time up to now, by the monotonic clock, and notices a step of the wall clock.
+func (l *loop) lookAtClock() {
+	now, step := l.stamps.Observe(l.clock.Read)
+	if l.now = max(l.now, timeOf(now)); step != 0 {
+		l.counters.ClockSteps++
+		l.log.Warnf("the wall clock was stepped by %v; times are measured without it", step.Round(time.Millisecond))
+	}
+}
+
+// placeStamp gives the time at which a request reached the machine, by the Unix time that it states. Where the wall
+// clock was stepped there may be two; the true one is not before earliest and not after latest.
+func (l *loop) placeStamp(unixMilliseconds int64) (earliest, latest admission.Time, ok bool) {
+	const most = int64(1<<62) / int64(time.Millisecond) // past the year 2100
+	if unixMilliseconds > most {
+		return 0, 0, false
+	}
+	stamp := time.Duration(unixMilliseconds) * time.Millisecond
+	from, to, ok := l.stamps.Place(durationOf(l.now), stamp, durationOf(l.limits.FutureMost))
+	return timeOf(from), timeOf(to), ok
+}
--- a/internal/backend/peer.go
+++ b/internal/backend/peer.go
@@ -48,7 +48,7 @@
 	p.intake.Lock()
 	defer p.intake.Unlock()
 	if !p.sealed {
-		err := p.in.read(nc.Reader(), func(b []byte) (event, int, error) { return p.parse(b, l.lim) },
+		err := p.in.read(nc.Reader(), func(b []byte) (event, int, error) { return p.parse(b, l.limits) },
 			func(e event) {
 				p.ahead.Add(1)
 				l.put(e)
@@ -104,7 +104,7 @@
 func (l *loop) discard(p *peer, r netpoll.Reader) error {
 	n := r.Len()
 	p.discarded += n
-	if p.discarded > l.lim.Deaf && !p.flooded {
+	if p.discarded > l.limits.Deaf && !p.flooded {
 		p.flooded = true
 		l.put(event{kind: eventFlood, from: p})
 	}
--- a/internal/backend/pools.go
+++ b/internal/backend/pools.go
@@ -45,10 +45,10 @@
 
 // makePools readies pools for a module that starts, if the operator wants them.
 func (l *loop) makePools() {
-	if p := l.told.poolPlan(); !p.Off {
+	if p := l.startup.poolPlan(); !p.Off {
 		l.pools = pools.New(p)
-		l.prof.Deployment.Pools = l.pools
-		l.log.Infof("pools for %d handlers, reserve %v", len(l.told.own.Pools), p.Reserve)
+		l.profile.Deployment.Pools = l.pools
+		l.log.Infof("pools for %d handlers, reserve %v", len(l.startup.own.Pools), p.Reserve)
 	}
 }
 
@@ -62,7 +62,7 @@
 	case !p.Off:
 		l.log.Warn("operator's file: pools can't be begun while the program serves; restart it")
 	}
-	l.told.own = next.own
+	l.startup.own = next.own
 }
 
 // showPools logs each pool.
--- a/internal/backend/request.go
+++ b/internal/backend/request.go
@@ -72,8 +72,8 @@
 func (l *loop) take(c *conn, e event, name string, a *proto.Answer) int {
 	q := &e.request
 	i, known := l.handlerNamed(name)
-	hasKey := !known || l.prof.Deployment.Handlers[i].Repeat != admission.IdempotencyKeyed || len(q.OnceKey) > 0
-	tenant, listed := l.prof.Tenants[string(q.Account)]
+	hasKey := !known || l.profile.Deployment.Handlers[i].Repeat != admission.IdempotencyKeyed || len(q.OnceKey) > 0
+	tenant, listed := l.profile.Tenants[string(q.Account)]
 	earliest, came, placed := l.placeStamp(q.ReceivedAt)
 	switch {
 	case !known:
@@ -82,19 +82,19 @@
 		return l.bad("a field of the request is missing")
 	case !placed:
 		return l.bad("received at %d, which is too far from now", q.ReceivedAt)
-	case len(q.Account) > 0 && !listed && len(l.prof.Tenants) > 0:
+	case len(q.Account) > 0 && !listed && len(l.profile.Tenants) > 0:
 		return l.bad("tenant %q, expected one of the settings", q.Account)
-	case l.ctl == nil:
+	case l.controller == nil:
 		return 503 // the kernel is not up: nothing can run
 	}
-	hd := &l.prof.Deployment.Handlers[i]
+	hd := &l.profile.Deployment.Handlers[i]
 	key := l.repeatKey(i, q)
 	if l.fleet != nil {
 		if s := l.refuses(i, q, key, a); s != 0 {
 			return s
 		}
 	}
-	if hd.Repeat == admission.IdempotencyKeyed && l.keys.full(l.lim.PerRound) && l.keys.find(key) == nil {
+	if hd.Repeat == admission.IdempotencyKeyed && l.keys.full(l.limits.PerRound) && l.keys.find(key) == nil {
 		return 503 // it could not be told from its repeats
 	}
 	if h, old := l.byTask(q.ID); old != nil {
@@ -102,7 +102,7 @@
 			return 500 // the same try again, and the first may have run
 		}
 		delete(l.tasks, old.task)
-		l.spent = append(l.spent, h)
+		l.finishedRequests = append(l.finishedRequests, h)
 	}
 	h, r, ok := l.requests.take()
 	if !ok {
@@ -126,9 +126,9 @@
 		r.kept = keptName(l.names[i], q.Account, q.OnceKey, q.Body)
 	}
 	l.tasks[r.task] = h
-	l.count.Reqs++
+	l.counters.Reqs++
 	if q.Again {
-		l.count.Again++
+		l.counters.Again++
 	}
 	l.trace(r, "came %.1f ms ago, handler %s, sender %d, again %v", inMS(l.now-came), name, q.SentBy, q.Again)
 	if l.fleet != nil {
@@ -148,11 +148,11 @@
 
 // handlerNamed finds the handler that a path names, which may be percent-encoded.
 func (l *loop) handlerNamed(name string) (index int, known bool) {
-	if index, known = l.prof.Handlers[name]; known {
+	if index, known = l.profile.Handlers[name]; known {
 		return index, true
 	}
 	if plain, err := url.PathUnescape(name); err == nil {
-		index, known = l.prof.Handlers[plain]
+		index, known = l.profile.Handlers[plain]
 	}
 	return index, known
 }
@@ -161,7 +161,7 @@
 // length of the tenant's name stand before the texts. Guards against two requests of different handlers or
 // tenants whose texts run into the same name, so that one's result would be the other's answer.
 func (l *loop) repeatKey(handler int, q *proto.Request) string {
-	d := l.prof.Deployment
+	d := l.profile.Deployment
 	name := fmt.Appendf(nil, "%d/%d/%s/", handler, len(q.Account), q.Account)
 	switch {
 	case d.Handlers[handler].Repeat == admission.IdempotencyKeyed:
@@ -186,7 +186,7 @@
 
 // bad counts and logs what is no request for this server; it never comes before the module.
 func (l *loop) bad(format string, args ...any) int {
-	l.count.Bad++
+	l.counters.Bad++
 	l.logf("bad request: "+format, args...)
 	return 400
 }
@@ -220,7 +220,7 @@
 
 // answer gives a req its answer, if it is still owed one.
 func (l *loop) answer(h handle, r *request, a proto.Answer) {
-	l.spent = append(l.spent, h)
+	l.finishedRequests = append(l.finishedRequests, h)
 	if r.answered {
 		return
 	}
@@ -231,18 +231,18 @@
 	}
 	if l.fleet != nil {
 		l.fleet.meter.Answered(steadyMS(), r.handler, a.Status,
-			l.now-r.came <= l.prof.Deployment.Handlers[r.handler].Target)
+			l.now-r.came <= l.profile.Deployment.Handlers[r.handler].Target)
 	}
 	if l.now > r.due {
-		l.count.Late++
+		l.counters.Late++
 	}
 	switch a.Status {
 	case 200:
-		l.count.Done++
+		l.counters.Done++
 	case 503:
-		l.count.Shed++
+		l.counters.Shed++
 	default:
-		l.count.Errored++
+		l.counters.Errored++
 	}
 	if c := l.conns.get(r.conn); c != nil && c.open == h {
 		a.Close = a.Close || r.close
@@ -254,9 +254,9 @@
 func (l *loop) runEnded(h handle, r *request, how admission.Outcome, ms float64, result []byte) {
 	l.trace(r, "run ended %d after %.1f ms", how, ms)
 	r.run = runOver
-	l.count.Ends++
+	l.counters.Ends++
 	l.dropCall(h, r)
-	l.spent = append(l.spent, h)
+	l.finishedRequests = append(l.finishedRequests, h)
 	l.next().Ended = append(l.next().Ended,
 		admission.End{ID: uint32(h), How: how, Ran: admission.Time(ms * 10)})
 	if l.fleet != nil && (how == admission.OK || how == admission.Errored) {
@@ -297,7 +297,7 @@
 	a := proto.Answer{Status: 500}
 	if ok {
 		end.How, a = admission.OK, proto.Answer{Status: 200, Body: result}
-		l.count.Shared++
+		l.counters.Shared++
 	}
 	l.next().Ended = append(l.next().Ended, end)
 	l.answer(h, r, a)
@@ -305,7 +305,7 @@
 
 // free lets go of reqs of which nothing is left to come.
 func (l *loop) free() {
-	for _, h := range l.spent {
+	for _, h := range l.finishedRequests {
 		r := l.requests.get(h)
 		if r == nil || !(r.answered || r.gone) || r.run == runGoes || r.waits {
 			continue
@@ -316,7 +316,7 @@
 		}
 		l.requests.drop(h)
 	}
-	l.spent = l.spent[:0]
+	l.finishedRequests = l.finishedRequests[:0]
 }
 
 // ---- What the module decides.
@@ -328,12 +328,12 @@
 	case r == nil || r.run != runNot && !r.paused:
 	case r.paused && r.kept != nil && r.kept.stand == keptIntends:
 		r.run, r.paused = runGoes, false
-	case r.paused && l.prof.Stop == admission.StopPause:
+	case r.paused && l.profile.Stop == admission.StopPause:
 		r.run = runGoes
 		l.resched(r)
 	default:
 		r.run, r.paused = runGoes, false
-		l.count.Runs++
+		l.counters.Runs++
 		l.trace(r, "run")
 		l.keys.runs(r.key, id)
 		if r.kept != nil {
@@ -347,7 +347,7 @@
 func (l *loop) Pause(id uint32) {
 	if r := l.requests.get(handle(id)); r != nil && r.run == runGoes {
 		l.trace(r, "pause")
-		l.count.Pauses++
+		l.counters.Pauses++
 		if r.paused = true; r.kept == nil || r.kept.stand != keptIntends { // else it is told with the run
 			l.preempt(r)
 		}
@@ -376,14 +376,14 @@
 
 func (l *loop) Skip(id uint32) {
 	if r := l.requests.get(handle(id)); r != nil && r.run == runGoes {
-		l.count.Skips++
+		l.counters.Skips++
 		l.noIO(r)
 	}
 }
 
 func (l *loop) Remember(id uint32, span admission.Time) {
 	if r := l.requests.get(handle(id)); r != nil && r.key != "" {
-		l.keys.remember(r.key, id, l.now+span, &l.due)
+		l.keys.remember(r.key, id, l.now+span, &l.deadlines)
 	}
 }
 
@@ -415,18 +415,18 @@
 
 // Health has checks and the control plane told.
 func (l *loop) Health(good bool) {
-	l.health = good
-	l.good = good && (l.fleet == nil || !l.fleet.fenced && !l.fleet.gate.Out())
-	l.control.ready = l.good
+	l.moduleHealthy = good
+	l.healthy = good && (l.fleet == nil || !l.fleet.fenced && !l.fleet.gate.Out())
+	l.control.ready = l.healthy
 	l.report()
 }
 
 // Say has every answer carry the value from now on.
-func (l *loop) Say(value float64) { l.hint, l.says = value, true }
+func (l *loop) Say(value float64) { l.hint, l.hasHint = value, true }
 
 // IdleClose has connections closed that were idle for so long.
-func (l *loop) IdleClose(after admission.Time) { l.idle = after }
+func (l *loop) IdleClose(after admission.Time) { l.idleClose = after }
 
-func (l *loop) Wake(at admission.Time) { l.due.set(at, dueWake, 0) }
+func (l *loop) Wake(at admission.Time) { l.deadlines.set(at, dueWake, 0) }
 
 func (l *loop) Log(line string) { l.logf("%s", line) }
--- /dev/null
+++ b/internal/backend/signals.go
@@ -0,0 +1,41 @@
+// Signals: what the program is told while it serves.
+package backend
+
+import (
+	"os"
+	"os/signal"
+)
+
+// Signals are what the program is told while it serves, each by a channel of its own, so that no number of one
+// kind takes the place of another. Read reads the start-up file anew.
+type Signals struct {
+	Drain, Count, Reload <-chan os.Signal
+	Read                 func() (*Node, error)
+}
+
+// NotifySignals subscribes to the signals. It is called before anything else, as a signal that comes before it
+// ends the program.
+func NotifySignals(drain, count, reload os.Signal) Signals {
+	// One signal that waits stands for all that come meanwhile.
+	subscribe := func(s os.Signal) <-chan os.Signal {
+		c := make(chan os.Signal, 1)
+		signal.Notify(c, s)
+		return c
+	}
+	return Signals{Drain: subscribe(drain), Count: subscribe(count), Reload: subscribe(reload)}
+}
+
+// forward hands the signals over. A start-up file that is slow to read holds up no other signal.
+func (l *loop) forward(signals Signals) {
+	events := func(c <-chan os.Signal, make func() event) {
+		for range c {
+			l.put(make())
+		}
+	}
+	go events(signals.Drain, func() event { return event{kind: eventDrain} })
+	go events(signals.Count, func() event { return event{kind: eventCount} })
+	go events(signals.Reload, func() event {
+		next, err := signals.Read()
+		return event{kind: eventReload, node: next, err: err}
+	})
+}
--- a/internal/backend/store.go
+++ b/internal/backend/store.go
@@ -38,7 +38,7 @@
 // call makes the call that a run stands at.
 func (l *loop) call(h handle, r *request, until admission.Time) {
 	r.call, r.callAt, r.callUntil = callWaits, l.now, until
-	l.count.Calls++
+	l.counters.Calls++
 	l.trace(r, "call until %.1f ms", inMS(until-l.now))
 	held := l.heldDials
 	at, w := l.pickWire(r)
@@ -53,7 +53,7 @@
 	gone := func(h handle) bool { return l.store.wires.get(h) == nil }
 	r.wire, r.wires = at, append(slices.DeleteFunc(r.wires, gone), at)
 	w.out = append(w.out, h)
-	l.due.set(until+l.lim.CallGrace, dueCall, h)
+	l.deadlines.set(until+l.limits.CallGrace, dueCall, h)
 	if w.line.writer != nil {
 		l.sendCall(h, r, w)
 	}
@@ -92,7 +92,7 @@
 // sweepWires lets go of wires that were idle for too long to be trusted with a call.
 func (l *loop) sweepWires() {
 	for h, i := l.store.wires.next(0); h != 0; h, i = l.store.wires.next(i) {
-		if w := l.store.wires.get(h); w.idle() && l.now-w.used > l.lim.StoreIdle {
+		if w := l.store.wires.get(h); w.idle() && l.now-w.used > l.limits.StoreIdle {
 			l.dropWire(h, w)
 		}
 	}
@@ -115,8 +115,8 @@
 
 func (l *loop) sendCall(h handle, r *request, w *wire) {
 	wait := max((r.callUntil-l.now+9)/10, 1)
-	l.out = proto.AppendCall(l.out[:0], r.task, int64(wait), r.ask)
-	if !w.line.writer.send(l.out, l.lim.LinkQueue) {
+	l.scratch = proto.AppendCall(l.scratch[:0], r.task, int64(wait), r.ask)
+	if !w.line.writer.send(l.scratch, l.limits.LinkQueue) {
 		// The queue is full because the store takes nothing: this call never left, the others may have.
 		at := r.wire
 		l.callEnded(h, r, admission.Unrun)
@@ -136,11 +136,11 @@
 	}
 	switch how {
 	case admission.OK:
-		l.count.CallsOK++
+		l.counters.CallsOK++
 	case admission.Unrun:
-		l.count.CallsUnrun++
+		l.counters.CallsUnrun++
 	default:
-		l.count.CallsOther++
+		l.counters.CallsOther++
 	}
 	l.next().Returned = append(l.next().Returned,
 		admission.Return{ID: uint32(h), How: how, Took: l.now - r.callAt})
@@ -162,9 +162,9 @@
 // dropCall gives up a call that nobody waits for any more. Its wire may still bring the reply.
 func (l *loop) dropCall(h handle, r *request) {
 	if w := l.store.wires.get(r.wire); w != nil && r.call == callOut {
-		l.out = proto.AppendDrop(l.out[:0], r.task)
-		w.line.writer.send(l.out, l.lim.LinkQueue)
-		l.count.Dropped++
+		l.scratch = proto.AppendDrop(l.scratch[:0], r.task)
+		w.line.writer.send(l.scratch, l.limits.LinkQueue)
+		l.counters.Dropped++
 		w.done = true
 	}
 	if l.fleet != nil && r.call != callNone {
@@ -178,7 +178,7 @@
 	w.used = l.now
 	h, r := l.byTask(p.ID)
 	if r == nil || r.call != callOut || r.wire != at {
-		l.count.Strays++
+		l.counters.Strays++
 		l.retire(at, w)
 		return
 	}
@@ -201,7 +201,7 @@
 	if r == nil || r.call == callNone {
 		return
 	}
-	if end := r.callUntil + l.lim.CallGrace; l.now < end {
+	if end := r.callUntil + l.limits.CallGrace; l.now < end {
 		return // an earlier call's time; the present one has its own
 	}
 	how := admission.Unclear
@@ -232,7 +232,7 @@
 		l.store.failed(l) // it could not be opened
 	}
 	if len(w.out) > 0 {
-		l.count.WiresLost++
+		l.counters.WiresLost++
 		l.logf("store: %v with %d calls out", err, len(w.out))
 	}
 	w.done = false // or the last of its calls would end it again
--- a/internal/backend/tables_test.go
+++ b/internal/backend/tables_test.go
@@ -197,8 +197,8 @@
 	for range 50 {
 		l.report()
 	}
-	if len(l.due.heap) != 1 {
-		t.Errorf("%d deadlines are set, expected 1", len(l.due.heap))
+	if len(l.deadlines.heap) != 1 {
+		t.Errorf("%d deadlines are set, expected 1", len(l.deadlines.heap))
 	}
 }
 
@@ -206,7 +206,7 @@
 func TestMoveDoesNotWait(t *testing.T) {
 	log := logrus.New()
 	log.SetOutput(io.Discard)
-	l := &loop{now: 1000, log: log, in: make(chan event, 4), lim: NewLimits(1, 64, 256), dialTo: dialTCP}
+	l := &loop{now: 1000, log: log, events: make(chan event, 4), limits: NewLimits(1, 64, 256), dialTo: dialTCP}
 	k := &l.control.link
 	k.which, k.addr, k.wait, k.again = toControl, "127.0.0.1:1", 900, 2000
 	l.move(k, "127.0.0.1:2")
@@ -225,7 +225,7 @@
 
 // An answer proves that commands were read only once it is older than what a break may take with it.
 func TestProofIsLate(t *testing.T) {
-	l := &loop{now: 10000, lim: NewLimits(1, 64, 256)}
+	l := &loop{now: 10000, limits: NewLimits(1, 64, 256)}
 	k := &l.kernel
 	k.stand, k.sent = kernelLive, 7
 	for _, step := range []struct {
@@ -297,8 +297,8 @@
 		cores        float64
 		stop, before admission.Time
 	}{{1, 24_000, 380}, {0.1, 24_000, 1100}, {0.1, 4000, 500}} {
-		l := &loop{now: 5000, stop: c.stop, lim: NewLimits(c.cores, 64, 256)}
-		l.drain()
+		l := &loop{now: 5000, drain: drain{stopAfter: c.stop}, limits: NewLimits(c.cores, 64, 256)}
+		l.startDrain()
 		if r := l.next(); !r.Drain || r.Kill != 5000+c.stop-c.before {
 			t.Errorf("%.1f cores, notice of %d: the module hears of a kill at %d, expected %d before %d", c.cores, c.stop, r.Kill,
 				c.before, 5000+c.stop)
@@ -332,7 +332,7 @@
 // TestCallsGivenUp: a call that nobody waited for to the end counts with the time that it had, or a service that answers
 // nothing would look like one that nobody calls.
 func TestCallsGivenUp(t *testing.T) {
-	l := &loop{now: 5000, requests: newTable[request](8), lim: NewLimits(1, 64, 256),
+	l := &loop{now: 5000, requests: newTable[request](8), limits: NewLimits(1, 64, 256),
 		fleet: &fleetPart{meter: zones.NewMeter(steadyMS(), []float64{1})}}
 	r := &request{call: callOut, callAt: 2000}
 	l.dropCall(1, r)
@@ -349,9 +349,9 @@
 	read := func() clock.Reading { return clock.Reading{Monotonic: at, Wall: wall} }
 	d := &admission.Deployment{Cores: 1, MemKB: 1e6, Handlers: []admission.Handler{{Target: 3 * admission.Second,
 		Timeout: 6 * admission.Second, Repeat: admission.IdempotencyKeyed, Window: 8 * admission.Second}}}
-	l := &loop{prof: &profile.Profile{Deployment: d, Handlers: map[string]int{"put": 0}}, names: []string{"put"},
+	l := &loop{profile: &profile.Profile{Deployment: d, Handlers: map[string]int{"put": 0}}, names: []string{"put"},
 		keys: newKeys(2000, 1000, 6*admission.Second), requests: newTable[request](8), tasks: map[string]handle{},
-		lim: NewLimits(1, 64, 256), ctl: admission.New(d), stamps: clock.NewStamps(read, 12*time.Second)}
+		limits: NewLimits(1, 64, 256), controller: admission.New(d), stamps: clock.NewStamps(read, 12*time.Second)}
 	stamp := wall
 	at, wall = at+2500*time.Millisecond, wall+2500*time.Millisecond
 	l.stamps.Observe(read)
@@ -360,7 +360,7 @@
 	if l.now = timeOf(now); step != -3*time.Second {
 		t.Fatalf("a step of %v is seen", step)
 	}
-	l.keys.remember(l.repeatKey(0, &proto.Request{OnceKey: []byte("k")}), 77, l.now-admission.Second, &l.due)
+	l.keys.remember(l.repeatKey(0, &proto.Request{OnceKey: []byte("k")}), 77, l.now-admission.Second, &l.deadlines)
 	c := &conn{}
 	e := event{from: &peer{}, request: proto.Request{ID: []byte("0000000000000001"), ReceivedAt: stamp.Milliseconds(),
 		HasSender: true, KB: 1, OnceKey: []byte("k")}}
--- a/internal/clock/clock_test.go
+++ b/internal/clock/clock_test.go
@@ -188,3 +188,22 @@
 		}
 	}
 }
+
+// What a round and a request pay: a look at both clocks, and a stamp that is placed.
+func BenchmarkLookAndPlace(b *testing.B) {
+	c := New()
+	s := NewStamps(c.Read, 2*deadline)
+	for b.Loop() {
+		now, _ := s.Observe(c.Read)
+		s.Place(now, c.Read().Wall, time.Second)
+	}
+}
+
+// Beside it what was there before.
+func BenchmarkWallClockAlone(b *testing.B) {
+	for b.Loop() {
+		if time.Now().UnixMicro() == 0 {
+			b.Fatal("the epoch")
+		}
+	}
+}
