--- a/internal/backend/front.go
+++ b/internal/backend/front.go
@@ -288,6 +288,7 @@
 		if a.Status == 0 {
 			return
 		}
+		l.sayWhenToComeBack(&a)
 	default:
 		a.Status = l.bad("%s of path %q", method, path)
 	}
@@ -300,11 +301,21 @@
 func (l *loop) refusal(err error) proto.Answer {
 	if errors.Is(err, errNoBuffer) { // its sender has done nothing wrong
 		l.counters.Shed++
-		return proto.Answer{Status: 503, Close: true}
+		a := proto.Answer{Status: 503, Close: true}
+		l.sayWhenToComeBack(&a)
+		return a
 	}
 	return proto.Answer{Status: l.bad("%v", err), Close: true}
 }
 
+// sayWhenToComeBack gives a refusal that the module was not asked about a time to come back, where the settings allow
+// one.
+func (l *loop) sayWhenToComeBack(a *proto.Answer) {
+	if a.Status == 503 && a.BackOff == 0 {
+		a.BackOff = l.comeBack(&l.refusals, 0)
+	}
+}
+
 // reply sends an answer on a connection and goes on to what else it has brought. What was read before a
 // connection is to be closed is still answered on it: only the last answer says that it closes.
 func (l *loop) reply(c *conn, h handle, a proto.Answer) {
--- a/internal/backend/loop.go
+++ b/internal/backend/loop.go
@@ -17,6 +17,7 @@
 
 	"umberwinch/admission"
 	"umberwinch/internal/clock"
+	"umberwinch/internal/comeback"
 	"umberwinch/internal/pools"
 	"umberwinch/internal/profile"
 	"umberwinch/internal/proto"
@@ -96,9 +97,10 @@
 	kernel           kernel
 	store            store
 	control          control
-	finishedRequests []handle // that may be over
-	heldDials        uint64   // connections to the store that the zone's order put off
-	scratch          []byte   // what is being written
+	finishedRequests []handle        // that may be over
+	refusals         comeback.Spread // by the loop itself
+	heldDials        uint64          // connections to the store that the zone's order put off
+	scratch          []byte          // what is being written
 	relink           bool
 
 	healthy       bool    // health checks are told
