--- /dev/null
+++ b/internal/consensus/replica_members.go
@@ -0,0 +1,163 @@
+package consensus
+
+// This file is a replica's part in the group's membership: who it is, whom it meets, who votes, and how that changes.
+
+import (
+	"encoding/json"
+	"fmt"
+
+	"go.etcd.io/raft/v3"
+	pb "go.etcd.io/raft/v3/raftpb"
+	"go.etcd.io/raft/v3/tracker"
+	"google.golang.org/protobuf/proto"
+)
+
+// ID gives the instance's number in the group.
+func (r *Replica) ID() uint64 { return r.who.own.ID }
+
+// Hello gives what this instance says of itself to another.
+func (r *Replica) Hello(to uint64) Hello {
+	_, last := r.Span()
+	return Hello{Identity: r.who.own, Peer: r.plan.Peer, Term: r.store.hard.GetTerm(), Last: last, To: to,
+		Level: r.plan.Level}
+}
+
+// Meet judges another's hello; a refusal comes as its reason. What was learnt is durable on return.
+func (r *Replica) Meet(h Hello) (reason string, err error) {
+	reason, learnt := r.who.Meet(h)
+	if reason == "" {
+		r.met[h.ID] = true
+		if len(r.machine.members) == 0 && len(r.contacts) < maxMembers {
+			r.contacts = append(r.contacts, Member{ID: h.ID, Name: h.Name, Peer: h.Peer})
+		}
+	}
+	if !learnt {
+		return reason, nil
+	}
+	if r.machine.cluster == "" {
+		r.machine.cluster = r.who.own.Cluster
+	}
+	return reason, r.remember()
+}
+
+// Bar ends this instance's part in the group for good, as others told it what it is.
+func (r *Replica) Bar(reason string) error {
+	if r.who.own.Barred != "" || r.plan.Without.Has(MemberIdentity) {
+		return nil
+	}
+	r.who.own.Barred = reason
+	return r.remember()
+}
+
+// Barred tells why it takes no part any more, empty if it does.
+func (r *Replica) Barred() string { return r.who.own.Barred }
+
+func (r *Replica) votes(id uint64) bool {
+	for _, list := range [][]uint64{r.conf.GetVoters(), r.conf.GetVotersOutgoing()} {
+		for _, v := range list {
+			if v == id {
+				return true
+			}
+		}
+	}
+	return false
+}
+
+// Change asks for a change of members; that it was made shows in Members, that it was not shows nowhere.
+func (r *Replica) Change(c Change) error {
+	if r.who.own.Barred != "" {
+		return ErrBarred
+	}
+	if err := r.machine.may(&c); err != nil {
+		return err
+	}
+	if c.Op == "remove" && c.Member.ID == r.ID() || c.Op == "replace" && c.Gone == r.ID() {
+		if r.node.BasicStatus().RaftState == raft.StateLeader {
+			return r.Transfer(0) // the next leader makes the change when it is asked again
+		}
+	}
+	raw, err := json.Marshal(c)
+	if err != nil {
+		return err
+	}
+	one := func(t pb.ConfChangeType, id uint64) *pb.ConfChangeSingle {
+		return &pb.ConfChangeSingle{Type: t.Enum(), NodeId: proto.Uint64(id)}
+	}
+	cc := &pb.ConfChangeV2{Context: raw}
+	switch c.Op {
+	case "add":
+		cc.Changes = append(cc.Changes, one(pb.ConfChangeType_ConfChangeAddLearnerNode, c.Member.ID))
+	case "promote":
+		cc.Changes = append(cc.Changes, one(pb.ConfChangeType_ConfChangeAddNode, c.Member.ID))
+	case "remove":
+		cc.Changes = append(cc.Changes, one(pb.ConfChangeType_ConfChangeRemoveNode, c.Member.ID))
+	case "replace":
+		cc.Changes = append(cc.Changes, one(pb.ConfChangeType_ConfChangeAddNode, c.Member.ID),
+			one(pb.ConfChangeType_ConfChangeRemoveNode, c.Gone))
+	}
+	return r.node.ProposeConfChange(cc)
+}
+
+// caughtUp is how many entries a learner may lack when it becomes a voter: less than comes in a round trip.
+const caughtUp = 16
+
+// promote has the leader make voters of learners that have caught up, one at a time. What it asks for may
+// come to nothing, as while another change is under way; it asks again an election's time later. It looks at
+// each tick all the same: the core forgets at each of its checks for a quorum who was active lately.
+func (r *Replica) promote() {
+	if r.age < r.asked+r.plan.Elect {
+		return
+	}
+	for _, m := range r.machine.members {
+		if m.Voter || !m.Promote {
+			continue
+		}
+		ready, last := false, r.node.BasicStatus().HardState.GetCommit()
+		r.node.WithProgress(func(id uint64, _ raft.ProgressType, p tracker.Progress) {
+			if id == m.ID && p.RecentActive && p.Match+caughtUp >= last && p.Match > 0 {
+				ready = true
+			}
+		})
+		if ready {
+			r.asked = r.age
+			r.Change(Change{Op: "promote", Member: m})
+			return
+		}
+	}
+}
+
+// Transfer hands the lead over, to the voter that is furthest if to is 0.
+func (r *Replica) Transfer(to uint64) error {
+	if r.node.BasicStatus().RaftState != raft.StateLeader {
+		return raft.ErrProposalDropped
+	}
+	if to == 0 {
+		most := uint64(0)
+		r.node.WithProgress(func(id uint64, t raft.ProgressType, p tracker.Progress) {
+			if id != r.ID() && t == raft.ProgressTypePeer && p.RecentActive && p.Match > most {
+				to, most = id, p.Match
+			}
+		})
+	}
+	if to == 0 || !r.votes(to) {
+		return fmt.Errorf("no voter to hand the lead to")
+	}
+	r.node.TransferLeader(to)
+	return nil
+}
+
+// Members gives the instances of the group, by id.
+func (r *Replica) Members() []Member { return r.machine.members }
+
+// Voters gives the ids that elections and commits count, in both halves of a joint change.
+func (r *Replica) Voters() (now, outgoing []uint64) {
+	return r.conf.GetVoters(), r.conf.GetVotersOutgoing()
+}
+
+// Known gives whom to speak with: the members, or until it has those, who greeted it.
+func (r *Replica) Known() []Member {
+	if len(r.machine.members) == 0 {
+		return r.contacts
+	}
+	return r.machine.members
+}
--- /dev/null
+++ b/internal/lab/fleet_ask.go
@@ -0,0 +1,184 @@
+package lab
+
+// This file asks the control service of a fleet of processes, and waits for what it says.
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"net/http"
+	"time"
+
+	"umberwinch/internal/consensus"
+	"umberwinch/internal/policy"
+)
+
+// sleep waits, unless the rig ends.
+func (r *Rig) sleep(d time.Duration) {
+	select {
+	case <-r.ctx.Done():
+	case <-time.After(d):
+	}
+}
+
+func (r *Rig) await(within time.Duration, holds func() error) error {
+	var err error
+	for end := time.Now().Add(within); time.Now().Before(end) && r.ctx.Err() == nil; {
+		if err = holds(); err == nil {
+			return nil
+		}
+		time.Sleep(20 * time.Millisecond)
+	}
+	return fmt.Errorf("not within %v: %w", within, errors.Join(err, r.ctx.Err()))
+}
+
+// ask brings something to any instance that answers.
+func (r *Rig) ask(method, path string, in, out any) (int, error) {
+	var last error
+	for _, p := range r.group.procs {
+		ctx, cancel := context.WithTimeout(r.ctx, 2*time.Second)
+		code, err := r.group.call(ctx, method, p.listen, path, in, out)
+		cancel()
+		if err == nil {
+			return code, nil
+		}
+		last = err
+	}
+	return 0, last
+}
+
+// Policy gives the leader's view.
+func (r *Rig) Policy() (*consensus.PolicyView, error) {
+	var v consensus.PolicyView
+	if _, err := r.ask(http.MethodGet, "/v1/policy", nil, &v); err != nil {
+		return nil, err
+	}
+	if !v.Leads {
+		return nil, errors.New("no leader answered")
+	}
+	return &v, nil
+}
+
+// Nodes gives the leader's list.
+func (r *Rig) Nodes() (map[string]consensus.NodeView, error) {
+	var all []consensus.NodeView
+	if _, err := r.ask(http.MethodGet, "/v1/nodes", nil, &all); err != nil {
+		return nil, err
+	}
+	out := map[string]consensus.NodeView{}
+	for _, n := range all {
+		out[n.Name] = n
+	}
+	return out, nil
+}
+
+// AllServe waits until every node that is up serves under a version, and is ready by the platform's list.
+func (r *Rig) AllServe(version uint64, within time.Duration) error {
+	return r.await(within, func() error {
+		all, err := r.Nodes()
+		if err != nil {
+			return err
+		}
+		for _, n := range r.nodes {
+			if n.down || n.stopped {
+				continue
+			}
+			v, ok := all[n.name]
+			switch {
+			case !ok || v.Out != "" || !v.Heard:
+				return fmt.Errorf("%s is not in: %q", n.name, v.Out)
+			case v.Fenced != "" || v.Serves != version:
+				return fmt.Errorf("%s serves under version %d, fenced %q, expected version %d", n.name, v.Serves, v.Fenced,
+					version)
+			case !r.ready.is(n.name):
+				return fmt.Errorf("%s is not ready by the list", n.name)
+			}
+		}
+		return nil
+	})
+}
+
+// Put makes a text the group's next version.
+func (r *Rig) Put(text string) (uint64, error) {
+	r.seq++
+	var a consensus.Answer
+	err := r.await(10*time.Second, func() error {
+		var s consensus.Report
+		if _, err := r.ask(http.MethodGet, "/v1/status", nil, &s); err != nil {
+			return err
+		}
+		p := consensus.Put{Session: fmt.Sprintf("rig-%d-%d", r.Seed, r.seq), Seq: 1, Base: s.Version, Author: "lab", Text: text}
+		_, err := r.ask(http.MethodPut, "/v1/config", p, &a)
+		if err == nil && a.End == consensus.Conflict {
+			r.seq++
+			err = fmt.Errorf("%s", a.Reason)
+		}
+		return err
+	})
+	if err == nil && a.End != consensus.Taken {
+		err = fmt.Errorf("the version is %s: %s", a.End, a.Reason)
+	}
+	return a.Version, err
+}
+
+// Propose begins a change to a text, and gives its number and version.
+func (r *Rig) Propose(text string, p policy.Propose) (number, version uint64, err error) {
+	if version, err = r.Put(text); err != nil {
+		return 0, 0, err
+	}
+	p.Version, p.Author, p.Key = version, "lab", fmt.Sprintf("rig-%d-%08d", r.Seed, version)
+	if p.Within == 0 {
+		p.Within = 15_000
+	}
+	err = r.await(10*time.Second, func() error {
+		var res struct {
+			policy.Result
+			Error string `json:"error"`
+		}
+		code, err := r.ask(http.MethodPost, "/v1/policy", policy.Op{Kind: "propose", Propose: &p}, &res)
+		if err == nil && code != http.StatusOK {
+			err = errors.New(res.Error)
+		}
+		number = res.Number
+		return err
+	})
+	return number, version, err
+}
+
+// Step waits until a change is at one of some steps.
+func (r *Rig) Step(number uint64, within time.Duration, steps ...string) (*policy.Change, error) {
+	var c *policy.Change
+	err := r.await(within, func() error {
+		v, err := r.Policy()
+		if err != nil {
+			return err
+		}
+		c = nil
+		for _, o := range append(v.Past, v.Now) {
+			if o != nil && o.Number == number {
+				c = o
+			}
+		}
+		if c == nil {
+			return fmt.Errorf("change %d is not known", number)
+		}
+		for _, s := range steps {
+			if c.Step == s {
+				return nil
+			}
+		}
+		return fmt.Errorf("change %d is %s (%s; waits %v), expected %v", number, c.Step, c.Why, v.Waits, steps)
+	})
+	return c, err
+}
+
+// Prepared waits until the leader heard from a node that it prepared a version.
+func (r *Rig) Prepared(node string, version uint64) error {
+	return r.await(10*time.Second, func() error {
+		all, err := r.Nodes()
+		if err == nil && all[node].Prepared != version {
+			err = fmt.Errorf("%s has not prepared version %d", node, version)
+		}
+		return err
+	})
+}
--- /dev/null
+++ b/internal/lab/fleet_events.go
@@ -0,0 +1,198 @@
+package lab
+
+// This file reads the history of a fleet of processes from their logs and holds it to its promises.
+
+import (
+	"bufio"
+	"bytes"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"os"
+	"path/filepath"
+	"sort"
+	"strings"
+	"time"
+
+	"umberwinch/internal/policy"
+)
+
+// logLines reads a log of JSON lines; times are tenths of a ms.
+func logLines(file string, take func(at int64, m map[string]any)) error {
+	f, err := os.Open(file)
+	if err != nil {
+		return err
+	}
+	defer f.Close()
+	s := bufio.NewScanner(f)
+	s.Buffer(nil, 1<<20)
+	for s.Scan() {
+		var m map[string]any
+		if json.Unmarshal(s.Bytes(), &m) != nil {
+			continue // a line that was being written when its process was killed, or a crash's
+		}
+		word, _ := m["time"].(string)
+		t, err := time.Parse("2006-01-02T15:04:05.000Z07:00", word)
+		if err != nil {
+			continue
+		}
+		take(t.UnixMicro()/100, m)
+	}
+	return s.Err()
+}
+
+// History reads what happened from the logs of all processes.
+func (r *Rig) History() ([]FleetEvent, error) {
+	var all []FleetEvent
+	lines := logLines
+	type step struct {
+		number float64
+		name   string
+	}
+	first := map[step]FleetEvent{}
+	var order []step
+	if err := lines(filepath.Join(r.Dir, "instances.log"), func(at int64, m map[string]any) {
+		if m["msg"] != "change of policy" {
+			return
+		}
+		number, _ := m["change"].(float64)
+		version, _ := m["version"].(float64)
+		from, _ := m["from"].(float64)
+		excl, _ := m["exclusive"].(bool)
+		name, _ := m["step"].(string)
+		k := step{number, name}
+		if e, there := first[k]; !there || at < e.At {
+			if !there {
+				order = append(order, k)
+			}
+			first[k] = FleetEvent{At: at, Version: uint64(version), From: uint64(from), Excl: excl}
+		}
+	}); err != nil {
+		return nil, err
+	}
+	r.inForce = map[uint64]float64{}
+	for _, k := range order {
+		e := first[k]
+		if begun, there := first[step{k.number, policy.Preparing}]; there && k.name == policy.InForce {
+			r.inForce[uint64(k.number)] = float64(e.At-begun.At) / 10
+		}
+		switch k.name {
+		case policy.Held:
+			e.Kind = "decided"
+			all = append(all, e)
+		case policy.InForce:
+			if _, held := first[step{k.number, policy.Held}]; !held {
+				e.Kind = "decided"
+				all = append(all, e)
+			}
+			e.Kind = "forced"
+			all = append(all, e)
+		case policy.Settled, policy.CalledOff:
+			e.Kind = map[string]string{policy.Settled: "settled", policy.CalledOff: "off"}[k.name]
+			all = append(all, e)
+		}
+	}
+	r.mu.Lock()
+	own := append([]FleetEvent(nil), r.events...)
+	r.mu.Unlock()
+	for _, n := range r.nodes {
+		var told []FleetEvent
+		if err := lines(filepath.Join(r.Dir, n.name+".log"), func(at int64, m map[string]any) {
+			msg, _ := m["msg"].(string)
+			e := FleetEvent{At: at, Node: n.name}
+			switch {
+			case strings.HasPrefix(msg, "fleet: fenced"):
+				e.Kind = "stops"
+			case strings.HasPrefix(msg, "fleet: serves under version "):
+				e.Kind = "serves"
+				fmt.Sscanf(msg, "fleet: serves under version %d", &e.Version)
+			case strings.HasPrefix(msg, "fleet: version ") && strings.HasSuffix(msg, " taken over"):
+				e.Kind = "takes"
+				fmt.Sscanf(msg, "fleet: version %d taken over", &e.Version)
+			default:
+				return
+			}
+			told = append(told, e)
+		}); err != nil {
+			return nil, err
+		}
+		for _, e := range own {
+			if e.Node == n.name {
+				told = append(told, e)
+			}
+		}
+		all = append(all, nodeHistory(told)...)
+	}
+	return all, nil
+}
+
+// settle is within which a process that goes on has said that its first round fenced it, in tenths of a ms: a busy
+// machine may let it wait for a core.
+const settle = 10_000
+
+// nodeHistory makes spans of service of what a node's log and the rig said: a process that stands still serves nothing,
+// and one that goes on serves what it did unless its first round fenced it.
+func nodeHistory(told []FleetEvent) (out []FleetEvent) {
+	sort.SliceStable(told, func(i, k int) bool { return told[i].At < told[k].At })
+	serves, under, before := false, uint64(0), false
+	say := func(at int64, kind string) {
+		out = append(out, FleetEvent{At: at, Kind: kind, Node: told[0].Node, Version: under})
+	}
+	for _, e := range told {
+		switch e.Kind {
+		case "serves":
+			serves, under = true, e.Version
+			say(e.At, "serves")
+		case "takes":
+			if under = e.Version; serves {
+				say(e.At, "serves")
+			}
+		case "stops":
+			if serves {
+				say(e.At, "stops")
+			}
+			serves = false
+		case "pause":
+			if before = serves; serves {
+				say(e.At, "stops")
+			}
+			serves = false
+		case "resume":
+			if !before {
+				continue
+			}
+			fenced := false
+			for _, o := range told { // logs have whole ms: a line may seem to come before what brought it about
+				fenced = fenced || o.Kind == "stops" && o.At > e.At-10 && o.At <= e.At+settle
+			}
+			if !fenced {
+				serves = true
+				say(e.At+10, "serves")
+			}
+		}
+	}
+	return out
+}
+
+// Check holds what happened against the promises.
+func (r *Rig) Check(p FleetPromises) (overlap int64, err error) {
+	h, err := r.History()
+	if err != nil {
+		return 0, err
+	}
+	broken, overlap := CheckFleet(h, p)
+	if broken != "" {
+		return overlap, errors.New(broken)
+	}
+	return overlap, nil
+}
+
+// tail gives the end of a process's log, for a failure's report.
+func (r *Rig) tail(name string, n int) string {
+	raw, err := os.ReadFile(filepath.Join(r.Dir, name+".log"))
+	if err != nil {
+		return err.Error()
+	}
+	lines := bytes.Split(bytes.TrimSpace(raw), []byte("\n"))
+	return string(bytes.Join(lines[max(0, len(lines)-n):], []byte("\n")))
+}
--- /dev/null
+++ b/internal/lab/fleet_load.go
@@ -0,0 +1,157 @@
+package lab
+
+// This file is the load on a fleet of processes and what became of it.
+
+import (
+	"context"
+	"fmt"
+	"math/rand"
+	"net/http"
+	"sort"
+	"sync"
+	"time"
+)
+
+// Calls is what became of callers' reqs.
+type Calls struct {
+	mu                              sync.Mutex
+	Asked, Done, Shed, Lost, Errors int
+	Tries                           int
+	Times                           []float64 // ms of those done
+	Each                            []Answered
+}
+
+// Answered is one req that a node answered.
+type Answered struct {
+	At    time.Time
+	Node  *rigNode
+	Code  int // 0: it had no answer
+	Value float64
+	Good  bool // done within its target
+	Tries int
+}
+
+func (c *Calls) String() string {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return fmt.Sprintf("asked %d, done %d, shed %d, lost %d, errored %d, tries %d", c.Asked, c.Done, c.Shed, c.Lost, c.Errors,
+		c.Tries)
+}
+
+// quantile gives a time that a share of reqs was done within.
+func (c *Calls) quantile(q float64) float64 {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if len(c.Times) == 0 {
+		return 0
+	}
+	sort.Float64s(c.Times)
+	return c.Times[min(len(c.Times)-1, int(q*float64(len(c.Times))))]
+}
+
+// Load sends reqs at a rate until the context ends, each to a node that the list says is ready, and elsewhere when it
+// is turned away: so a req is lost only if nobody answered it in its time.
+func (r *Rig) Load(ctx context.Context, rate float64) *Calls {
+	c := &Calls{}
+	s, _ := readScenario("fleet", rigClasses)
+	chance := rand.New(rand.NewSource(r.Seed))
+	r.loads.Add(1)
+	go func() {
+		defer r.loads.Done()
+		var open sync.WaitGroup
+		defer open.Wait()
+		next := time.Now()
+		for i := 0; ; i++ {
+			next = next.Add(time.Duration(chance.ExpFloat64() / rate * float64(time.Second)))
+			select {
+			case <-ctx.Done():
+				return
+			case <-r.ctx.Done():
+				return
+			case <-time.After(time.Until(next)):
+			}
+			class, tenant, first := pickClass(s, chance.Float64()), chance.Intn(s.tenants), chance.Intn(len(r.nodes))
+			open.Add(1)
+			go func() { defer open.Done(); r.call(c, &s.classes[class], class == s.dearest, tenant, first) }()
+		}
+	}()
+	return c
+}
+
+func pickClass(s *scenario, at float64) int {
+	sum := 0.0
+	for k := range s.classes {
+		sum += s.classes[k].rate
+	}
+	for k := range s.classes {
+		if at -= s.classes[k].rate / sum; at < 0 {
+			return k
+		}
+	}
+	return 0
+}
+
+// call is one req with its tries.
+func (r *Rig) call(c *Calls, class *vclass, keyed bool, tenant, first int) {
+	began := time.Now()
+	end := began.Add(time.Duration(class.handler.Timeout) * 100 * time.Microsecond)
+	key := ""
+	if keyed {
+		key = newKey()
+	}
+	code, tries := 0, 0
+	var last *rigNode
+	sender := first*131 + tenant*17 + int(began.UnixNano()>>10)%64
+	gap := firstGap
+	for k := 0; tries < maxTries && time.Now().Before(end) && code != http.StatusOK; k++ {
+		if k > 0 && k%len(r.nodes) == 0 {
+			time.Sleep(firstGap) // the list was gone through once
+		}
+		n := r.nodes[(first+k)%len(r.nodes)]
+		if !r.ready.is(n.name) || r.Odd == (first+k)%len(r.nodes)+1 && class.name == "fill" {
+			continue
+		}
+		if keyed && tries > 0 && code != http.StatusServiceUnavailable {
+			break // it may have run: elsewhere it would run again
+		}
+		if tries >= atOnce && !r.Eager {
+			if gap > time.Until(end) {
+				break // the next try would be for nobody
+			}
+			time.Sleep(gap)
+			gap *= 2
+		}
+		ctx, cancel := context.WithDeadline(context.Background(), end)
+		var told time.Duration
+		code, told = tryReq(ctx, r.client, n.front, class.name, tenant, sender, key, tries > 0)
+		cancel()
+		tries++
+		last = n
+		if r.Patient && code == http.StatusServiceUnavailable {
+			time.Sleep(min(told, time.Until(end)))
+		}
+	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.Asked++
+	c.Tries += tries
+	if r.Below {
+		good := time.Since(began) <= time.Duration(class.handler.Target)*100*time.Microsecond && code == http.StatusOK
+		c.Each = append(c.Each, Answered{time.Now(), last, code, class.handler.Value, good, tries})
+	}
+	switch {
+	case code == 0 && tries == 0: // nobody was ready in all its time
+		c.Shed++
+	}
+	switch code {
+	case http.StatusOK:
+		c.Done++
+		c.Times = append(c.Times, float64(time.Since(began).Microseconds())/1000)
+	case http.StatusServiceUnavailable, http.StatusTooManyRequests:
+		c.Shed++
+	case 0:
+		c.Lost += min(tries, 1)
+	default:
+		c.Errors++
+	}
+}
--- /dev/null
+++ b/internal/lab/policy_bench.go
@@ -0,0 +1,211 @@
+package lab
+
+// This file has what a case on processes is written with: proposing, waiting for steps, losing leaders.
+
+import (
+	"context"
+	"fmt"
+	"net/http"
+	"time"
+
+	"umberwinch/internal/fleet"
+	"umberwinch/internal/policy"
+)
+
+// realLease is the lease of the real part's policies: short, so that what waits for one ends soon, and long beside a
+// failover of the group.
+const realLease = 2 * time.Second
+
+// policyText is a version's text; n makes each another.
+func policyText(lease time.Duration, alone string, n int, more string) string {
+	return fmt.Sprintf("[fleet]\nlease = %v\nwhen_alone = %s\n[tenant t0]\nrate = %d\n%s", lease, alone, 1000+n, more)
+}
+
+// bench is a rig under load, for the cases.
+type bench struct {
+	*Rig
+	n     int // texts made so far
+	force uint64
+	lease time.Duration
+	alone string
+	more  string // that all its texts have
+}
+
+func (b *bench) text(more string) string {
+	b.n++
+	return policyText(b.lease, b.alone, b.n, b.more+more)
+}
+
+// change makes a change and waits until it is settled and all that are up serve under it.
+func (b *bench) change(p policy.Propose) (*policy.Change, error) {
+	number, version, err := b.Propose(b.text(""), p)
+	if err != nil {
+		return nil, err
+	}
+	return b.settled(number, version)
+}
+
+func (b *bench) settled(number, version uint64) (*policy.Change, error) {
+	c, err := b.Step(number, 30*time.Second, policy.Settled, policy.CalledOff)
+	if err != nil {
+		return c, err
+	}
+	if c.Step != policy.Settled {
+		return c, fmt.Errorf("change %d was called off: %s", number, c.Why)
+	}
+	b.force = version
+	return c, b.AllServe(version, 20*time.Second)
+}
+
+// off waits until a change is called off, and holds the fleet to serving on under the older version.
+func (b *bench) off(number uint64) (*policy.Change, error) {
+	c, err := b.Step(number, 40*time.Second, policy.Settled, policy.CalledOff)
+	if err != nil {
+		return c, err
+	}
+	if c.Step != policy.CalledOff {
+		return c, fmt.Errorf("change %d is settled, expected it called off", number)
+	}
+	return c, b.AllServe(b.force, 20*time.Second)
+}
+
+// callOff has an operator call a change off, and gives why it was not.
+func (b *bench) callOff(number uint64) (no string, err error) {
+	var res struct {
+		Error string `json:"error"`
+	}
+	_, err = b.ask(http.MethodPost, "/v1/policy", policy.Op{Kind: "off", Number: number, By: "lab", Why: "on second thoughts"},
+		&res)
+	return res.Error, err
+}
+
+// one sends one req to one node.
+func (b *bench) one(name string) (code int, backOff time.Duration, err error) {
+	for _, n := range b.nodes {
+		if n.name == name {
+			ctx, cancel := context.WithTimeout(context.Background(), 3*time.Second)
+			defer cancel()
+			code, backOff = tryReq(ctx, b.client, n.front, "view", 0, 0, "", false)
+			return code, backOff, fmt.Errorf("%s answers %d", name, code)
+		}
+	}
+	return 0, 0, fmt.Errorf("no node %s", name)
+}
+
+// failed is how a step of a case ends it.
+type failed struct{ err error }
+
+// must and got go on with a case where a step went well; played takes what did not for the case's end.
+func must(err error) {
+	if err != nil {
+		panic(failed{err})
+	}
+}
+
+func got[T any](v T, err error) T {
+	must(err)
+	return v
+}
+
+func played(run func()) (err error) {
+	defer func() {
+		switch r := recover().(type) {
+		case nil:
+		case failed:
+			err = r.err
+		default:
+			panic(r)
+		}
+	}()
+	run()
+	return nil
+}
+
+// made is a change that was proposed.
+type made struct{ number, version uint64 }
+
+// proposes makes a change with more in its text than usual.
+func (b *bench) proposes(more string, p policy.Propose) made {
+	number, version, err := b.Propose(b.text(more), p)
+	must(err)
+	return made{number, version}
+}
+
+// held begins a change that one node does not get to prepare, so that it stays at the first step; others have prepared it.
+func (b *bench) held(slow *rigNode, p policy.Propose, others ...*rigNode) made {
+	b.lines(lineFault{deaf: "GET /v1/config"}, slow)
+	c := b.proposes("", p)
+	for _, n := range others {
+		must(b.Prepared(n.name, c.version))
+	}
+	return c
+}
+
+// goesOn lets a node that was held take part again, and waits until the change stands at one of some steps.
+func (b *bench) goesOn(slow *rigNode, c made, steps ...string) *policy.Change {
+	b.lines(lineFault{}, slow)
+	return got(b.Step(c.number, 30*time.Second, steps...))
+}
+
+// settles waits until a change has settled and all that are up serve under it; follows, until that is so of one that not all
+// took part in, once they can again.
+func (b *bench) settles(c made) *policy.Change { return got(b.settled(c.number, c.version)) }
+
+func (b *bench) follows(c made) {
+	got(b.Step(c.number, 30*time.Second, policy.Settled))
+	b.heal()
+	b.force = c.version
+	b.allServe(c.version)
+}
+
+func (b *bench) allServe(version uint64) { must(b.AllServe(version, 60*time.Second)) }
+
+// leaderLost kills the leader, has the others settle a change, and starts it again.
+func (b *bench) leaderLost(c made) {
+	p := got(b.killLeader())
+	b.heal()
+	b.settles(c)
+	must(b.group.start(p, ""))
+}
+
+// others are the instances but the first: without them there is no majority.
+func (b *bench) others(do func(p *proc)) {
+	for _, p := range b.group.procs[1:] {
+		do(p)
+	}
+}
+
+func (b *bench) starts(p *proc) { must(b.group.start(p, "")) }
+
+// begin starts a rig with a first policy.
+func (r *Policy) begin(ctx context.Context, dir string, alone string) (*bench, error) {
+	n := r.Size
+	if n == 0 {
+		n = 9
+	}
+	rig, err := NewRig(ctx, RigPlan{Program: r.Program, Dir: dir, Seed: r.Seed, Instances: 3, Nodes: n, Without: r.Words,
+		Odd: n, Folders: true})
+	if err != nil {
+		return nil, err
+	}
+	b := &bench{Rig: rig, lease: realLease, alone: alone}
+	if err = b.settleFirst(); err != nil {
+		b.Close()
+		return nil, err
+	}
+	return b, nil
+}
+
+// settleFirst proposes the first version and waits until it is settled.
+func (b *bench) settleFirst() error {
+	number, version, err := b.Propose(b.text(""), policy.Propose{})
+	if err == nil {
+		_, err = b.settled(number, version)
+	}
+	return err
+}
+
+// promises of the real part: a lease as the group counts it, and some ms of logs and rounds.
+func (b *bench) promises() FleetPromises {
+	return FleetPromises{Overlap: int64(fleet.Span(uint64(b.lease.Milliseconds())))*10 + 2000, Fences: b.alone == "fence"}
+}
--- /dev/null
+++ b/internal/lab/policy_cases.go
@@ -0,0 +1,321 @@
+package lab
+
+// This file has the cases on processes.
+
+import (
+	"encoding/json"
+	"errors"
+	"fmt"
+	"net/http"
+	"os"
+	"path/filepath"
+	"strings"
+	"time"
+
+	"umberwinch/internal/consensus"
+	"umberwinch/internal/fleet"
+	"umberwinch/internal/policy"
+)
+
+// policyCase is one hard case on processes.
+type policyCase struct {
+	name string
+	run  func(b *bench)
+	long bool // not with --quick
+}
+
+var policyCases = []policyCase{
+	{name: "a change, and one without overlap", run: func(b *bench) {
+		got(b.change(policy.Propose{}))
+		got(b.change(policy.Propose{Exclusive: true}))
+	}},
+	{name: "killed before it prepared", run: func(b *bench) {
+		n := b.nodes[0]
+		c := b.held(n, policy.Propose{})
+		n.Kill()
+		b.heal()
+		b.settles(c)
+		must(n.Start())
+		b.allServe(c.version)
+	}},
+	{name: "killed after it prepared", run: func(b *bench) {
+		slow, n := b.nodes[1], b.nodes[0]
+		c := b.held(slow, policy.Propose{}, n)
+		n.Kill()
+		b.heal()
+		b.settles(c)
+		must(n.Start())
+		b.allServe(c.version)
+	}},
+	{name: "killed between the decision and being told", run: func(b *bench) {
+		slow, n, cut := b.nodes[1], b.nodes[0], b.nodes[2]
+		c := b.held(slow, policy.Propose{}, n, cut)
+		b.lines(lineFault{muteBack: true}, n, cut) // neither hears any more, and the slow one goes on
+		b.goesOn(slow, c, policy.InForce, policy.Settled)
+		n.Kill() // the other one is fenced instead
+		got(b.Step(c.number, 20*time.Second, policy.Settled))
+		b.heal()
+		must(n.Start())
+		b.follows(c)
+	}},
+	{name: "stopped past its lease and continued", run: func(b *bench) {
+		n := b.nodes[3%len(b.nodes)]
+		n.Stop()
+		defer func() {
+			if n.stopped {
+				n.GoOn()
+			}
+		}()
+		c := got(b.change(policy.Propose{}))
+		n.GoOn()
+		b.allServe(c.Version)
+	}},
+	{name: "a zone cut off from the group, not from its callers", run: func(b *bench) {
+		b.cut(b.zoned("z2")...)
+		b.follows(b.proposes("", policy.Propose{}))
+	}},
+	{name: "one-way cuts", run: func(b *bench) {
+		b.lines(lineFault{mute: true}, b.nodes[0])
+		b.lines(lineFault{muteBack: true}, b.nodes[1])
+		b.follows(b.proposes("", policy.Propose{}))
+	}},
+	{name: "the leader killed while nodes prepare", run: func(b *bench) {
+		b.leaderLost(b.held(b.nodes[4%len(b.nodes)], policy.Propose{}, b.nodes[0]))
+	}},
+	{name: "the leader killed while it is held, without overlap", run: func(b *bench) {
+		cut, slow := b.nodes[5%len(b.nodes)], b.nodes[1]
+		c := b.held(slow, policy.Propose{Exclusive: true}, cut)
+		b.lines(lineFault{muteBack: true}, cut)
+		b.goesOn(slow, c, policy.Held, policy.InForce, policy.Settled)
+		b.leaderLost(c)
+	}},
+	{name: "no majority in the middle, and back", run: func(b *bench) {
+		c := b.held(b.nodes[1], policy.Propose{Within: 30_000})
+		b.others(b.group.kill)
+		time.Sleep(b.lease + b.lease/2) // past every lease
+		b.heal()
+		b.others(b.starts)
+		b.settles(c)
+	}},
+	{name: "an instance that is slow, and the leader", run: func(b *bench) {
+		p := b.group.leader()
+		if p == nil {
+			must(errors.New("no leader"))
+		}
+		for _, n := range b.nodes {
+			b.group.board.set(n.name, p.name, lineFault{delay: time.Second})
+		}
+		got(b.change(policy.Propose{}))
+	}},
+	{name: "a node says no", run: func(b *bench) {
+		c := got(b.off(b.proposes("[class fill]\nkind = replayable\nvalue = 2\nresponse_target = 500ms\nclient_timeout = 3s\n",
+			policy.Propose{}).number))
+		if !strings.Contains(c.Why, "class fill: found it in the policy") {
+			must(fmt.Errorf("called off for %q, expected the odd node's no", c.Why))
+		}
+	}},
+	{name: "a node never answers", run: func(b *bench) {
+		got(b.off(b.held(b.nodes[0], policy.Propose{Within: 3000}).number))
+	}},
+	{name: "it is left behind, and comes after", run: func(b *bench) {
+		b.follows(b.held(b.nodes[0], policy.Propose{Within: 3000, Spare: 1}))
+	}},
+	{name: "says prepared and forgets it", run: func(b *bench) {
+		slow, n := b.nodes[1], b.nodes[0]
+		c := b.held(slow, policy.Propose{}, n)
+		n.Kill()
+		must(n.Start())
+		b.lines(lineFault{}, slow)
+		b.settles(c)
+	}},
+	{name: "restarts in a loop", run: func(b *bench) {
+		n := b.nodes[2]
+		stop, done := make(chan struct{}), make(chan error, 1)
+		go func() {
+			for {
+				select {
+				case <-stop:
+					done <- nil
+					return
+				case <-time.After(300 * time.Millisecond):
+				}
+				n.Kill()
+				if err := n.Start(); err != nil {
+					done <- err
+					return
+				}
+			}
+		}()
+		c := made{}
+		err := played(func() {
+			c = b.proposes("", policy.Propose{Within: 20_000})
+			got(b.Step(c.number, 30*time.Second, policy.Settled))
+		})
+		close(stop)
+		must(errors.Join(err, <-done))
+		b.follows(c)
+	}},
+	{name: "joins in the middle", run: func(b *bench) {
+		n, slow := b.nodes[0], b.nodes[1]
+		n.Kill()
+		c := b.held(slow, policy.Propose{})
+		must(n.Start())
+		must(b.Prepared(n.name, c.version))
+		b.heal()
+		b.settles(c)
+	}},
+	{name: "drains in the middle", run: func(b *bench) {
+		n, slow := b.nodes[0], b.nodes[1]
+		c := b.held(slow, policy.Propose{})
+		n.Drain()
+		must(b.await(10*time.Second, func() error {
+			all, err := b.Nodes()
+			if err == nil && all[n.name].Out != fleet.Left {
+				err = fmt.Errorf("%s is %q, expected %q", n.name, all[n.name].Out, fleet.Left)
+			}
+			return err
+		}))
+		b.heal()
+		b.settles(c)
+		<-n.ended
+		must(n.Start())
+		b.allServe(c.version)
+	}},
+	{name: "a version that would shed everything", run: func(b *bench) {
+		more := ""
+		for _, c := range []string{"view", "submit"} {
+			more += fmt.Sprintf("[class %s]\nkind = %s\nretired = yes\nresponse_target = 300ms\nclient_timeout = 3s\n", c,
+				map[string]string{"view": "replayable", "submit": "uniqued\nwindow = 20s"}[c])
+		}
+		if c := got(b.off(b.proposes(more, policy.Propose{}).number)); !strings.Contains(c.Why, "reqs of the trial were shed") {
+			must(fmt.Errorf("called off for %q, expected the trial's finding", c.Why))
+		}
+	}},
+	{name: "called off before it is decided, and not after", run: func(b *bench) {
+		slow := b.nodes[1]
+		c := b.held(slow, policy.Propose{})
+		if no := got(b.callOff(c.number)); no != "" {
+			must(fmt.Errorf("before it is decided: %s, expected it called off", no))
+		}
+		got(b.off(c.number))
+		b.heal()
+		c = b.held(slow, policy.Propose{}, b.nodes[0])
+		b.lines(lineFault{}, slow)
+		must(b.Prepared(slow.name, c.version))
+		got(b.Step(c.number, 20*time.Second, policy.InForce, policy.Settled))
+		if got(b.callOff(c.number)) == "" {
+			must(errors.New("after it was decided: called off, expected a no"))
+		}
+		b.settles(c)
+	}},
+	{name: "its next incarnation hears nothing", run: func(b *bench) {
+		// Under a lease that is long beside what a slow machine takes to go on, so that the change can't wait it out by chance.
+		b.lease = 4 * realLease
+		got(b.change(policy.Propose{}))
+		b.lease = realLease // of the next one
+		slow, n := b.nodes[1], b.nodes[0]
+		c := b.held(slow, policy.Propose{Within: 30_000}, n)
+		n.Kill()
+		must(os.Remove(filepath.Join(n.folder, "policy.json"))) // it forgets what it prepared
+		b.lines(lineFault{muteBack: true}, n)                   // it joins, and no answer reaches it
+		before := got(b.Nodes())
+		must(n.Start())
+		must(b.await(10*time.Second, func() error {
+			all, err := b.Nodes()
+			if err == nil && all[n.name].Lease.ID == before[n.name].Lease.ID {
+				err = fmt.Errorf("%s has not begun anew", n.name)
+			}
+			return err
+		}))
+		is := b.goesOn(slow, c, policy.InForce, policy.Settled)
+		if v := got(b.Nodes())[n.name]; v.Since < is.Decided && (v.Out == "" || v.OutAt > is.Decided) {
+			must(fmt.Errorf("decided at %d, and %s, in since %d and without the version, was out at %d", is.Decided, n.name,
+				v.Since, v.OutAt))
+		}
+		b.heal()
+		b.settles(c)
+	}},
+	{name: "an instance that is behind speaks to a node that starts", run: func(b *bench) {
+		n := b.nodes[4%len(b.nodes)]
+		var s consensus.Report
+		got(b.ask(http.MethodGet, "/v1/status", nil, &s))
+		var was consensus.Version
+		got(b.ask(http.MethodGet, fmt.Sprintf("/v1/config?version=%d&read=stale", b.force), nil, &was))
+		old := fleet.Named{Version: was.Number, Hash: was.Hash}
+		says := got(json.Marshal(fleet.Told{Cluster: s.Cluster, Term: s.Term, Index: s.Applied, Lease: 1 << 30, LeaseMS: 60_000,
+			Need: old.Version, Force: old, Again: 200}))
+		c := got(b.change(policy.Propose{}))
+		n.Kill()
+		b.lines(lineFault{says: says}, n)
+		must(n.Start())
+		time.Sleep(b.lease)
+		if code, _, _ := b.one(n.name); code == http.StatusOK {
+			must(fmt.Errorf("%s serves by the word of an instance that is behind", n.name))
+		}
+		b.heal()
+		n.Kill() // the one that lied is not asked for a minute
+		must(n.Start())
+		b.allServe(c.Version)
+	}},
+	{name: "a zone cut off from its callers, not from the group", run: func(b *bench) {
+		for _, n := range b.zoned("z3") {
+			b.group.board.set("callers", n.name, lineFault{cut: true})
+		}
+		c := got(b.change(policy.Propose{}))
+		b.heal()
+		b.allServe(c.Version)
+	}},
+	{name: "the leader killed before it has settled", run: func(b *bench) {
+		cut, slow := b.nodes[5%len(b.nodes)], b.nodes[1]
+		c := b.held(slow, policy.Propose{}, cut)
+		b.lines(lineFault{muteBack: true}, cut)
+		b.goesOn(slow, c, policy.InForce, policy.Settled)
+		b.leaderLost(c)
+	}},
+	{name: "the leader kills itself at each step of its work", long: true, run: func(b *bench) {
+		for _, point := range consensus.Points {
+			for _, p := range b.group.procs { // started anew, so that a signal arms the crash
+				b.group.kill(p)
+				must(b.group.start(p, point))
+				b.allServe(b.force)
+			}
+			c := b.held(b.nodes[2], policy.Propose{Exclusive: true})
+			p := got(b.killLeader()) // by the step it is armed for
+			b.heal()
+			b.starts(p)
+			if _, err := b.settled(c.number, c.version); err != nil {
+				must(fmt.Errorf("at %s: %w", point, err))
+			}
+		}
+	}},
+	{name: "two in five down, back one by one, at first without the group", run: func(b *bench) {
+		down := b.nodes[:2*len(b.nodes)/5]
+		for _, n := range down {
+			n.Kill()
+		}
+		c := got(b.change(policy.Propose{}))
+		b.others(b.group.kill)
+		must(down[0].Start())
+		time.Sleep(b.lease)
+		if code, _, _ := b.one(down[0].name); code == http.StatusOK {
+			must(fmt.Errorf("%s serves, and nobody can have told it what is in force", down[0].name))
+		}
+		if b.ready.is(down[0].name) {
+			must(fmt.Errorf("%s is ready by the list, and takes nothing", down[0].name))
+		}
+		b.others(b.starts)
+		for _, n := range down[1:] {
+			must(n.Start())
+			b.allServe(c.Version)
+		}
+	}},
+}
+
+// PolicyCases names the cases.
+func PolicyCases() (names []string) {
+	names = append(names, OnlyLoad)
+	for _, c := range policyCases {
+		names = append(names, c.name)
+	}
+	return names
+}
--- /dev/null
+++ b/internal/lab/policy_crowd.go
@@ -0,0 +1,241 @@
+package lab
+
+// This file measures a group that is asked by thousands of members over sockets.
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"net/http"
+	"os"
+	"strconv"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"umberwinch/internal/consensus"
+	"umberwinch/internal/fleet"
+	"umberwinch/internal/member"
+)
+
+// crowdNodes is the fleet that a group of processes is asked by, played by as many members in this one.
+const crowdNodes = 5000
+
+// crowd measures what a fleet of the full size costs the group: processes of the control service, asked by members over
+// sockets, each with a connection of its own.
+func (r *Policy) crowd(ctx context.Context, rep *Report) error {
+	dir, err := os.MkdirTemp("", "lab-policy-")
+	if err != nil {
+		return err
+	}
+	defer os.RemoveAll(dir)
+	c, err := newCluster(ctx, r.Program, dir, 3, "")
+	if c != nil {
+		defer c.close()
+	}
+	if err != nil {
+		return err
+	}
+	m := &crowd{c: c, client: &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: crowdNodes, MaxIdleConns: 3 * crowdNodes}},
+		began: time.Now()}
+	defer m.client.CloseIdleConnections()
+	stop := m.begin(ctx, 1, 10*time.Second)
+	defer func() { stop() }()
+	select {
+	case <-ctx.Done():
+		return nil
+	case <-time.After(25 * time.Second):
+	}
+	const span = 20 * time.Second
+	leader := c.leader()
+	if leader == nil {
+		return errors.New("no leader")
+	}
+	view := func() (v consensus.PolicyView, err error) {
+		_, err = c.call(ctx, http.MethodGet, leader.listen, "/v1/policy", nil, &v)
+		return v, err
+	}
+	was, err := view()
+	if err != nil {
+		return err
+	}
+	cpu, err := cpuOf(leader.pid())
+	if err != nil {
+		return err
+	}
+	m.asked.Store(0)
+	m.lost.Store(0)
+	time.Sleep(span)
+	is, err := view()
+	if err != nil {
+		return err
+	}
+	after, err := cpuOf(leader.pid())
+	if err != nil {
+		return err
+	}
+	rep.Add("crowd_nodes", "%d", is.In)
+	rep.Add("crowd_askings_per_s", "%.0f", float64(m.asked.Load())/span.Seconds())
+	rep.Add("crowd_entries_per_s", "%.2f", float64(is.Beats-was.Beats)/span.Seconds())
+	rep.Add("crowd_kb_per_s", "%.1f", float64(is.Bytes-was.Bytes)/1024/span.Seconds())
+	rep.Add("crowd_leader_cores", "%.2f", (after-cpu).Seconds()/span.Seconds())
+	rep.Add("crowd_lost", "%d", m.lost.Load())
+	if is.In != crowdNodes || m.lost.Load() > m.asked.Load()/100 {
+		rep.Break("a group asked by %d nodes has %d in, and %d of %d askings were lost", crowdNodes, is.In, m.lost.Load(),
+			m.asked.Load())
+		return nil
+	}
+	// All nodes and the group are killed, and come back within a second of each other.
+	stop()
+	for _, p := range c.procs {
+		c.kill(p)
+	}
+	m.client.CloseIdleConnections()
+	back := time.Now()
+	for _, p := range c.procs {
+		if err := c.start(p, ""); err != nil {
+			return err
+		}
+	}
+	stop = m.begin(ctx, 2, time.Second)
+	leads, peak, before := time.Duration(0), int64(0), m.asked.Load()
+	for m.in.Load() < crowdNodes && time.Since(back) < time.Minute && ctx.Err() == nil {
+		time.Sleep(100 * time.Millisecond)
+		now := m.asked.Load()
+		peak, before = max(peak, now-before), now
+		if leads == 0 && c.leader() != nil {
+			leads = time.Since(back)
+		}
+	}
+	all := time.Since(back)
+	if leader = c.leader(); leader == nil {
+		return errors.New("no leader")
+	}
+	after, err = cpuOf(leader.pid())
+	if err != nil {
+		return err
+	}
+	rep.Add("restart_leads_ms", "%d", leads.Milliseconds())
+	rep.Add("restart_all_in_ms", "%d", all.Milliseconds())
+	rep.Add("restart_askings_per_s_peak", "%d", 10*peak)
+	rep.Add("restart_leader_cpu_s", "%.2f", after.Seconds())
+	rep.Add("restart_leader_mb", "%.0f", rssOf(leader.pid()))
+	if m.in.Load() < crowdNodes {
+		rep.Break("a group and %d nodes restart at once, and %d are in after %v", crowdNodes, m.in.Load(), all)
+	}
+	return nil
+}
+
+// crowd is a fleet of members in this process.
+type crowd struct {
+	c      *cluster
+	client *http.Client
+	began  time.Time
+	asked  atomic.Int64
+	lost   atomic.Int64
+	in     atomic.Int64 // members that hold a lease
+	wg     sync.WaitGroup
+}
+
+// begin starts all members within a time; the end it gives waits for them.
+func (m *crowd) begin(ctx context.Context, life int, within time.Duration) (stop func()) {
+	ctx, cancel := context.WithCancel(ctx)
+	m.in.Store(0)
+	var control []string
+	for _, p := range m.c.procs {
+		control = append(control, p.listen)
+	}
+	for i := 0; i < crowdNodes; i++ {
+		m.wg.Add(1)
+		go func() {
+			defer m.wg.Done()
+			time.Sleep(time.Duration(i) * within / crowdNodes)
+			name := fmt.Sprintf("n%04d", i)
+			m.one(ctx, member.Plan{Name: name, Zone: fmt.Sprint("z", i%3), Control: control,
+				Nonce: fmt.Sprintf("crowd-%d-%s", life, name), Seed: uint32(i)})
+		}()
+	}
+	return func() { cancel(); m.wg.Wait() }
+}
+
+// one is one member, with a connection of its own.
+func (m *crowd) one(ctx context.Context, plan member.Plan) {
+	now := func() uint64 { return uint64(time.Since(m.began).Milliseconds()) + 1000 }
+	n, in := member.New(plan, nil, now()), false
+	for ctx.Err() == nil {
+		a, no, due := n.Ask(now())
+		if !due {
+			select {
+			case <-ctx.Done():
+			case <-time.After(time.Duration(max(n.Due(), now()+1)-now()) * time.Millisecond):
+			}
+			continue
+		}
+		m.asked.Add(1)
+		raw, _ := json.Marshal(a)
+		try, cancel := context.WithTimeout(ctx, time.Duration(n.Within())*time.Millisecond)
+		var told fleet.Told
+		err := postJSON(try, m.client, "http://"+n.Address()+"/v1/nodes", raw, &told)
+		cancel()
+		if err != nil {
+			m.lost.Add(1)
+			n.Failed(now(), no)
+		} else if err = n.Answered(now(), no, told); err != nil {
+			m.lost.Add(1)
+		}
+		if !in && n.Lease() != 0 {
+			in = true
+			m.in.Add(1)
+		}
+	}
+}
+
+// rssOf gives a process's resident memory in MB, 0 if it can't be told.
+func rssOf(pid int) float64 {
+	raw, err := os.ReadFile(fmt.Sprintf("/proc/%d/statm", pid))
+	var size, resident int
+	if n, _ := fmt.Sscan(string(raw), &size, &resident); err != nil || n < 2 {
+		return 0
+	}
+	return float64(resident*os.Getpagesize()) / (1 << 20)
+}
+
+func postJSON(ctx context.Context, client *http.Client, url string, body []byte, into any) error {
+	req, err := http.NewRequestWithContext(ctx, http.MethodPost, url, bytes.NewReader(body))
+	if err != nil {
+		return err
+	}
+	res, err := client.Do(req)
+	if err != nil {
+		return err
+	}
+	defer res.Body.Close()
+	raw, err := io.ReadAll(res.Body)
+	if err == nil && res.StatusCode != http.StatusOK {
+		err = fmt.Errorf("%s: %s", res.Status, raw)
+	}
+	if err != nil {
+		return err
+	}
+	return json.Unmarshal(raw, into)
+}
+
+// cpuOf gives the processor time that a process has used.
+func cpuOf(pid int) (time.Duration, error) {
+	raw, err := os.ReadFile(fmt.Sprintf("/proc/%d/stat", pid))
+	if err != nil {
+		return 0, err
+	}
+	_, rest, _ := strings.Cut(string(raw), ") ")
+	f := strings.Fields(rest)
+	if len(f) < 13 {
+		return 0, fmt.Errorf("/proc/%d/stat: found %q", pid, raw)
+	}
+	user, err1 := strconv.Atoi(f[11])
+	system, err2 := strconv.Atoi(f[12])
+	return time.Duration(user+system) * 10 * time.Millisecond, errors.Join(err1, err2) // the kernel counts in 1/100 s
+}
--- a/internal/lab/vzones.go
+++ b/internal/lab/vzones.go
@@ -2,19 +2,12 @@
 
 import (
 	"fmt"
-	"math"
-	"math/rand"
 
 	"umberwinch/internal/comeback"
 	"umberwinch/internal/fleet"
-	"umberwinch/internal/steward"
 	"umberwinch/internal/zones"
 )
 
-// vzones.go is traffic on a fleet in virtual time: callers that try elsewhere, nodes by their real gates, and for each
-// zone a service below with a capacity, a cache that has to fill, and faults. Reqs are flows, a tenth of a second at a
-// time; group, stewards, members and gates are the real code.
-
 // Kinds of trouble of a zone's schedule.
 const (
 	ZoneDead    = "dead"     // its nodes are killed and come back cold
@@ -30,29 +23,6 @@
 	ZoneNoise   = "noise"    // half of the reports are missing, the others vary
 )
 
-// ZonePlan is what one run is drawn from.
-type ZonePlan struct {
-	Seed    int64
-	Nodes   int
-	Zones   int
-	Kinds   []string // of the zones z0, z1, ...; empty ones are well
-	Fails   float64  // ms after the start
-	Heals   float64
-	Ends    float64
-	Load    float64 // demand over what all zones do when warm
-	Cold    float64 // times that a call to a cold service takes; 0: 8
-	Off     bool    // decide = off: nodes alone
-	Own     bool    // each node leaves and returns by its own judgement, decide = off
-	Oracle  bool    // what could be done at best, in place of all of it
-	Without zones.Guard
-	Again   bool    // its service below fails once more, to a third of its speed, in the middle of the return
-	Spare   int     // nodes of z0 that start for the first time in the middle of the return
-	Stagger float64 // ms by which a common cause comes later to each next zone
-	Ramp    float64 // a baseline: after a restart nodes take a share that grows by the clock, in so many ms
-	Patient bool    // callers that are turned away come again when they are told to
-	Lead    bool    // the leader is lost as the zone fails, and as it begins to return
-}
-
 // vclassOf are the classes of the flows: shares and values.
 var flowShare, flowValue = [3]float64{0.7, 0.2, 0.1}, [3]float64{1, 2, 20}
 
@@ -127,58 +97,6 @@
 	Rush     float64               // after a restart: tries in a tenth of a second over first tries, at worst, from callers that wait
 }
 
-// DrawZones draws a run from a seed: what fails, at which load, in a fleet of what size.
-func DrawZones(seed int64) ZonePlan {
-	r := rand.New(rand.NewSource(seed))
-	p := ZonePlan{Seed: seed, Zones: 3 + r.Intn(3), Fails: 15_000, Heals: 35_000 + float64(r.Intn(15))*1000, Ends: 400_000,
-		Load: 0.3 + 0.5*r.Float64(), Cold: 1 + 9*r.Float64(), Lead: r.Intn(4) == 0, Again: r.Intn(4) == 0}
-	p.Nodes = p.Zones * (3 + r.Intn(5))
-	kinds := []string{ZoneDead, ZoneKernels, ZoneSlow, ZoneErrors, ZoneCutOff, ZoneCallers, ZoneBadNode, ZoneLies, ZoneNoise}
-	p.Kinds = append(p.Kinds, kinds[r.Intn(len(kinds))])
-	if p.Kinds[0] == ZoneLies {
-		p.Nodes = p.Zones * 5
-	}
-	switch r.Intn(5) {
-	case 0:
-		p.Kinds = append(p.Kinds, kinds[r.Intn(4)])
-	case 1:
-		for p.Kinds = nil; len(p.Kinds) < p.Zones; {
-			p.Kinds = append(p.Kinds, []string{ZoneCommon, ZoneKernels, ZoneErrors}[seed%3])
-		}
-	}
-	p.Stagger = float64(r.Intn(1200) / (p.Zones - 1)) // what takes longer to reach the last zone looks like one zone's
-	p.Spare = r.Intn(2) * r.Intn(2)
-	return p
-}
-
-// NewVZones readies a run.
-func NewVZones(p ZonePlan) *VZones {
-	if p.Zones == 0 {
-		p.Zones = 3
-	}
-	if p.Cold == 0 {
-		p.Cold = 8
-	}
-	mode := "auto"
-	if p.Off || p.Own || p.Oracle {
-		mode = "off"
-	}
-	v := &VZones{ZonePlan: p, Left: map[string]float64{}, Back: map[string]float64{}, ceil: map[string][2]float64{}, Others: 1}
-	v.f = NewVFleet(FleetPlan{Seed: p.Seed, Nodes: p.Nodes, Ctl: 3, Calm: true, Lease: 4000, Zones: p.Zones,
-		Rules: "[zones]\ndecide = " + mode + "\nsmall_start = yes\n", WithoutZones: p.Without})
-	v.f.load, v.f.look, v.f.applied = v.report, v.seen, v.applied
-	v.upIn = make([]float64, p.Zones)
-	v.said, v.sickAt, v.awayTill = make([]float64, p.Nodes), make([]float64, p.Nodes), make([]float64, p.Nodes)
-	for i := 0; i < p.Spare; i++ {
-		v.f.nodes[(i+1)*p.Zones].held = true
-	}
-	for z := 0; z < p.Zones; z++ {
-		v.below = append(v.below, &vbelow{cap: 1000, warm: 1, speed: 1, cold: p.Cold})
-	}
-	v.Plot = make([]Line, 3)
-	return v
-}
-
 func (v *VZones) kind(z int) string {
 	if z < len(v.Kinds) {
 		return v.Kinds[z]
@@ -626,101 +544,6 @@
 	}
 }
 
-// check holds a step to the promises.
-func (v *VZones) check(z int, b *vbelow, s *zoneNow, first float64, f flows) {
-	name := fmt.Sprint("z", z)
-	// Over a whole second, as on processes: who hears first that it may take more is asked for all of it, for a moment.
-	b.lately[int(v.f.now/flowStep)%len(b.lately)] = b.asked / max(b.bears, 1)
-	second := 0.0
-	for _, x := range b.lately {
-		second += x / float64(len(b.lately))
-	}
-	if v.kind(z) == ZoneRestart && !v.failing && v.f.now > begins+v.Heals {
-		v.Start = max(v.Start, second)
-	}
-	if all := v.f.part.Zones.Find(zones.Fleet); z == 0 && all != nil && all.Step == zones.Returning {
-		sum := 0.0
-		for _, n := range v.f.nodes {
-			if n.up && n.serves {
-				if o := n.m.Zone(); o != nil && o.Capped {
-					sum += o.Rate
-				}
-			}
-		}
-		if most := max(v.ceil[zones.Fleet][0], v.ceil[zones.Fleet][1]); sum > most*1.001+1e-6 {
-			v.fail("the nodes have %.1f runs a second together, expected %.1f at most", sum, most)
-		}
-	}
-	st := v.f.part.Zones.Find(name)
-	if st == nil || v.Off || v.Own {
-		return
-	}
-	if b.steady++; st.Step != zones.Returning || v.failing || b.speed != 1 {
-		b.steady = 0
-	}
-	switch st.Step {
-	case zones.Returning:
-		if over := b.asked / max(b.bears, 1); !v.failing && b.speed == 1 {
-			if b.steady >= len(b.lately) && second > v.Peak {
-				v.Peak, v.peakAt = second, fmt.Sprintf("%s at %.1f s", name, (v.f.now-begins)/1000)
-			}
-		} else if over > 1 && b.speed < 1 && !v.failing {
-			v.Worst += flowStep
-		}
-		most := max(v.ceil[name][0], v.ceil[name][1])
-		sum := 0.0
-		for _, n := range v.f.nodes {
-			if n.zone != z || !n.up || !n.serves {
-				continue
-			}
-			if o := n.m.Zone(); o != nil && o.Capped && o.Share > 0 { // of none it takes none, as where its zone is out
-				sum += o.Rate
-			}
-		}
-		if sum > most*1.001+1e-6 {
-			v.fail("nodes of %s have %.1f runs a second together, expected %.1f at most", name, sum, most)
-		}
-	case zones.In:
-		if v.kind(z) == "" && first < 0.85*b.bears && !v.f.allIn() {
-			if second > v.Neigh {
-				v.Neigh, v.neighAt = second, fmt.Sprintf("%s at %.1f s, %.0f first tries of %.0f", name, (v.f.now-begins)/1000, first, b.bears)
-			}
-		}
-	}
-	if v.f.part.Zones.Settled > 0 {
-		for _, n := range v.f.nodes {
-			if !n.up || !n.serves {
-				continue
-			}
-			if o := n.m.Zone(); o != nil && o.Epoch < v.f.part.Zones.Settled {
-				v.fail("%s acts on epoch %d, and %d is settled", n.name, o.Epoch, v.f.part.Zones.Settled)
-			}
-		}
-	}
-}
-
-// Full gives the ms from the end of the trouble until at least 98 in 100 of the value is done for ten seconds on end, -1
-// if it never is.
-func (v *VZones) Full() float64 { return v.back(0.98) }
-
-// back is the same for any share.
-func (v *VZones) back(share float64) float64 {
-	since := -1.0
-	for _, p := range v.Plot[0].Points {
-		at := p[0]*1000 - v.Heals
-		switch {
-		case at < 0:
-		case p[1] < share:
-			since = -1
-		case since < 0:
-			since = at
-		case at-since >= 10_000:
-			return since
-		}
-	}
-	return -1
-}
-
 // allIn tells that no zone is left, or has been for long enough for all nodes to have heard.
 func (w *VFleet) allIn() bool {
 	s := w.part.Zones
@@ -731,163 +554,3 @@
 	}
 	return true
 }
-
-// applied hears of what the group decided about zones.
-func (v *VZones) applied(end any) {
-	if b, beat := end.(steward.BeatDone); beat && b.Began {
-		v.Began++
-		v.ceil[zones.Fleet] = [2]float64{v.f.part.Zones.Find(zones.Fleet).Ceiling, 0}
-	}
-	e, is := end.(zones.Result)
-	if !is || e.Err != "" {
-		return
-	}
-	if e.Kind == "settle" {
-		for n, c := range v.ceil {
-			v.ceil[n] = [2]float64{c[0], 0}
-		}
-		return
-	}
-	z := v.f.part.Zones.Find(e.Zone)
-	if z == nil || e.Step == "" {
-		return
-	}
-	v.ceil[z.Name] = [2]float64{z.Ceiling, max(v.ceil[z.Name][0], v.ceil[z.Name][1])}
-	at := v.f.now - begins
-	k := 0
-	fmt.Sscanf(z.Name, "z%d", &k)
-	switch e.Kind {
-	case "leave":
-		kind := v.kind(k)
-		// What is cold crawls too, where it was not left before; what ails all is no zone's.
-		b := v.below[k]
-		crawls := b.bears < 0.85*b.cap || b.warm < 0.99 && b.asked > b.bears
-		right := crawls || kind == ZoneCutOff && z.Cause == "cut off" || kind == ZoneDead || kind == ZoneKernels || kind == ZoneSlow || kind == ZoneErrors
-		if v.common() || !right || !v.failing && !crawls {
-			v.Wrong++
-			v.fail("%s was left, and it is %q (bears %.0f, warm %.2f, asked %.0f): %s", z.Name, kind, b.bears, b.warm, b.asked, z.Events[len(z.Events)-1].Text)
-		}
-		if _, known := v.Left[z.Name]; !known {
-			v.Left[z.Name] = at - v.Fails
-		}
-	case "step":
-		if v.Steps++; v.Steps == 3 {
-			v.f.after(500, v.middle)
-		}
-	case "back":
-		v.BackStep++
-	case "in":
-		v.Back[z.Name] = at - v.Heals
-	}
-}
-
-// report is what a node tells of itself.
-func (v *VZones) report(n *vnode) *fleet.Tally {
-	b := v.below[n.zone]
-	r, w := &b.rate, v.f
-	nodes := v.upIn[n.zone]
-	noisy := v.kind(n.zone) == ZoneNoise && v.failing
-	if noisy && w.r.Intn(2) == 0 {
-		return nil
-	}
-	spread := 0.1
-	if noisy {
-		spread = 0.5
-	}
-	count := func(x float64) int { // of two seconds
-		x = 2 * x / max(nodes, 1) * math.Exp(spread*w.r.NormFloat64())
-		return int(x + w.r.Float64())
-	}
-	l := &fleet.Tally{MS: 2000, Kernel: !(v.failing && v.kind(n.zone) == ZoneKernels), Cores: 4,
-		OnCores: 4 * r.util * math.Exp(spread*0.5*w.r.NormFloat64()), RunMS: r.runMS * math.Exp(spread*w.r.NormFloat64()),
-		Came: count(r.came), Again: count(r.again), Turned: count(r.turned), Done: count(r.done), Late: count(r.late), Errored: count(r.errored),
-		Shed: count(r.shed), Runs: count(r.runs), Worth: 2 * r.worth / max(nodes, 1), Got: 2 * r.got / max(nodes, 1),
-		Calls: count(r.runs), CallMS: r.runMS * 0.8 * math.Exp(spread*w.r.NormFloat64()), Out: int((b.queue + r.runs*r.runMS/1000) / max(nodes, 1))}
-	if l.OnCores > 4 {
-		l.OnCores = 4
-	}
-	for c := range flowShare {
-		l.Mix = append(l.Mix, fleet.Worth{Value: flowValue[c], Came: count((r.came - r.again) * flowShare[c])})
-	}
-	if v.failing {
-		bad := v.kind(n.zone) == ZoneBadNode && n.name == v.firstOf(n.zone) ||
-			v.kind(n.zone) == ZoneLies && w.numberOf(n)%5 < 2
-		if bad {
-			l.Kernel = false
-			l.Done, l.Late = 0, l.Done
-		}
-	}
-	return l
-}
-
-func (w *VFleet) numberOf(n *vnode) (k int) {
-	fmt.Sscanf(n.name, "n%d", &k)
-	return k / w.Zones
-}
-
-func (v *VZones) firstOf(zone int) string {
-	for _, n := range v.f.nodes {
-		if n.zone == zone {
-			return n.name
-		}
-	}
-	return ""
-}
-
-// seen is what one node sees of another.
-func (v *VZones) seen(n *vnode, l fleet.Look) fleet.Seen {
-	for _, o := range v.f.nodes {
-		if o.name != l.Name {
-			continue
-		}
-		switch {
-		case !o.up:
-			return fleet.Seen{Name: l.Name, Is: fleet.SeenSilent}
-		case !o.serves || o.gate.Out():
-			return fleet.Seen{Name: l.Name, Is: fleet.SeenSheds}
-		}
-		return fleet.Seen{Name: l.Name, Is: fleet.SeenServes}
-	}
-	return fleet.Seen{Name: l.Name, Is: fleet.SeenSilent}
-}
-
-// own is the baseline in which each node judges for itself: sick for two seconds, it is not ready for five.
-func (v *VZones) own() {
-	for i, n := range v.f.nodes {
-		b := v.below[n.zone]
-		sick := n.up && (v.failing && v.kind(n.zone) == ZoneKernels || b.rate.runMS > 3*flowRun+5 ||
-			b.rate.late+b.rate.errored > 0.3*(b.rate.done+b.rate.late+b.rate.errored))
-		switch {
-		case !sick:
-			v.sickAt[i] = 0
-		case v.sickAt[i] == 0:
-			v.sickAt[i] = v.f.now
-		case v.f.now-v.sickAt[i] > 2000+float64(i%10)*200 && v.f.now >= v.awayTill[i]:
-			v.awayTill[i], v.sickAt[i] = v.f.now+5000, 0
-		}
-	}
-}
-
-// oracle is what could be done at best: the trouble and the room are known at once, the dearest goes first, and a cold
-// service is asked for just what it bears.
-func (v *VZones) oracle(total float64, dt float64) {
-	room, done := 0.0, 0.0
-	for z, b := range v.below {
-		dead := v.failing && (v.kind(z) == ZoneDead || v.kind(z) == ZoneKernels || v.kind(z) == ZoneCallers)
-		if dead {
-			continue
-		}
-		bears := b.cap * b.speed / (1 + (b.cold-1)*(1-b.warm))
-		room += bears
-		b.warm = min(1, b.warm+bears*dt/(b.cap*flowFill))
-	}
-	for c := 2; c >= 0; c-- {
-		n := min(room, v.Load*float64(v.Zones)*1000*flowShare[c])
-		room -= n
-		done += n * flowValue[c]
-	}
-	if v.f.now >= begins+v.Fails {
-		v.Done += done * dt
-		v.Asked += total * dt
-	}
-}
--- /dev/null
+++ b/internal/lab/vzones_check.go
@@ -0,0 +1,154 @@
+package lab
+
+// This file holds a step of zones in virtual time to their promises.
+
+import (
+	"fmt"
+
+	"umberwinch/internal/steward"
+	"umberwinch/internal/zones"
+)
+
+// check holds a step to the promises.
+func (v *VZones) check(z int, b *vbelow, s *zoneNow, first float64, f flows) {
+	name := fmt.Sprint("z", z)
+	// Over a whole second, as on processes: who hears first that it may take more is asked for all of it, for a moment.
+	b.lately[int(v.f.now/flowStep)%len(b.lately)] = b.asked / max(b.bears, 1)
+	second := 0.0
+	for _, x := range b.lately {
+		second += x / float64(len(b.lately))
+	}
+	if v.kind(z) == ZoneRestart && !v.failing && v.f.now > begins+v.Heals {
+		v.Start = max(v.Start, second)
+	}
+	if all := v.f.part.Zones.Find(zones.Fleet); z == 0 && all != nil && all.Step == zones.Returning {
+		sum := 0.0
+		for _, n := range v.f.nodes {
+			if n.up && n.serves {
+				if o := n.m.Zone(); o != nil && o.Capped {
+					sum += o.Rate
+				}
+			}
+		}
+		if most := max(v.ceil[zones.Fleet][0], v.ceil[zones.Fleet][1]); sum > most*1.001+1e-6 {
+			v.fail("the nodes have %.1f runs a second together, expected %.1f at most", sum, most)
+		}
+	}
+	st := v.f.part.Zones.Find(name)
+	if st == nil || v.Off || v.Own {
+		return
+	}
+	if b.steady++; st.Step != zones.Returning || v.failing || b.speed != 1 {
+		b.steady = 0
+	}
+	switch st.Step {
+	case zones.Returning:
+		if over := b.asked / max(b.bears, 1); !v.failing && b.speed == 1 {
+			if b.steady >= len(b.lately) && second > v.Peak {
+				v.Peak, v.peakAt = second, fmt.Sprintf("%s at %.1f s", name, (v.f.now-begins)/1000)
+			}
+		} else if over > 1 && b.speed < 1 && !v.failing {
+			v.Worst += flowStep
+		}
+		most := max(v.ceil[name][0], v.ceil[name][1])
+		sum := 0.0
+		for _, n := range v.f.nodes {
+			if n.zone != z || !n.up || !n.serves {
+				continue
+			}
+			if o := n.m.Zone(); o != nil && o.Capped && o.Share > 0 { // of none it takes none, as where its zone is out
+				sum += o.Rate
+			}
+		}
+		if sum > most*1.001+1e-6 {
+			v.fail("nodes of %s have %.1f runs a second together, expected %.1f at most", name, sum, most)
+		}
+	case zones.In:
+		if v.kind(z) == "" && first < 0.85*b.bears && !v.f.allIn() {
+			if second > v.Neigh {
+				v.Neigh, v.neighAt = second, fmt.Sprintf("%s at %.1f s, %.0f first tries of %.0f", name, (v.f.now-begins)/1000, first, b.bears)
+			}
+		}
+	}
+	if v.f.part.Zones.Settled > 0 {
+		for _, n := range v.f.nodes {
+			if !n.up || !n.serves {
+				continue
+			}
+			if o := n.m.Zone(); o != nil && o.Epoch < v.f.part.Zones.Settled {
+				v.fail("%s acts on epoch %d, and %d is settled", n.name, o.Epoch, v.f.part.Zones.Settled)
+			}
+		}
+	}
+}
+
+// Full gives the ms from the end of the trouble until at least 98 in 100 of the value is done for ten seconds on end, -1
+// if it never is.
+func (v *VZones) Full() float64 { return v.back(0.98) }
+
+// back is the same for any share.
+func (v *VZones) back(share float64) float64 {
+	since := -1.0
+	for _, p := range v.Plot[0].Points {
+		at := p[0]*1000 - v.Heals
+		switch {
+		case at < 0:
+		case p[1] < share:
+			since = -1
+		case since < 0:
+			since = at
+		case at-since >= 10_000:
+			return since
+		}
+	}
+	return -1
+}
+
+// applied hears of what the group decided about zones.
+func (v *VZones) applied(end any) {
+	if b, beat := end.(steward.BeatDone); beat && b.Began {
+		v.Began++
+		v.ceil[zones.Fleet] = [2]float64{v.f.part.Zones.Find(zones.Fleet).Ceiling, 0}
+	}
+	e, is := end.(zones.Result)
+	if !is || e.Err != "" {
+		return
+	}
+	if e.Kind == "settle" {
+		for n, c := range v.ceil {
+			v.ceil[n] = [2]float64{c[0], 0}
+		}
+		return
+	}
+	z := v.f.part.Zones.Find(e.Zone)
+	if z == nil || e.Step == "" {
+		return
+	}
+	v.ceil[z.Name] = [2]float64{z.Ceiling, max(v.ceil[z.Name][0], v.ceil[z.Name][1])}
+	at := v.f.now - begins
+	k := 0
+	fmt.Sscanf(z.Name, "z%d", &k)
+	switch e.Kind {
+	case "leave":
+		kind := v.kind(k)
+		// What is cold crawls too, where it was not left before; what ails all is no zone's.
+		b := v.below[k]
+		crawls := b.bears < 0.85*b.cap || b.warm < 0.99 && b.asked > b.bears
+		right := crawls || kind == ZoneCutOff && z.Cause == "cut off" || kind == ZoneDead || kind == ZoneKernels || kind == ZoneSlow || kind == ZoneErrors
+		if v.common() || !right || !v.failing && !crawls {
+			v.Wrong++
+			v.fail("%s was left, and it is %q (bears %.0f, warm %.2f, asked %.0f): %s", z.Name, kind, b.bears, b.warm, b.asked, z.Events[len(z.Events)-1].Text)
+		}
+		if _, known := v.Left[z.Name]; !known {
+			v.Left[z.Name] = at - v.Fails
+		}
+	case "step":
+		if v.Steps++; v.Steps == 3 {
+			v.f.after(500, v.middle)
+		}
+	case "back":
+		v.BackStep++
+	case "in":
+		v.Back[z.Name] = at - v.Heals
+	}
+}
--- /dev/null
+++ b/internal/lab/vzones_plan.go
@@ -0,0 +1,84 @@
+package lab
+
+// This file draws the worlds that zones are played in.
+
+import (
+	"math/rand"
+
+	"umberwinch/internal/zones"
+)
+
+// ZonePlan is what one run is drawn from.
+type ZonePlan struct {
+	Seed    int64
+	Nodes   int
+	Zones   int
+	Kinds   []string // of the zones z0, z1, ...; empty ones are well
+	Fails   float64  // ms after the start
+	Heals   float64
+	Ends    float64
+	Load    float64 // demand over what all zones do when warm
+	Cold    float64 // times that a call to a cold service takes; 0: 8
+	Off     bool    // decide = off: nodes alone
+	Own     bool    // each node leaves and returns by its own judgement, decide = off
+	Oracle  bool    // what could be done at best, in place of all of it
+	Without zones.Guard
+	Again   bool    // its service below fails once more, to a third of its speed, in the middle of the return
+	Spare   int     // nodes of z0 that start for the first time in the middle of the return
+	Stagger float64 // ms by which a common cause comes later to each next zone
+	Ramp    float64 // a baseline: after a restart nodes take a share that grows by the clock, in so many ms
+	Patient bool    // callers that are turned away come again when they are told to
+	Lead    bool    // the leader is lost as the zone fails, and as it begins to return
+}
+
+// DrawZones draws a run from a seed: what fails, at which load, in a fleet of what size.
+func DrawZones(seed int64) ZonePlan {
+	r := rand.New(rand.NewSource(seed))
+	p := ZonePlan{Seed: seed, Zones: 3 + r.Intn(3), Fails: 15_000, Heals: 35_000 + float64(r.Intn(15))*1000, Ends: 400_000,
+		Load: 0.3 + 0.5*r.Float64(), Cold: 1 + 9*r.Float64(), Lead: r.Intn(4) == 0, Again: r.Intn(4) == 0}
+	p.Nodes = p.Zones * (3 + r.Intn(5))
+	kinds := []string{ZoneDead, ZoneKernels, ZoneSlow, ZoneErrors, ZoneCutOff, ZoneCallers, ZoneBadNode, ZoneLies, ZoneNoise}
+	p.Kinds = append(p.Kinds, kinds[r.Intn(len(kinds))])
+	if p.Kinds[0] == ZoneLies {
+		p.Nodes = p.Zones * 5
+	}
+	switch r.Intn(5) {
+	case 0:
+		p.Kinds = append(p.Kinds, kinds[r.Intn(4)])
+	case 1:
+		for p.Kinds = nil; len(p.Kinds) < p.Zones; {
+			p.Kinds = append(p.Kinds, []string{ZoneCommon, ZoneKernels, ZoneErrors}[seed%3])
+		}
+	}
+	p.Stagger = float64(r.Intn(1200) / (p.Zones - 1)) // what takes longer to reach the last zone looks like one zone's
+	p.Spare = r.Intn(2) * r.Intn(2)
+	return p
+}
+
+// NewVZones readies a run.
+func NewVZones(p ZonePlan) *VZones {
+	if p.Zones == 0 {
+		p.Zones = 3
+	}
+	if p.Cold == 0 {
+		p.Cold = 8
+	}
+	mode := "auto"
+	if p.Off || p.Own || p.Oracle {
+		mode = "off"
+	}
+	v := &VZones{ZonePlan: p, Left: map[string]float64{}, Back: map[string]float64{}, ceil: map[string][2]float64{}, Others: 1}
+	v.f = NewVFleet(FleetPlan{Seed: p.Seed, Nodes: p.Nodes, Ctl: 3, Calm: true, Lease: 4000, Zones: p.Zones,
+		Rules: "[zones]\ndecide = " + mode + "\nsmall_start = yes\n", WithoutZones: p.Without})
+	v.f.load, v.f.look, v.f.applied = v.report, v.seen, v.applied
+	v.upIn = make([]float64, p.Zones)
+	v.said, v.sickAt, v.awayTill = make([]float64, p.Nodes), make([]float64, p.Nodes), make([]float64, p.Nodes)
+	for i := 0; i < p.Spare; i++ {
+		v.f.nodes[(i+1)*p.Zones].held = true
+	}
+	for z := 0; z < p.Zones; z++ {
+		v.below = append(v.below, &vbelow{cap: 1000, warm: 1, speed: 1, cold: p.Cold})
+	}
+	v.Plot = make([]Line, 3)
+	return v
+}
--- /dev/null
+++ b/internal/lab/vzones_report.go
@@ -0,0 +1,121 @@
+package lab
+
+// This file is what nodes in virtual time report, and what the best possible would be.
+
+import (
+	"fmt"
+	"math"
+
+	"umberwinch/internal/fleet"
+)
+
+// report is what a node tells of itself.
+func (v *VZones) report(n *vnode) *fleet.Tally {
+	b := v.below[n.zone]
+	r, w := &b.rate, v.f
+	nodes := v.upIn[n.zone]
+	noisy := v.kind(n.zone) == ZoneNoise && v.failing
+	if noisy && w.r.Intn(2) == 0 {
+		return nil
+	}
+	spread := 0.1
+	if noisy {
+		spread = 0.5
+	}
+	count := func(x float64) int { // of two seconds
+		x = 2 * x / max(nodes, 1) * math.Exp(spread*w.r.NormFloat64())
+		return int(x + w.r.Float64())
+	}
+	l := &fleet.Tally{MS: 2000, Kernel: !(v.failing && v.kind(n.zone) == ZoneKernels), Cores: 4,
+		OnCores: 4 * r.util * math.Exp(spread*0.5*w.r.NormFloat64()), RunMS: r.runMS * math.Exp(spread*w.r.NormFloat64()),
+		Came: count(r.came), Again: count(r.again), Turned: count(r.turned), Done: count(r.done), Late: count(r.late), Errored: count(r.errored),
+		Shed: count(r.shed), Runs: count(r.runs), Worth: 2 * r.worth / max(nodes, 1), Got: 2 * r.got / max(nodes, 1),
+		Calls: count(r.runs), CallMS: r.runMS * 0.8 * math.Exp(spread*w.r.NormFloat64()), Out: int((b.queue + r.runs*r.runMS/1000) / max(nodes, 1))}
+	if l.OnCores > 4 {
+		l.OnCores = 4
+	}
+	for c := range flowShare {
+		l.Mix = append(l.Mix, fleet.Worth{Value: flowValue[c], Came: count((r.came - r.again) * flowShare[c])})
+	}
+	if v.failing {
+		bad := v.kind(n.zone) == ZoneBadNode && n.name == v.firstOf(n.zone) ||
+			v.kind(n.zone) == ZoneLies && w.numberOf(n)%5 < 2
+		if bad {
+			l.Kernel = false
+			l.Done, l.Late = 0, l.Done
+		}
+	}
+	return l
+}
+
+func (w *VFleet) numberOf(n *vnode) (k int) {
+	fmt.Sscanf(n.name, "n%d", &k)
+	return k / w.Zones
+}
+
+func (v *VZones) firstOf(zone int) string {
+	for _, n := range v.f.nodes {
+		if n.zone == zone {
+			return n.name
+		}
+	}
+	return ""
+}
+
+// seen is what one node sees of another.
+func (v *VZones) seen(n *vnode, l fleet.Look) fleet.Seen {
+	for _, o := range v.f.nodes {
+		if o.name != l.Name {
+			continue
+		}
+		switch {
+		case !o.up:
+			return fleet.Seen{Name: l.Name, Is: fleet.SeenSilent}
+		case !o.serves || o.gate.Out():
+			return fleet.Seen{Name: l.Name, Is: fleet.SeenSheds}
+		}
+		return fleet.Seen{Name: l.Name, Is: fleet.SeenServes}
+	}
+	return fleet.Seen{Name: l.Name, Is: fleet.SeenSilent}
+}
+
+// own is the baseline in which each node judges for itself: sick for two seconds, it is not ready for five.
+func (v *VZones) own() {
+	for i, n := range v.f.nodes {
+		b := v.below[n.zone]
+		sick := n.up && (v.failing && v.kind(n.zone) == ZoneKernels || b.rate.runMS > 3*flowRun+5 ||
+			b.rate.late+b.rate.errored > 0.3*(b.rate.done+b.rate.late+b.rate.errored))
+		switch {
+		case !sick:
+			v.sickAt[i] = 0
+		case v.sickAt[i] == 0:
+			v.sickAt[i] = v.f.now
+		case v.f.now-v.sickAt[i] > 2000+float64(i%10)*200 && v.f.now >= v.awayTill[i]:
+			v.awayTill[i], v.sickAt[i] = v.f.now+5000, 0
+		}
+	}
+}
+
+// oracle is what could be done at best: the trouble and the room are known at once, the dearest goes first, and a cold
+// service is asked for just what it bears.
+func (v *VZones) oracle(total float64, dt float64) {
+	room, done := 0.0, 0.0
+	for z, b := range v.below {
+		dead := v.failing && (v.kind(z) == ZoneDead || v.kind(z) == ZoneKernels || v.kind(z) == ZoneCallers)
+		if dead {
+			continue
+		}
+		bears := b.cap * b.speed / (1 + (b.cold-1)*(1-b.warm))
+		room += bears
+		b.warm = min(1, b.warm+bears*dt/(b.cap*flowFill))
+	}
+	for c := 2; c >= 0; c-- {
+		n := min(room, v.Load*float64(v.Zones)*1000*flowShare[c])
+		room -= n
+		done += n * flowValue[c]
+	}
+	if v.f.now >= begins+v.Fails {
+		v.Done += done * dt
+		v.Asked += total * dt
+	}
+}
--- /dev/null
+++ b/internal/lab/zones_bench.go
@@ -0,0 +1,209 @@
+package lab
+
+// This file has what a case of zones on processes is written with.
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"net/http"
+	"time"
+
+	"umberwinch/internal/consensus"
+	"umberwinch/internal/zones"
+)
+
+// zoneBench is a rig for cases about zones.
+type zoneBench struct {
+	*bench
+	w     io.Writer
+	may   map[string]bool // zones that the case at hand has a reason to leave
+	pace  time.Duration   // of the platform, between the starts of two nodes
+	epoch uint64          // at the begin of the case: an instance that starts again logs what came before anew
+}
+
+// begin starts a rig whose policy leaves zones by itself.
+func (r *Zones) begin(ctx context.Context, dir, alone, mode string) (*zoneBench, error) {
+	n := r.Size
+	if n == 0 {
+		n = 9
+	}
+	rig, err := NewRig(ctx, RigPlan{Program: r.Program, Dir: dir, Seed: r.Seed, Instances: 3, Nodes: n, Without: r.Words,
+		Folders: true, Below: true})
+	if err != nil {
+		return nil, err
+	}
+	b := &zoneBench{bench: &bench{Rig: rig, lease: realLease, alone: alone}, may: map[string]bool{}}
+	small := "yes"
+	if mode == "no-ramp" {
+		mode, small = "auto", "no"
+	}
+	b.more = fmt.Sprintf("[zones]\ndecide = %s\nfirst = 0.125\nhold = 500ms\nkeep = 2s\nmax_wait = 4s\nsmall_start = %s\n", mode, small)
+	if err = b.settleFirst(); err != nil {
+		b.Close()
+		return nil, err
+	}
+	return b, nil
+}
+
+// zone gives a zone as the leader shows it.
+func (b *zoneBench) zone(name string) (*consensus.ZoneView, error) {
+	var v consensus.ZonesView
+	if _, err := b.ask(http.MethodGet, "/v1/zones", nil, &v); err != nil {
+		return nil, err
+	}
+	if !v.Leads {
+		return nil, errors.New("no leader answered")
+	}
+	for i := range v.Zones {
+		if v.Zones[i].Name == name {
+			return &v.Zones[i], nil
+		}
+	}
+	return nil, fmt.Errorf("zone %s is not known", name)
+}
+
+// stands waits until a zone is at one of some steps.
+func (b *zoneBench) stands(name string, within time.Duration, steps ...string) (v *consensus.ZoneView, err error) {
+	err = b.await(within, func() error {
+		if v, err = b.zone(name); err != nil {
+			return err
+		}
+		for _, s := range steps {
+			if v.Step == s {
+				return nil
+			}
+		}
+		note := ""
+		if v.Seen != nil {
+			note = fmt.Sprintf("; %+v", *v.Seen)
+		}
+		return fmt.Errorf("zone %s is %s at %d (%s)%s, expected %v", name, v.Step, v.Share, v.Cause, note, steps)
+	})
+	return v, err
+}
+
+// back waits until a zone is in again and all its nodes serve.
+func (b *zoneBench) back(name string) error {
+	if v, err := b.stands(name, 150*time.Second, zones.In); err != nil {
+		if v != nil {
+			fmt.Fprintf(b.w, "%+v\n", *v)
+		}
+		return err
+	}
+	return b.AllServe(b.force, 60*time.Second)
+}
+
+// stays holds the fleet to leaving no zone for a while.
+func (b *zoneBench) stays(d time.Duration) error {
+	for end := time.Now().Add(d); time.Now().Before(end); time.Sleep(50 * time.Millisecond) {
+		for _, z := range allZones {
+			if v, err := b.zone(z); err == nil && v.Step != zones.In {
+				return fmt.Errorf("zone %s was left: %v", z, v.Events[len(v.Events)-1].Text)
+			}
+		}
+	}
+	return nil
+}
+
+// op has an operator do something about a zone.
+func (b *zoneBench) op(op zones.Op) error {
+	b.seq++
+	op.By, op.Key = "lab", fmt.Sprintf("rig-%d-%08d", b.Seed, b.seq)
+	var res struct {
+		Error string `json:"error"`
+	}
+	return b.await(5*time.Second, func() error {
+		code, err := b.ask(http.MethodPost, "/v1/zones", op, &res)
+		if err == nil && code != http.StatusOK {
+			err = errors.New(res.Error)
+		}
+		return err
+	})
+}
+
+func (b *zoneBench) kernels(zone string, dead bool) {
+	for _, n := range b.zoned(zone) {
+		n.kernel.Kill(dead)
+	}
+}
+
+// below changes a zone's service below; one that comes back from a trouble is cold.
+func (b *zoneBench) below(zone string, speed, fails float64, cold bool) {
+	b.stores[zone].Set(func(s, w, f *float64) {
+		if *s, *f = speed, fails; cold {
+			*w = 0
+		}
+	})
+}
+
+var allZones = []string{"z1", "z2", "z3"}
+
+// left waits until a zone is left, or at one of some other steps; returns until it comes back.
+func (b *zoneBench) left(name string, steps ...string) *consensus.ZoneView {
+	return got(b.stands(name, 25*time.Second, append(steps, zones.Leaving, zones.Out)...))
+}
+
+func (b *zoneBench) returns(name string) *consensus.ZoneView {
+	return got(b.stands(name, 30*time.Second, zones.Returning, zones.In))
+}
+
+// begins starts nodes, one each pace.
+func (b *zoneBench) begins(pace time.Duration, nodes ...*rigNode) {
+	for _, n := range nodes {
+		must(n.Start())
+		time.Sleep(pace)
+	}
+}
+
+func (b *zoneBench) kills(nodes ...*rigNode) {
+	for _, n := range nodes {
+		n.Kill()
+	}
+}
+
+// leaderAgain kills the leader and starts it again.
+func (b *zoneBench) leaderAgain() { b.starts(got(b.killLeader())) }
+
+// bore holds a zone's service below to what it bears, since a time.
+func (b *zoneBench) bore(zone string, since time.Time) error {
+	peak := b.stores[zone].Peak(since)
+	fmt.Fprintf(b.w, "  below %s: asked for %.2f of what it bears at most on the way back\n", zone, peak)
+	if peak > 1.0 {
+		return fmt.Errorf("the service below %s was asked for %.2f of what it bears", zone, peak)
+	}
+	return nil
+}
+
+// tell writes what was decided, for a case that broke.
+func (b *zoneBench) tell(w io.Writer) {
+	var v consensus.ZonesView
+	if _, err := b.ask(http.MethodGet, "/v1/zones", nil, &v); err != nil {
+		return
+	}
+	for _, z := range v.Zones {
+		for _, e := range z.Events {
+			fmt.Fprintf(w, "  %8d ms, epoch %d, %s: %s\n", e.Clock, e.Epoch, z.Name, e.Text)
+		}
+	}
+}
+
+// usual waits until the group knows what each zone's services bear.
+func (b *zoneBench) usual() error {
+	for _, z := range allZones {
+		if err := b.await(60*time.Second, func() error {
+			v, err := b.zone(z)
+			switch {
+			case err != nil:
+				return err
+			case v.Bore.Runs == 0 || v.Seen != nil && v.Bore.Runs < 0.7*v.Seen.Runs || v.Seen == nil || v.Seen.Sick > 0 || v.Seen.Score > 0 || v.Step != zones.In:
+				return fmt.Errorf("zone %s is %s, bore %.0f runs a second: %+v", z, v.Step, v.Bore.Runs, v.Seen)
+			}
+			return nil
+		}); err != nil {
+			return err
+		}
+	}
+	return nil
+}
--- /dev/null
+++ b/internal/lab/zones_check.go
@@ -0,0 +1,146 @@
+package lab
+
+// This file holds the history of zones to their promises.
+
+import (
+	"errors"
+	"fmt"
+	"path/filepath"
+	"sort"
+	"time"
+
+	"umberwinch/internal/zones"
+)
+
+// ZoneEvent is one thing that a run recorded about zones, in tenths of a ms.
+type ZoneEvent struct {
+	At    int64
+	Kind  string // decided, settled: the group's; acts, stops: a node's
+	Node  string
+	Zone  string
+	Epoch uint64
+	Share int
+	Op    string
+}
+
+// CheckZones holds a history to its promises: nobody acts on an epoch before one that is settled, a share grows only once
+// the epoch before has settled, one zone is always in, epochs never go back, and no zone is left but those there was a
+// reason to leave. slack covers logs of whole ms and a round.
+func CheckZones(h []ZoneEvent, may map[string]bool, slack int64) string {
+	h = append([]ZoneEvent(nil), h...)
+	sort.SliceStable(h, func(i, k int) bool { return h[i].At < h[k].At })
+	acts, shares, seen := map[string]uint64{}, map[string]int{}, map[string]bool{}
+	settled, decided, settledAt := uint64(0), uint64(0), map[uint64]int64{}
+	in := func() (n int) {
+		for z := range seen {
+			if s, left := shares[z]; !left || s == 256 {
+				n++
+			}
+		}
+		return n
+	}
+	for _, e := range h {
+		switch e.Kind {
+		case "zone":
+			seen[e.Zone] = true
+		case "decided":
+			seen[e.Zone] = true
+			if e.Epoch <= decided {
+				return fmt.Sprintf("epoch %d was decided after %d", e.Epoch, decided)
+			}
+			if e.Op == "leave" && !may[e.Zone] {
+				return fmt.Sprintf("zone %s was left in epoch %d, and there was no reason to", e.Zone, e.Epoch)
+			}
+			if was, left := shares[e.Zone]; left && e.Share > was && settled < decided {
+				return fmt.Sprintf("zone %s was raised to %d in epoch %d, and epoch %d was not settled", e.Zone, e.Share, e.Epoch, decided)
+			}
+			decided, shares[e.Zone] = e.Epoch, e.Share
+			if len(seen) > 1 && in() == 0 {
+				return fmt.Sprintf("no zone is in since epoch %d", e.Epoch)
+			}
+		case "settled":
+			if settled = max(settled, e.Epoch); settledAt[e.Epoch] == 0 {
+				settledAt[e.Epoch] = e.At
+			}
+		case "acts":
+			acts[e.Node] = e.Epoch
+		case "stops":
+			delete(acts, e.Node)
+		case "answers":
+			if epoch, on := acts[e.Node]; on && epoch < settled && e.At > settledAt[settled]+slack {
+				return fmt.Sprintf("%s acted on epoch %d, and %d was settled %.1f ms before", e.Node, epoch, settled,
+					float64(e.At-settledAt[settled])/10)
+			}
+		}
+	}
+	return ""
+}
+
+// history reads what the processes logged since a time and checks it.
+func (b *zoneBench) history(since time.Time) error {
+	from := since.UnixMicro() / 100
+	var h []ZoneEvent
+	for _, n := range b.nodes {
+		h = append(h, ZoneEvent{At: from, Kind: "zone", Zone: n.zone})
+	}
+	seen := map[uint64]bool{}
+	if err := logLines(filepath.Join(b.Dir, "instances.log"), func(at int64, m map[string]any) {
+		epoch, _ := m["epoch"].(float64)
+		e := ZoneEvent{At: at, Epoch: uint64(epoch)}
+		switch m["msg"] {
+		case "change of a zone":
+			e.Kind = "decided"
+			if e.Zone, _ = m["zone"].(string); e.Zone == zones.Fleet { // it is no zone: its steps raise and lower all
+				return
+			}
+			e.Op, _ = m["op"].(string)
+			share, _ := m["share"].(float64)
+			e.Share = int(share)
+			if at < from || e.Op == "hold" || e.Epoch <= b.epoch || seen[e.Epoch] { // each instance logs it
+				return
+			}
+			seen[e.Epoch] = true
+		case "epoch of zones settled":
+			e.Kind = "settled"
+		default:
+			return
+		}
+		h = append(h, e)
+	}); err != nil {
+		return err
+	}
+	sort.SliceStable(h, func(i, k int) bool { return h[i].At < h[k].At })
+	for _, n := range b.nodes {
+		if err := logLines(filepath.Join(b.Dir, n.name+".log"), func(at int64, m map[string]any) {
+			msg, _ := m["msg"].(string)
+			e := ZoneEvent{At: at, Node: n.name, Zone: n.zone}
+			if _, err := fmt.Sscanf(msg, "fleet: zones epoch %d: takes %d of 256", &e.Epoch, &e.Share); err == nil {
+				e.Kind = "acts"
+			} else if len(msg) > 13 && msg[:13] == "fleet: fenced" {
+				e.Kind = "stops"
+			} else {
+				return
+			}
+			h = append(h, e)
+		}); err != nil {
+			return err
+		}
+	}
+	b.mu.Lock()
+	for _, e := range b.events {
+		if e.Kind == "stops" {
+			h = append(h, ZoneEvent{At: e.At, Kind: "stops", Node: e.Node})
+		}
+	}
+	b.mu.Unlock()
+	// What the nodes answered between is what acting is; a req of each node stands for it every tenth of a second.
+	for at := from; at < time.Now().UnixMicro()/100; at += 1000 {
+		for _, n := range b.nodes {
+			h = append(h, ZoneEvent{At: at, Kind: "answers", Node: n.name})
+		}
+	}
+	if broken := CheckZones(h, b.may, 1000); broken != "" {
+		return errors.New(broken)
+	}
+	return nil
+}
