--- a/internal/lab/fleet.go
+++ b/internal/lab/fleet.go
@@ -19,6 +19,10 @@
 	"umberwinch/internal/consensus"
 )
 
+// fleet.go is the one rig for fleets: a group and nodes as processes of the built programs, emulated kernels, a list of
+// who is ready, callers that try elsewhere, and a forwarder on every line that can cut, mute and slow it. What happened
+// is read from the processes' own logs afterwards.
+
 // RigPlan says what a rig is made of.
 type RigPlan struct {
 	Program   string // umberctl; the node's program stands beside it, or is its hidden command
--- a/internal/lab/vzones.go
+++ b/internal/lab/vzones.go
@@ -8,6 +8,10 @@
 	"umberwinch/internal/zones"
 )
 
+// vzones.go is traffic on a fleet in virtual time: callers that try elsewhere, nodes by their real gates, and for each
+// zone a service below with a capacity, a cache that has to fill, and faults. Reqs are flows, a tenth of a second at a
+// time; group, stewards, members and gates are the real code.
+
 // Kinds of trouble of a zone's schedule.
 const (
 	ZoneDead    = "dead"     // its nodes are killed and come back cold
