Reading hands over without its lock, so that a closing answer is never written without saying so

Now what is read is counted as on its way under the lock and handed over without it, and the loop takes the lock.

Reports have an eighth of their time left to chance: servers started together reported together for good (TestReportsAreSpread).

--- a/internal/backend/control.go
+++ b/internal/backend/control.go
@@ -4,6 +4,8 @@
 package backend
 
 import (
+	"math/rand/v2"
+
 	"umberwinch/admission"
 	"umberwinch/internal/proto"
 )
@@ -40,6 +42,12 @@
 	l.counters.Reports++
 }
 
+// nextReport is when the next report is due. An eighth of the time between two is left to chance: servers that were started
+// together would report together for good.
+func (l *loop) nextReport() admission.Time {
+	return l.now + l.limits.Report - admission.Time(rand.Int64N(int64(l.limits.Report/8)))
+}
+
 // reported takes the answer to a report.
 func (l *loop) reported(p proto.Response) {
 	c := &l.control
--- a/internal/backend/failures_test.go
+++ b/internal/backend/failures_test.go
@@ -173,6 +173,22 @@
 	}
 }
 
+// Servers that were started together do not report together; none reports later than it has to.
+func TestReportsAreSpread(t *testing.T) {
+	l := &loop{now: 1000, limits: NewLimits(1, 64, 256)}
+	seen := map[admission.Time]bool{}
+	for range 50 {
+		wait := l.nextReport() - l.now
+		if wait > l.limits.Report || wait < l.limits.Report*7/8 {
+			t.Fatalf("the next report comes after %d, expected %d at most and seven eighths at least", wait, l.limits.Report)
+		}
+		seen[wait] = true
+	}
+	if len(seen) < 25 {
+		t.Errorf("%d different times of 50", len(seen))
+	}
+}
+
 // An address that the process before still holds is waited for; one that can't be had is told.
 func TestListensOnceTheAddressIsFree(t *testing.T) {
 	holder, err := net.Listen("tcp", "127.0.0.1:0")
--- a/internal/backend/loop.go
+++ b/internal/backend/loop.go
@@ -309,7 +309,7 @@
 			l.callLate(d.who)
 		case dueReport:
 			l.report()
-			l.deadlines.set(l.now+l.limits.Report, dueReport, 0)
+			l.deadlines.set(l.nextReport(), dueReport, 0)
 		case dueKernel:
 			l.dial(&l.kernel.link)
 		case dueControl:
--- a/internal/backend/looptime.go
+++ b/internal/backend/looptime.go
@@ -27,7 +27,7 @@
 	now, step := l.stamps.Observe(l.clock.Read)
 	if l.now = max(l.now, timeOf(now)); step != 0 {
 		l.counters.ClockSteps++
-		l.log.Warnf("the wall clock was stepped by %v; times are measured without it", step.Round(time.Millisecond))
+		l.logf("the wall clock was stepped by %v; times are measured without it", step.Round(time.Millisecond))
 	}
 }
 
--- a/internal/backend/peer.go
+++ b/internal/backend/peer.go
@@ -27,8 +27,8 @@
 	ahead atomic.Int32 // messages handed over and not begun
 	half  atomic.Int64 // since when a message is not whole; 0: there is none
 
-	// intake is held while input is read and handed over, so the loop must only try it: who holds it may be
-	// waiting for the loop.
+	// intake is held while input is read, never while it is handed over: the loop takes it too, and who hands over
+	// may be waiting for the loop.
 	intake    sync.Mutex
 	in        intake
 	sealed    bool // what comes is discarded
@@ -43,35 +43,52 @@
 	return p
 }
 
-// heard reads what a connection has brought; it runs in a callback.
+// heard reads what a connection has brought and hands it over; it runs in a callback, never twice at once.
 func (l *loop) heard(p *peer, nc netpoll.Connection) error {
+	events, err := p.take(nc.Reader(), &l.limits, timeOf(l.clock.Now()))
+	for _, e := range events {
+		l.put(e)
+	}
+	return err
+}
+
+// take reads all that has come. Each event is counted as on its way before the lock is let go of, so that no seal
+// can come between its reading and its handing over.
+func (p *peer) take(r netpoll.Reader, limits *Limits, now admission.Time) (events []event, err error) {
 	p.intake.Lock()
 	defer p.intake.Unlock()
 	if !p.sealed {
-		err := p.in.read(nc.Reader(), func(b []byte) (event, int, error) { return p.parse(b, l.limits) },
-			func(e event) {
-				p.ahead.Add(1)
-				l.put(e)
-			})
+		collect := func(e event) {
+			p.ahead.Add(1)
+			events = append(events, e)
+		}
+		err = p.in.read(r, func(b []byte) (event, int, error) { return p.parse(b, limits) }, collect)
 		if err == nil {
-			p.noteUnfinished(timeOf(l.clock.Now()))
-			return nil
+			p.noteUnfinished(now)
+			return events, nil
 		}
-		p.sealed = true
-		p.in.drop()
-		p.half.Store(0)
-		p.ahead.Add(1)
-		l.put(event{kind: eventBad, from: p, err: err})
+		p.stopReading()
+		collect(event{kind: eventBad, from: p, err: err})
 	}
-	return l.discard(p, nc.Reader())
+	if p.discard(r, limits.Deaf) {
+		events = append(events, event{kind: eventFlood, from: p})
+	}
+	return events, r.Release()
+}
+
+// stopReading has all that comes discarded from here on.
+func (p *peer) stopReading() {
+	p.sealed = true
+	p.in.drop()
+	p.half.Store(0)
 }
 
 // parse reads one request. netpoll reads on whatever is done here, so the only bound on pipelined requests
 // that holds is to take no more of them.
-func (p *peer) parse(b []byte, lim Limits) (e event, n int, err error) {
+func (p *peer) parse(b []byte, limits *Limits) (e event, n int, err error) {
 	e.kind, e.from = eventRequest, p
-	e.request, n, err = proto.ParseRequest(b, lim.Request)
-	if n > 0 && err == nil && int(p.ahead.Load()) > lim.Ahead {
+	e.request, n, err = proto.ParseRequest(b, limits.Request)
+	if n > 0 && err == nil && int(p.ahead.Load()) > limits.Ahead {
 		err = errAhead
 	}
 	return e, n, err
@@ -99,25 +116,24 @@
 	return true
 }
 
-// discard passes over what comes after the seal. Guards against endless bodies, which take cores for as long
-// as they are read: past a bound the loop is told, which closes the connection once nothing is owed on it.
-func (l *loop) discard(p *peer, r netpoll.Reader) error {
+// discard passes over what comes after the seal, and tells when it has become more than a bound. Guards against
+// endless bodies, which take cores for as long as they are read: the loop closes the connection then, once nothing is
+// owed on it.
+func (p *peer) discard(r netpoll.Reader, most int) (tooMuch bool) {
 	n := r.Len()
+	r.Skip(n)
 	p.discarded += n
-	if p.discarded > l.limits.Deaf && !p.flooded {
-		p.flooded = true
-		l.put(event{kind: eventFlood, from: p})
+	if p.discarded <= most || p.flooded {
+		return false
 	}
-	r.Skip(n)
-	return r.Release()
+	p.flooded = true
+	return true
 }
 
 // seal ends the reading of requests, unless one is on its way: handed over and not begun, begun to be read, or
 // in a buffer of this process or of the system. With force only what was read whole counts.
 func (p *peer) seal(force bool) bool {
-	if !p.intake.TryLock() {
-		return false
-	}
+	p.intake.Lock()
 	defer p.intake.Unlock()
 	if p.ahead.Load() > 0 {
 		return false
@@ -128,9 +144,7 @@
 	if !force && (p.in.buf != nil || p.c.Reader().Len() > 0 || hasUnread(p.fd)) {
 		return false
 	}
-	p.sealed = true
-	p.in.drop()
-	p.half.Store(0)
+	p.stopReading()
 	return true
 }
 
