--- a/internal/backend/node.go
+++ b/internal/backend/node.go
@@ -54,14 +54,8 @@
 	if listen != "" {
 		c.Listen = listen
 	}
-	switch {
-	case c.Name == "" || c.Listen == "" || c.Kernel == "":
-		return nil, fmt.Errorf("%s: name, listen and kernel are needed", path)
-	case !address(c.Listen) || !address(c.Kernel) || c.Store != "" && !address(c.Store) ||
-		c.Control != "" && !address(c.Control):
-		return nil, fmt.Errorf("%s: an address is not HOST:PORT", path)
-	case !(c.StopMS > 0):
-		return nil, fmt.Errorf("%s: stop_ms is %g, expected above 0", path, c.StopMS)
+	if err := c.check(); err != nil {
+		return nil, fmt.Errorf("%s: %w", path, err)
 	}
 	if c.prof, err = profile.Read(c.Profile); err != nil {
 		return nil, fmt.Errorf("%s: %w", path, err)
@@ -69,6 +63,25 @@
 	return &c, nil
 }
 
+// check says which key of the file is wrong, what was found and what was expected.
+func (c *Node) check() error {
+	if c.Name == "" {
+		return errors.New("name: found none, expected the server's name")
+	}
+	for _, a := range []struct {
+		key, found string
+		needed     bool
+	}{{"listen", c.Listen, true}, {"kernel", c.Kernel, true}, {"store", c.Store, false}, {"control", c.Control, false}} {
+		if (a.needed || a.found != "") && !address(a.found) {
+			return fmt.Errorf("%s: found %.80q, expected HOST:PORT", a.key, a.found)
+		}
+	}
+	if !(c.StopMS > 0) {
+		return fmt.Errorf("stop_ms: found %g, expected above 0", c.StopMS)
+	}
+	return nil
+}
+
 // ReadBoth reads the start-up file and the operator's, if the environment names one, and checks them together.
 func ReadBoth(getenv func(string) string) (*Node, error) {
 	own := &operator.Node{LogForm: "text", LogFrom: "info"}
