--- a/review/standins/case_refused.go
+++ b/review/standins/case_refused.go
@@ -12,11 +12,14 @@
 const (
 	refusedTime = 30 * time.Second
 	refusedRate = 40 // keyed requests a second
-	killEvery   = 6 * time.Second
+	drainEvery  = 4 * time.Second
+	stopAfter   = 3200 * time.Millisecond // from SIGTERM to SIGKILL, as in the start-up file
+	// fencePolicy is a policy of the fleet as in the project's README.
+	fencePolicy = "[fleet]\nlease = 10s\nwhen_alone = fence\n"
 )
 
-// refused kills a node that keeps results of keyed requests, and starts it again at once. It checks that no repeat of a
-// request that the node has run and answered is refused within the window. A refused try goes to the other node.
+// refused tells a node of a fleet to drain, and starts it again once it has ended. It checks that the draining node
+// refuses no repeat of a request that it has run and served, within the window. A refused try goes to the other node.
 func refused(r *Run) error {
 	fleet, err := r.StartControlService()
 	if err != nil {
@@ -32,7 +35,7 @@
 	var servers []*Server
 	for _, name := range []string{"n1", "n2"} {
 		s, err := r.StartServer(name, sejongSite(), requests, control,
-			serverOptions{MemoryMB: 192, Sockets: 512, Fleet: fleet, Kept: true})
+			serverOptions{MemoryMB: 192, Sockets: 512, Fleet: fleet})
 		if err != nil {
 			return err
 		}
@@ -47,17 +50,33 @@
 			runs[key][name]++
 		}
 	}
+	if err = r.ProposePolicy(fleet, fencePolicy); err != nil {
+		return err
+	}
+	for _, s := range servers {
+		if err = s.AwaitHealth(10 * time.Second); err != nil {
+			return err
+		}
+	}
 	first, other := servers[0], servers[1]
 	end := time.Now().Add(refusedTime)
 	var wg sync.WaitGroup
+	life := 0 // counts the processes of the first node
 	if r.Trouble {
 		wg.Go(func() {
-			for time.Until(end) > killEvery {
-				time.Sleep(killEvery)
-				first.Kill()
+			for time.Until(end) > 2*drainEvery {
+				time.Sleep(drainEvery)
+				first.Drain(stopAfter)
+				mu.Lock()
+				life++
+				mu.Unlock()
 				first.Sidecars.CloseIdle()
 				first.Kernel.NodeStarts()
-				if err := first.Start(); err != nil {
+				err := first.Start()
+				if err == nil {
+					err = first.AwaitHealth(10 * time.Second)
+				}
+				if err != nil {
 					r.Rec.Sayf("%v", err)
 				}
 			}
@@ -69,23 +88,26 @@
 	caller := func() {
 		key := newID() + newID()
 		var servedAt time.Time // Received-At of the first try that the first node served
+		servedIn := -1         // the process that served it
 		s := first
 		for n, start := 0, time.Now(); time.Since(start) < submitWindow-200*time.Millisecond; n++ {
 			q := &Request{ID: newID(), Class: "return-submit", OnceKey: key, Rank: 0.5, Sidecar: 1 + rand.Intn(4),
 				Again: n > 0, Body: "work=20 file=" + key}
 			mu.Lock()
 			keyOf[q.ID] = key
+			lifeBefore := life
 			mu.Unlock()
 			a := s.Sidecars.Send(q, 900*time.Millisecond)
 			mu.Lock()
 			counts[fmt.Sprintf("%s %d", s.Name, a.Status)]++
-			if a.Refused() && s == first && !servedAt.IsZero() && q.receivedAt.Before(servedAt.Add(submitWindow)) {
+			if sameLife := servedIn == life && lifeBefore == life; s == first && sameLife && a.Refused() &&
+				q.receivedAt.Before(servedAt.Add(submitWindow)) {
 				refusals++
 				r.Rec.Addf("BROKEN try %s of key %s, which %s has run and served, gets %d", q.ID, key, s.Name, a.Status)
 			}
 			mu.Unlock()
-			if a.Status == 200 && s == first && servedAt.IsZero() {
-				servedAt = q.receivedAt
+			if a.Status == 200 && s == first && servedIn < 0 {
+				servedAt, servedIn = q.receivedAt, lifeBefore
 			}
 			if a.Refused() {
 				s = other // a refusal promises that nothing ran
--- a/review/standins/control.go
+++ b/review/standins/control.go
@@ -7,6 +7,7 @@
 	"os"
 	"os/exec"
 	"path/filepath"
+	"strings"
 	"syscall"
 )
 
@@ -68,3 +69,15 @@
 	})
 	return listen, nil
 }
+
+// proposeCommand is the operators' command for a change of policy.
+const proposeCommand = "exec bin/umberctl policy propose - --reason first --at "
+
+// ProposePolicy proposes a policy to the group and waits until it has settled.
+func (r *Run) ProposePolicy(at, text string) error {
+	cmd := exec.Command("/bin/sh", "-c", proposeCommand+at)
+	cmd.Dir, cmd.Stdin = r.Root, strings.NewReader(text)
+	out, err := cmd.CombinedOutput()
+	r.Rec.Addf("policy propose: %s", out)
+	return err
+}
--- a/review/standins/node.go
+++ b/review/standins/node.go
@@ -111,6 +111,20 @@
 	}
 }
 
+// Drain sends SIGTERM, and SIGKILL if the process is still there after a time.
+func (n *Node) Drain(killAfter time.Duration) {
+	n.mu.Lock()
+	n.ended = true
+	exited := n.exited
+	n.mu.Unlock()
+	n.Signal(syscall.SIGTERM)
+	select {
+	case <-exited:
+	case <-time.After(killAfter):
+		n.Kill()
+	}
+}
+
 // Kill kills the process and waits for its end.
 func (n *Node) Kill() {
 	n.mu.Lock()
--- a/review/standins/server.go
+++ b/review/standins/server.go
@@ -18,7 +18,6 @@
 	MemoryMB, Sockets int
 	Store             *Store // nil: none
 	Fleet             string // client address of the control service; empty: not in a fleet
-	Kept              bool   // results of keyed requests are kept in a folder
 }
 
 // StartServer starts a node with a kernel of its own.
@@ -37,18 +36,12 @@
 	if o.Store != nil {
 		c.Store = o.Store.Addr()
 	}
-	for section, on := range map[string]bool{"kept": o.Kept, "fleet": o.Fleet != ""} {
-		if !on {
-			continue
-		}
-		folder := filepath.Join(r.Dir, name+"-"+section)
+	if o.Fleet != "" {
+		folder := filepath.Join(r.Dir, name+"-fleet")
 		if err = os.Mkdir(folder, 0o700); err != nil {
 			return nil, err
 		}
-		c.Operator += "[" + section + "]\nfolder = " + folder + "\n"
-		if section == "fleet" {
-			c.Operator += "control = " + o.Fleet + "\nzone = z1\n"
-		}
+		c.Operator = "[fleet]\ncontrol = " + o.Fleet + "\nzone = z1\nfolder = " + folder + "\n"
 	}
 	node, err := r.AddNode(c)
 	if err != nil {
