Review: case 1 breaks links less often, and sends more

Change: a break every 0.6 to 1.4 s in place of 0.4 to 0.8, 150 requests a second for each node in place of 120, 100 s in place of 80.

--- a/review/standins/case_resend.go
+++ b/review/standins/case_resend.go
@@ -28,9 +28,9 @@
 const submitWindow = 2195 * time.Millisecond
 
 const (
-	resendTime  = 80 * time.Second
+	resendTime  = 100 * time.Second
 	resendNodes = 3
-	resendRate  = 120 // requests a second for each node
+	resendRate  = 150 // requests a second for each node
 )
 
 // resend breaks the links between nodes and kernels now and then, and checks that no keyed request runs twice on a
@@ -101,7 +101,7 @@
 		if r.Trouble {
 			wg.Go(func() {
 				for time.Now().Before(end) {
-					time.Sleep(time.Duration(400+rand.Intn(400)) * time.Millisecond)
+					time.Sleep(time.Duration(600+rand.Intn(800)) * time.Millisecond)
 					s.Kernel.BreakLink()
 					mu.Lock()
 					breaks++
--- a/review/standins/main.go
+++ b/review/standins/main.go
@@ -34,7 +34,7 @@
 var cases = map[string]func(*Run) error{}
 
 // longest is the longest time of a run.
-const longest = 115 * time.Second
+const longest = 117 * time.Second
 
 func main() {
 	if len(os.Args) < 2 || cases[os.Args[1]] == nil {
