--- a/review/standins/control.go
+++ b/review/standins/control.go
@@ -5,7 +5,6 @@
 	"net"
 	"net/http"
 	"os"
-	"os/exec"
 	"path/filepath"
 	"strings"
 	"syscall"
@@ -56,8 +55,8 @@
 		return "", err
 	}
 	defer log.Close()
-	cmd := exec.Command("/bin/sh", "-c", controlCommand+file)
-	cmd.Dir, cmd.Stdout, cmd.Stderr = r.Root, log, log
+	cmd := r.command(controlCommand + file)
+	cmd.Stdout, cmd.Stderr = log, log
 	cmd.SysProcAttr = &syscall.SysProcAttr{Pdeathsig: syscall.SIGKILL}
 	if err = cmd.Start(); err != nil {
 		return "", err
@@ -71,12 +70,12 @@
 }
 
 // proposeCommand is the operators' command for a change of policy.
-const proposeCommand = "exec bin/umberctl policy propose - --reason first --at "
+const proposeCommand = "exec bin/umberctl policy propose - --reason review --at "
 
 // ProposePolicy proposes a policy to the group and waits until it has settled.
 func (r *Run) ProposePolicy(at, text string) error {
-	cmd := exec.Command("/bin/sh", "-c", proposeCommand+at)
-	cmd.Dir, cmd.Stdin = r.Root, strings.NewReader(text)
+	cmd := r.command(proposeCommand + at)
+	cmd.Stdin = strings.NewReader(text)
 	out, err := cmd.CombinedOutput()
 	r.Rec.Addf("policy propose: %s", out)
 	return err
--- a/review/standins/main.go
+++ b/review/standins/main.go
@@ -11,6 +11,7 @@
 	"flag"
 	"fmt"
 	"os"
+	"os/exec"
 	"os/signal"
 	"syscall"
 	"time"
@@ -105,3 +106,10 @@
 		r.Rec.Addf("the end of the log of %s:\n%s", n.Name, raw[max(0, len(raw)-3000):])
 	}
 }
+
+// command returns a command of the project's programs, to be run from its root.
+func (r *Run) command(line string) *exec.Cmd {
+	cmd := exec.Command("/bin/sh", "-c", line)
+	cmd.Dir = r.Root
+	return cmd
+}
