--- a/review/standins/case_refused.go
+++ b/review/standins/case_refused.go
@@ -14,7 +14,7 @@
 	refusedRate = 40 // keyed requests a second
 	drainEvery  = 4 * time.Second
 	stopAfter   = 3200 * time.Millisecond // from SIGTERM to SIGKILL, as in the start-up file
-	// fencePolicy is a policy of the fleet as in the project's README.
+	// fencePolicy is a policy like that of the project's README.
 	fencePolicy = "[fleet]\nlease = 10s\nwhen_alone = fence\n"
 )
 
--- a/review/standins/main.go
+++ b/review/standins/main.go
@@ -97,14 +97,14 @@
 
 // close ends the processes that were started and appends the ends of their logs to the record.
 func (r *Run) close() {
-	for _, f := range r.atEnd {
-		defer f()
-	}
 	for _, n := range r.nodes {
 		n.Kill()
 		raw, _ := os.ReadFile(n.LogFile())
 		r.Rec.Addf("the end of the log of %s:\n%s", n.Name, raw[max(0, len(raw)-3000):])
 	}
+	for _, f := range r.atEnd {
+		f()
+	}
 }
 
 // command returns a command of the project's programs, to be run from its root.
