Kernel link: a debug line for each command that is sent again

Change: debug line "command sent again" with command, its earlier number, the last acknowledged number and the last event; the names of the two call commands are constants, as those of the others.

--- a/internal/logging/fields.go
+++ b/internal/logging/fields.go
@@ -55,6 +55,8 @@
 	MaxBytes       = "max_bytes"       // maximum size
 
 	Command             = "command"               // command sent to the kernel
+	CommandNumber       = "command_number"        // number of a command to the kernel
+	Acknowledged        = "acknowledged"          // number of the last command that the kernel has certainly read
 	Event               = "event"                 // kind of a kernel event
 	Sequence            = "sequence"              // number of a kernel event
 	LastSequence        = "last_sequence"         // number of the kernel event handled before
--- a/internal/node/server/kernel_link.go
+++ b/internal/node/server/kernel_link.go
@@ -331,22 +331,35 @@
 	resultLost := r.callResultCommand > provenRead
 	if runLost {
 		if r.resumeSent {
+			l.traceResend(r, wire.KernelResume, r.runCommand)
 			l.sendResume(r)
 		} else {
+			l.traceResend(r, wire.KernelRun, r.runCommand)
 			l.sendRun(r)
 		}
 		l.counters.CommandsResent++
 	}
 	if resultLost && r.callResult != noCallResult {
+		l.traceResend(r, wire.KernelCallDone, r.callResultCommand)
 		l.sendCallResult(r)
 		l.counters.CommandsResent++
 	}
 	if stopLost {
+		l.traceResend(r, wire.KernelStop, r.stopCommand)
 		l.sendStop(r)
 		l.counters.CommandsResent++
 	}
 }
 
+// traceResend logs a command that is sent again, with the number of its earlier copy and what the kernel has certainly
+// read: together with the run's events they show whether the kernel had read that copy.
+func (l *loop) traceResend(r *request, command string, number uint64) {
+	if l.debug {
+		l.traceWith(r.id, traceResent, logrus.Fields{logging.Command: command, logging.CommandNumber: number,
+			logging.Acknowledged: l.kernel.acknowledged, logging.LastSequence: l.kernel.lastSequence})
+	}
+}
+
 // kernelParser returns the parser of kernel events.
 func kernelParser(bounds wire.Bounds) linkParser {
 	return func(from *dialAttempt, b *buffer) (event, int, error) {
--- a/internal/node/server/log_messages.go
+++ b/internal/node/server/log_messages.go
@@ -52,6 +52,7 @@
 	traceIntent       traceStep = "intent record sent to the disk"
 	traceRun          traceStep = "run"
 	traceStopped      traceStep = "stop"
+	traceResent       traceStep = "command sent again"
 	traceCallAsked    traceStep = "call asked"
 	traceCallStarted  traceStep = "call started"
 	traceCallEnded    traceStep = "call ended"
--- a/internal/node/wire/kernel_command.go
+++ b/internal/node/wire/kernel_command.go
@@ -10,6 +10,9 @@
 	KernelStop   = "PREEMPT" // pauses or ends the run, depending on the start-up settings
 	KernelResume = "RESCHED" // resumes a stopped run
 	KernelRun    = "SCHED"   // starts a run, see AppendKernelRun
+
+	KernelCallDone    = "IODONE" // resumes a run with the reply to its call, see AppendKernelCallDone
+	KernelCallSkipped = "NOIO"   // resumes a run without its call, see AppendKernelCallSkipped
 )
 
 // AppendKernelOpen appends the first line of a link, which requests every event after sequence.
@@ -27,7 +30,7 @@
 
 // AppendKernelCallDone appends the command that resumes a run with the reply to its call.
 func AppendKernelCallDone(b []byte, runID string, body []byte) []byte {
-	return appendBody(append(b, `{"verb":"IODONE","task":"`+runID+`"`...), body)
+	return appendBody(append(b, `{"verb":"`+KernelCallDone+`","task":"`+runID+`"`...), body)
 }
 
 // appendBody appends the body in base64 and the end of the command.
@@ -62,7 +65,7 @@
 // AppendKernelCallSkipped appends the command that resumes a run without its call; sequence is that of the event that
 // asked for the call.
 func AppendKernelCallSkipped(b []byte, runID string, sequence uint64) []byte {
-	b = append(b, `{"verb":"NOIO","task":"`+runID+`","index":`...)
+	b = append(b, `{"verb":"`+KernelCallSkipped+`","task":"`+runID+`","index":`...)
 	return append(strconv.AppendUint(b, sequence, 10), "}\n"...)
 }
 
