Kernel link: a start that the kernel may have read is proven lost before it is sent again

Cause: after the replay the node sent each start again that was not acknowledged 0.1 s before the break and of which it had read no event. The kernel may have read the first copy, and the run may end between the end of the replay and the second copy; the kernel then starts it again. Change: kernel_recovery.go. A start in doubt is sent again at once only if its request may run twice. Where a stopped run is paused the run is probed: a stop, then a request for gauges. A run that the kernel has either has sent an event or confirms the stop before the gauges, and is resumed; otherwise the start was lost and is sent. Where a stopped run is dropped, an event is awaited first, as a dropped run can't run again; where nothing can be stopped the wait is all there is. A request for gauges now ends each round with such a start, so that few are unacknowledged at a break; one that was acknowledged is probed only after a wait, or not sent again. Once the request is over its start is harmless, as the kernel answers MOOT. Counters in_doubt and acked_lost, debug line "probed". Why it holds: a paused run can't end, and the kernel reads a link in order, so silence up to the gauges is a proof. Constants: eventWait, a sixteenth of the class's timeout: longer delays a start that was lost, shorter stops runs that would have shown by an event that they exist. acknowledgedEventWait, an eighth: the command was probably read, so waiting costs little.

--- a/internal/node/server/counters.go
+++ b/internal/node/server/counters.go
@@ -27,6 +27,8 @@
 	StoreConnectionsLost                    uint64 // while calls were sent on them or queued for them
 	StrayReplies                            uint64 // replies that match no call
 	CommandsResent, CommandsRefused         uint64 // to the kernel
+	CommandsInDoubt                         uint64 // that the kernel may or may not have read before its link ended
+	AcknowledgedLost                        uint64 // not read although a later gauges request had been answered
 	Reports, ReportsLost                    uint64 // to service discovery
 
 	ClosedSilent, Evicted uint64 // connections: without a complete message in time; evicted
@@ -62,7 +64,8 @@
 		"dropped": c.CallsCancelled, "kernel_links": c.KernelLinks, "store_links": c.StoreLinks,
 		"control_links": c.DiscoveryLinks, "wires_lost": c.StoreConnectionsLost, "strays": c.StrayReplies,
 		"reloads": c.Reloads, "silent": c.ClosedSilent, "evicted": c.Evicted, "resent": c.CommandsResent,
-		"refused": c.CommandsRefused, "reports": c.Reports, "reports_lost": c.ReportsLost,
+		"refused": c.CommandsRefused, "in_doubt": c.CommandsInDoubt, "acked_lost": c.AcknowledgedLost,
+		"reports": c.Reports, "reports_lost": c.ReportsLost,
 		"clock_steps": c.ClockSteps, "rounds": c.Rounds, "wakes": c.WakeUps, "ungauged": c.WakeUpsWithoutGauges,
 		"slow": c.LateWakeUps}
 	if f := l.fleet; f != nil {
--- a/internal/node/server/helper_test.go
+++ b/internal/node/server/helper_test.go
@@ -230,9 +230,13 @@
 type fakeKernel struct {
 	*fakeServer
 	events                   [][]byte
-	coresWanted, connections string // values of the gauges
-	bootDelayed              bool   // BOOTED is delayed until the test sends it
-	withholdEvents           bool   // events are kept but not sent, as if the link broke first
+	coresWanted, connections string     // values of the gauges
+	bootDelayed              bool       // BOOTED is delayed until the test sends it
+	withholdEvents           bool       // events are kept but not sent, as if the link broke first
+	confirmsStops            bool       // each PREEMPT is confirmed at once, and no SYSINFO is answered after it
+	stuckConn                net.Conn   // no SYSINFO on it is answered
+	crossing                 [][]string // events sent behind the first gauges of the next link: verb, id, outcome, text
+	crossingArmed            bool       // that link is open
 }
 
 func newFakeKernel(t testing.TB) *fakeKernel {
@@ -263,12 +267,14 @@
 						c.Write(n)
 					}
 				}
+				k.crossingArmed = len(k.crossing) > 0
 				k.mu.Unlock()
 			case "SYSINFO":
 				k.mu.Lock()
-				if !k.unresponsive {
+				if !k.unresponsive && c != k.stuckConn {
 					fmt.Fprintf(c, "{\"verb\":\"INFO\",\"nonce\":%q,\"readings\":[0.5,%s,0.1,%s]}\n",
 						m.Nonce, k.coresWanted, k.connections)
+					k.sendCrossing()
 				}
 				k.mu.Unlock()
 				k.add("SYSINFO")
@@ -283,6 +289,9 @@
 				if len(m.Bytes) > 0 {
 					line += " " + string(m.Bytes)
 				}
+				if m.Verb == "PREEMPT" {
+					k.confirmStop(testID(m.Task))
+				}
 				k.add(line)
 			}
 		}
@@ -291,10 +300,36 @@
 	return k
 }
 
+// confirmStop sends the event that confirms a stop, if the kernel confirms stops. It then answers no SYSINFO, so that
+// the node's next commands stay unacknowledged.
+func (k *fakeKernel) confirmStop(task string) {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	if k.confirmsStops {
+		k.sendEventLocked("REAP", task, "STOPPED", "")
+		k.unresponsive = true
+	}
+}
+
+// sendCrossing sends the events that cross the end of a replay: the node's commands after it are not read yet.
+func (k *fakeKernel) sendCrossing() {
+	if !k.crossingArmed {
+		return
+	}
+	for _, e := range k.crossing {
+		k.sendEventLocked(e[0], e[1], e[2], e[3])
+	}
+	k.crossing, k.crossingArmed = nil, false
+}
+
 // sendEvent numbers, keeps and sends a kernel event.
 func (k *fakeKernel) sendEvent(verb, task, outcome, body string) {
 	k.mu.Lock()
 	defer k.mu.Unlock()
+	k.sendEventLocked(verb, task, outcome, body)
+}
+
+func (k *fakeKernel) sendEventLocked(verb, task, outcome, body string) {
 	n := fmt.Sprintf("{\"verb\":%q,\"index\":%d,\"task\":%q,\"outcome\":%q,\"spent\":12.5,\"bytes\":%q}\n", verb,
 		len(k.events)+1, wireID(task), outcome, base64.StdEncoding.EncodeToString([]byte(body)))
 	k.events = append(k.events, []byte(n))
@@ -399,7 +434,7 @@
 const familyInfo = `"family_info":{"below":"tier","cancel_seen":true,"cores":2,"degraded_worth":[0.5,0,0],
  "fresh":%s,"idle":30000000,"key_kb":10,"memory_kb":50000,
  "meters":["core_use","on_cores","heap_share","links"],
- "preemption":"pause","run_factor":2,"say":"%s","senders":2}`
+ "preemption":"%s","run_factor":2,"say":"%s","senders":2}`
 
 const classes = `"classes":[
  {"name":"get","gain":1,"give_up":GIVEUP,"promise":PROMISE,"semantics":"idempotent"},
@@ -409,8 +444,12 @@
 // startNode starts the program; overrides replaces defaults of the start-up file and the environment (stop_ms, sockets,
 // store=none and so on).
 func startNode(t testing.TB, overrides map[string]string) *node {
-	n := &node{t: t, overrides: overrides, kernel: newFakeKernel(t), store: newFakeStore(t),
-		discovery: newFakeDiscovery(t)}
+	return startNodeWith(t, overrides, newFakeKernel(t), newFakeStore(t))
+}
+
+// startNodeWith starts the program with this kernel and store.
+func startNodeWith(t testing.TB, overrides map[string]string, kernel *fakeKernel, store *fakeServer) *node {
+	n := &node{t: t, overrides: overrides, kernel: kernel, store: store, discovery: newFakeDiscovery(t)}
 	n.kernel.bootDelayed = overrides["kernel"] == "late"
 	ln, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
@@ -491,7 +530,7 @@
  "fleet_size":2,"granularity":2000,"invariants":{"drain_grace":500000,"fall_multiple":5},
  "limits":{"max_retry_after":1000000,"retry_after":true}}}`, n.addr, n.kernel.addr, n.discovery.addr, store,
 		get("stop_ms", "3000"), get("cores", "1"), get("memory_mb", "64"), get("sockets", "256"), get("fresh", "0"),
-		get("say", "off"))
+		get("preemption", "pause"), get("say", "off"))
 	if content != "" {
 		text = content
 	}
@@ -534,10 +573,10 @@
 }
 
 // waitForKernelSync waits for further gauges requests, by which the loop has sent all its pending commands to the
-// kernel.
+// kernel. Half of them may follow such commands; the others are those of later wake-ups.
 func (n *node) waitForKernelSync() bool {
 	before := n.kernel.count("SYSINFO")
-	return n.kernel.waitFor(func() bool { return n.kernel.countLocked("SYSINFO") >= before+3 })
+	return n.kernel.waitFor(func() bool { return n.kernel.countLocked("SYSINFO") >= before+6 })
 }
 
 // signal sends a signal and waits for its delivery, as two pending signals of a kind are merged.
--- a/internal/node/server/kernel_link.go
+++ b/internal/node/server/kernel_link.go
@@ -24,9 +24,9 @@
 const unsentCommand = ^uint64(0)
 
 // kernelLink is the link to the process that executes runs. It is used by the loop's goroutine alone, until the process
-// ends. It handles each event once and in order. A command that may have been lost with a link is resent, but only
-// after the replay of missed events, and never for a run that ended. Commands and gauges requests share one numbering:
-// a response with gauges acknowledges all commands before it on the same link.
+// ends. It handles each event once and in order. A command that may have been lost with a link is sent again only after
+// the replay of missed events, and as kernel_recovery.go decides. Commands and gauges requests share one numbering: a
+// response with gauges acknowledges all commands before it on the same link.
 type kernelLink struct {
 	link
 	state              kernelState
@@ -38,21 +38,27 @@
 	gaugesRequest      uint64 // number of the gauges request that a wake-up waits for
 	gaugesDeadline     admission.Time
 	replayRequest      uint64 // number of the gauges request whose response ends the replay
+	probeRequest       uint64 // number of the gauges request whose response ends the latest probes; 0: none
+	probesStarted      bool   // probeRequest has to be sent
+	lastAnswered       uint64 // number of the last gauges request that was answered
 	awaitsFirstEvent   bool   // no event was handled on this link yet
+	eventsLost         bool   // the kernel no longer had all events that were missed before this link
+
+	wantsAcknowledgement bool // a command of the round must not be read twice: a gauges request has to follow
 }
 
 // kernelUp opens the protocol on a new link: it sends the sequence of the last handled event, after which the kernel
 // replays the later ones. See row "kernel link broken or moved" in docs/design/shutdown.md.
 func (l *loop) kernelUp() {
 	k := &l.kernel
-	k.state, k.awaitsFirstEvent = kernelOpened, true
+	k.state, k.awaitsFirstEvent, k.eventsLost = kernelOpened, true, false
 	k.dialed.writer.send(wire.AppendKernelOpen(l.scratch[:0], k.lastSequence), l.limits.LinkQueue)
 }
 
 // kernelDown handles the loss of the link: a wake-up that waits for gauges proceeds without them.
 func (l *loop) kernelDown() {
 	k := &l.kernel
-	k.state, k.gaugesRequest = kernelDisconnected, 0
+	k.state, k.gaugesRequest, k.probeRequest, k.probesStarted = kernelDisconnected, 0, 0, false
 	l.wakeWithoutGauges()
 }
 
@@ -74,7 +80,10 @@
 
 func (l *loop) sendRun(r *request) {
 	l.scratch = wire.AppendKernelRun(l.scratch[:0], r.id, l.names[r.handler], r.body)
-	r.runCommand = l.sendToKernel()
+	r.runCommand, r.resumeSent = l.sendToKernel(), false
+	if l.settings.Deployment.Handlers[r.handler].RetrySafety != admission.Retryable {
+		l.kernel.wantsAcknowledgement = true
+	}
 }
 
 func (l *loop) sendStop(r *request) {
@@ -181,11 +190,13 @@
 	if r == nil || !r.isRunning() {
 		return
 	}
-	r.runCommand, r.callResultCommand, r.stopCommand = 0, 0, 0 // read by the kernel, or no longer needed
-	r.callResult = noCallResult
+	wasProbed := r.doubt == doubtProbed
+	r.settle()
 	switch string(e.Kind) {
 	case wire.KernelRunEnded:
-		l.runEnded(h, r, runOutcome(e), e.RunMS, e.Body)
+		if outcome := runOutcome(e); !l.resumeProbed(h, r, wasProbed, outcome) {
+			l.runEnded(h, r, outcome, e.RunMS, e.Body)
+		}
 	case wire.KernelCallAsked:
 		l.trace(r, traceCallAsked)
 		r.callBody, r.callSequence = append(r.callBody[:0], e.Body...), e.Sequence
@@ -214,6 +225,7 @@
 		return false
 	}
 	if e.Sequence > k.lastSequence+1 {
+		k.eventsLost = true
 		l.logEventGap(logKernelEventsLost, e.Sequence)
 	}
 	k.lastSequence, k.awaitsFirstEvent = e.Sequence, false
@@ -286,6 +298,8 @@
 	if k.state != kernelLive || number > k.lastCommand {
 		return
 	}
+	k.lastAnswered = number
+	l.probesEnded(number)
 	if l.now >= k.nextAcknowledgedAt+l.limits.AckSafetyMargin {
 		// The pending acknowledgement is old enough to count; this one becomes the pending one.
 		k.acknowledged, k.nextAcknowledged, k.nextAcknowledgedAt = k.nextAcknowledged, number, l.now
@@ -299,64 +313,16 @@
 	}
 }
 
-// replayTimedOut closes the link if the replay, started by the gauges request with this number, does not end in time;
-// the link is then dialed again. Guards against starting a run twice: resending commands before all events are known
-// could restart a run that has ended. See row "kernel that does not respond" in docs/design/shutdown.md.
+// replayTimedOut closes the link if the replay or the probes that the response to the gauges request with this number
+// ends do not end in time; the link is then dialed again. Guards against starting a run twice: resending commands before
+// all events are known could restart a run that has ended. See row "kernel that does not respond" in
+// docs/design/shutdown.md.
 func (l *loop) replayTimedOut(request handle) {
-	if k := &l.kernel; k.state == kernelReplaying && handle(k.replayRequest) == request {
-		l.closeLink(&k.link, errNoAnswer)
-	}
-}
-
-// replayComplete makes the link live and resends the commands that may have been lost with the previous link.
-func (l *loop) replayComplete() {
 	k := &l.kernel
-	if k.state != kernelReplaying {
-		return
-	}
-	k.state = kernelLive
-	for h, i := l.requests.next(0); h != 0; h, i = l.requests.next(i) {
-		r := l.requests.get(h)
-		if !r.isRunning() {
-			continue
-		}
-		l.resendCommands(r)
-	}
-}
-
-// resendCommands resends a run's commands that are not acknowledged, in their original order.
-func (l *loop) resendCommands(r *request) {
-	provenRead := l.kernel.acknowledged
-	runLost, stopLost := r.runCommand > provenRead, r.stopCommand > provenRead
-	resultLost := r.callResultCommand > provenRead
-	if runLost {
-		if r.resumeSent {
-			l.traceResend(r, wire.KernelResume, r.runCommand)
-			l.sendResume(r)
-		} else {
-			l.traceResend(r, wire.KernelRun, r.runCommand)
-			l.sendRun(r)
-		}
-		l.counters.CommandsResent++
-	}
-	if resultLost && r.callResult != noCallResult {
-		l.traceResend(r, wire.KernelCallDone, r.callResultCommand)
-		l.sendCallResult(r)
-		l.counters.CommandsResent++
-	}
-	if stopLost {
-		l.traceResend(r, wire.KernelStop, r.stopCommand)
-		l.sendStop(r)
-		l.counters.CommandsResent++
-	}
-}
-
-// traceResend logs a command that is sent again, with the number of its earlier copy and what the kernel has certainly
-// read: together with the run's events they show whether the kernel had read that copy.
-func (l *loop) traceResend(r *request, command string, number uint64) {
-	if l.debug {
-		l.traceWith(r.id, traceResent, logrus.Fields{logging.Command: command, logging.CommandNumber: number,
-			logging.Acknowledged: l.kernel.acknowledged, logging.LastSequence: l.kernel.lastSequence})
+	replays := k.state == kernelReplaying && handle(k.replayRequest) == request
+	probes := k.state == kernelLive && k.probeRequest != 0 && handle(k.probeRequest) == request
+	if replays || probes {
+		l.closeLink(&k.link, errNoAnswer)
 	}
 }
 
--- /dev/null
+++ b/internal/node/server/kernel_recovery.go
@@ -0,0 +1,336 @@
+package server
+
+import (
+	"github.com/sirupsen/logrus"
+
+	"umberwinch/admission"
+	"umberwinch/internal/logging"
+	"umberwinch/internal/node/wire"
+)
+
+// This file decides which commands are sent again after the kernel's link ended. A command is in doubt if its link ended
+// so soon after it that the kernel may or may not have read it. Its second copy can do harm: the kernel starts a run
+// again that has ended in the meantime. That no event of the run was read yet proves nothing, as the run may end before
+// the kernel reads the second copy. So a start in doubt is sent again only if its second copy does no harm, or once its
+// doubt is settled:
+//
+//   - Where a stopped run is paused, the run is probed: a stop, then a gauges request. A run that the kernel has either
+//     confirms the stop, and can then neither end nor call until it is resumed, or has ended or called, of which an
+//     event comes before the response with gauges. Without any event the kernel does not have the command.
+//   - Where a stopped run is dropped, a start is probed in the same way, after an event of the run was awaited for a
+//     while: a dropped run is not started again. Other commands can't be probed, and are sent again after that wait.
+//   - A command is probably read if a gauges request after it was answered; one ends each round with commands that must
+//     not be read twice. It is probed after a wait where a stopped run is paused, and not sent again elsewhere.
+//   - If the kernel no longer had all events of the missed ones, the run may have ended in one, and nothing is proven.
+//   - Once the request is over the kernel starts nothing for it, and a start that it does not need ends the run.
+
+// doubtState is the state of a run with a command in doubt.
+type doubtState uint8
+
+const (
+	noDoubt          doubtState = iota
+	doubtProbed                 // a stop was sent to learn whether the kernel has read the command
+	doubtAwaitsEvent            // an event of the run may still show that the kernel has read it
+	doubtResumed                // read: the run confirmed the stop and was resumed, unless its request was over by then
+	doubtAwaitsOver             // the request is over; the kernel may not know this yet
+)
+
+// doubtStep is the next step for a command in doubt.
+type doubtStep uint8
+
+const (
+	stepResend     doubtStep = iota // a second copy does no harm
+	stepProbe                       // stop the run and see whether it confirms
+	stepAwaitEvent                  // wait for an event of the run
+	stepAwaitOver                   // wait until the kernel knows that the request is over
+)
+
+const (
+	// eventWait is how long an event of a run is awaited before the next step, as a fraction of the handler's timeout.
+	eventWait = 1.0 / 16
+	// acknowledgedEventWait is the same for a command that was probably read.
+	acknowledgedEventWait = 1.0 / 8
+)
+
+// commandInfo is what the decision on a command in doubt depends on.
+type commandInfo struct {
+	safety        admission.RetrySafety
+	startsRun     bool // it starts a run; otherwise it resumes one, or is the reply to its call
+	acknowledged  bool // a later gauges request was answered: the kernel has probably read it
+	eventsLost    bool // the kernel no longer had all events of the run
+	stopRequested bool // its run has to be stopped
+	over          bool // its request was answered, or the client has left
+}
+
+// canProbe reports whether a stop shows if the kernel has read a command. A run that waits at a call is not paused, but
+// is dropped.
+func canProbe(cancellation admission.Cancellation, startsRun bool) bool {
+	return cancellation == admission.CancelPause || cancellation == admission.CancelDrop && startsRun
+}
+
+// nextDoubtStep decides on a command in doubt.
+func nextDoubtStep(cancellation admission.Cancellation, c commandInfo) doubtStep {
+	switch {
+	case c.startsRun && c.safety == admission.Retryable:
+		return stepResend
+	case c.stopRequested && cancellation != admission.CancelNever:
+		return stepProbe // the stop is wanted
+	case c.over:
+		return stepAwaitOver
+	case cancellation == admission.CancelPause && !c.acknowledged && !c.eventsLost:
+		return stepProbe
+	default:
+		return stepAwaitEvent
+	}
+}
+
+// mayBeRead reports whether a command was sent and is not known to be read.
+func (k *kernelLink) mayBeRead(command uint64) bool {
+	return command != unsentCommand && command > k.acknowledged
+}
+
+// startsRun reports whether the last command about a run, stops aside, was its start.
+func (c *kernelCommands) startsRun() bool { return c.callResult == noCallResult && !c.resumeSent }
+
+// commandInDoubt returns the number of the start or resume that may or may not have been read; 0: none.
+func (k *kernelLink) commandInDoubt(c *kernelCommands) uint64 {
+	if k.mayBeRead(c.runCommand) {
+		return c.runCommand
+	}
+	return 0
+}
+
+// requestAcknowledgement requests the gauges after the commands of a round, unless each may be sent twice or the gauges
+// were requested since.
+func (l *loop) requestAcknowledgement() {
+	k := &l.kernel
+	if !k.wantsAcknowledgement || k.state != kernelLive {
+		return
+	}
+	k.wantsAcknowledgement = false
+	if k.gaugesRequest == k.lastCommand || k.probeRequest == k.lastCommand {
+		return
+	}
+	l.scratch = wire.AppendKernelGaugesRequest(l.scratch[:0], k.lastCommand+1)
+	l.sendToKernel()
+}
+
+// settle records that an event of the run was read: its commands were read by the kernel, or are no longer needed.
+func (c *kernelCommands) settle() {
+	c.runCommand, c.callResultCommand, c.stopCommand = 0, 0, 0
+	c.callResult, c.doubt, c.doubtEventsLost = noCallResult, noDoubt, false
+}
+
+// replayComplete makes the link live. Commands that were never sent are sent; those that the previous link may have
+// lost are sent again, or their doubt is settled first.
+func (l *loop) replayComplete() {
+	k := &l.kernel
+	if k.state != kernelReplaying {
+		return
+	}
+	k.state = kernelLive
+	for h, i := l.requests.next(0); h != 0; h, i = l.requests.next(i) {
+		if r := l.requests.get(h); r.isRunning() {
+			l.recoverCommands(h, r)
+		}
+	}
+	l.requestProbeEnd()
+}
+
+// recoverCommands sends a run's commands that the kernel has not read, in their original order, and settles the doubt
+// about one that it may have read.
+func (l *loop) recoverCommands(h handle, r *request) {
+	k := &l.kernel
+	inDoubt, stopLost := k.commandInDoubt(&r.kernelCommands), r.stopCommand > k.acknowledged
+	if r.runCommand == unsentCommand {
+		l.resendStart(r)
+	}
+	if r.callResult != noCallResult && r.callResultCommand > k.acknowledged {
+		l.resendCallResult(r)
+	}
+	if inDoubt == 0 && (r.doubt == noDoubt || r.doubt == doubtResumed) {
+		if stopLost {
+			l.resendStop(r)
+		}
+		return
+	}
+	if r.doubt == noDoubt || r.doubt == doubtResumed {
+		l.counters.CommandsInDoubt++
+		r.doubtAcknowledged = inDoubt <= k.lastAnswered
+	}
+	r.doubtEventsLost = r.doubtEventsLost || k.eventsLost
+	if r.doubt != doubtAwaitsEvent && r.doubt != doubtAwaitsOver {
+		l.startDoubt(h, r)
+	}
+}
+
+// startDoubt takes the first step to settle a doubt.
+func (l *loop) startDoubt(h handle, r *request) {
+	info := commandInfo{safety: l.settings.Deployment.Handlers[r.handler].RetrySafety, startsRun: r.startsRun(),
+		acknowledged: r.doubtAcknowledged, eventsLost: r.doubtEventsLost, stopRequested: r.isStopRequested(),
+		over: !r.awaitsResponse()}
+	switch nextDoubtStep(l.settings.Cancellation, info) {
+	case stepResend:
+		l.resendInDoubt(h, r)
+	case stepProbe:
+		l.probe(r)
+	case stepAwaitEvent:
+		l.awaitInDoubt(h, r, doubtAwaitsEvent, l.eventWaitOf(r))
+	case stepAwaitOver:
+		l.awaitInDoubt(h, r, doubtAwaitsOver, l.limits.AckSafetyMargin)
+	}
+}
+
+// eventWaitOf returns how long an event of a run is awaited.
+func (l *loop) eventWaitOf(r *request) admission.Time {
+	timeout := float64(l.settings.Deployment.Handlers[r.handler].Timeout)
+	if r.doubtAcknowledged {
+		return admission.Time(timeout * acknowledgedEventWait)
+	}
+	return admission.Time(timeout * eventWait)
+}
+
+// awaitInDoubt leaves a command in doubt for a time.
+func (l *loop) awaitInDoubt(h handle, r *request, state doubtState, wait admission.Time) {
+	r.doubt, r.recheckAt = state, l.now+wait
+	l.timers.set(r.recheckAt, timerDoubt, h)
+}
+
+// probe stops a run to learn whether the kernel has read the command in doubt; requestProbeEnd has to follow.
+func (l *loop) probe(r *request) {
+	l.scratch = wire.AppendKernelCommand(l.scratch[:0], wire.KernelStop, r.id)
+	r.doubt, r.probeCommand = doubtProbed, l.sendToKernel()
+	l.kernel.probesStarted = true
+	l.trace(r, traceProbed)
+}
+
+// requestProbeEnd requests the gauges after the stops of probes; the response ends them.
+func (l *loop) requestProbeEnd() {
+	k := &l.kernel
+	if !k.probesStarted {
+		return
+	}
+	k.probesStarted = false
+	l.scratch = wire.AppendKernelGaugesRequest(l.scratch[:0], k.lastCommand+1)
+	if number := l.sendToKernel(); number != unsentCommand {
+		k.probeRequest = number
+		l.timers.set(l.now+l.limits.ReplayTimeout, timerReplay, handle(number))
+	}
+}
+
+// probesEnded handles the response to a gauges request with this number. A probed run of which no event came by then
+// has not read its command, which is sent.
+func (l *loop) probesEnded(number uint64) {
+	k := &l.kernel
+	if k.probeRequest == 0 || number < k.probeRequest {
+		return
+	}
+	k.probeRequest = 0
+	for h, i := l.requests.next(0); h != 0; h, i = l.requests.next(i) {
+		if r := l.requests.get(h); r.isRunning() && r.doubt == doubtProbed && r.probeCommand < number {
+			if r.doubtAcknowledged {
+				l.counters.AcknowledgedLost++
+			}
+			l.resendInDoubt(h, r)
+		}
+	}
+}
+
+// resumeProbed resumes a run that a probe has paused, and reports whether the event is that. If the request was over in
+// the kernel by then, the stop has ended the run instead, so the run is checked again once the node knows that, too.
+func (l *loop) resumeProbed(h handle, r *request, wasProbed bool, outcome admission.Outcome) bool {
+	if !wasProbed || outcome != admission.Stopped || r.isStopRequested() ||
+		l.settings.Cancellation != admission.CancelPause {
+		return false
+	}
+	l.sendResume(r)
+	l.awaitInDoubt(h, r, doubtResumed, l.limits.AckSafetyMargin)
+	return true
+}
+
+// recheckDoubt takes the next step for a command that is in doubt for long enough.
+func (l *loop) recheckDoubt(h handle) {
+	r := l.requests.get(h)
+	if r == nil || !r.isRunning() || l.now < r.recheckAt {
+		return
+	}
+	over := !r.awaitsResponse()
+	mayRepeat := !r.doubtEventsLost && (!r.doubtAcknowledged || l.settings.Cancellation == admission.CancelPause)
+	switch {
+	case r.doubt == noDoubt || r.doubt == doubtProbed:
+	case r.doubt != doubtAwaitsOver && over:
+		l.awaitInDoubt(h, r, doubtAwaitsOver, l.limits.AckSafetyMargin)
+	case r.doubt == doubtResumed || l.kernel.state != kernelLive || r.doubt == doubtAwaitsEvent && !mayRepeat:
+		l.awaitInDoubt(h, r, r.doubt, l.limits.AckSafetyMargin)
+	case r.doubt == doubtAwaitsEvent && canProbe(l.settings.Cancellation, r.startsRun()):
+		l.probe(r)
+		l.requestProbeEnd()
+	case r.doubt == doubtAwaitsEvent:
+		l.resendInDoubt(h, r)
+	default:
+		// The request is over: the kernel ends a run that it does not have, and starts none.
+		r.callResult, r.resumeSent = noCallResult, false
+		l.resendInDoubt(h, r)
+	}
+}
+
+// resendInDoubt sends a command again whose doubt is settled, and the stop that was requested after it.
+func (l *loop) resendInDoubt(h handle, r *request) {
+	r.doubt = noDoubt
+	switch {
+	case r.callResult != noCallResult:
+		l.resendCallResult(r)
+	case r.resumeSent:
+		l.resendStart(r)
+		l.awaitInDoubt(h, r, doubtResumed, l.limits.AckSafetyMargin)
+	default:
+		l.resendStart(r)
+	}
+	if r.isStopRequested() {
+		l.resendStop(r)
+	}
+}
+
+// resendStart sends the start or the resume of a run again.
+func (l *loop) resendStart(r *request) {
+	if r.resumeSent {
+		l.traceResend(r, wire.KernelResume, r.runCommand)
+		l.sendResume(r)
+	} else {
+		l.traceResend(r, wire.KernelRun, r.runCommand)
+		l.sendRun(r)
+	}
+	l.counters.CommandsResent++
+}
+
+// resendCallResult sends the result of a call again.
+func (l *loop) resendCallResult(r *request) {
+	command := wire.KernelCallDone
+	if r.callResult == callResultSkipped {
+		command = wire.KernelCallSkipped
+	}
+	l.traceResend(r, command, r.callResultCommand)
+	l.sendCallResult(r)
+	l.counters.CommandsResent++
+}
+
+// resendStop sends the stop of a run again; a second copy does no harm.
+func (l *loop) resendStop(r *request) {
+	l.traceResend(r, wire.KernelStop, r.stopCommand)
+	l.sendStop(r)
+	l.counters.CommandsResent++
+}
+
+// traceResend logs a command that is sent again, with the number of its earlier copy and what the kernel has certainly
+// read: together with the run's events they show whether the kernel had read that copy.
+func (l *loop) traceResend(r *request, command string, number uint64) {
+	if !l.debug {
+		return
+	}
+	fields := logrus.Fields{logging.Command: command, logging.Acknowledged: l.kernel.acknowledged,
+		logging.LastSequence: l.kernel.lastSequence}
+	if number != unsentCommand {
+		fields[logging.CommandNumber] = number
+	}
+	l.traceWith(r.id, traceResent, fields)
+}
--- a/internal/node/server/limits.go
+++ b/internal/node/server/limits.go
@@ -168,7 +168,7 @@
 	l.GaugesTimeout = 8 * ms
 	// Requests wait for the replay, so a kernel that hangs is dialled again.
 	l.ReplayTimeout = 500 * ms
-	// A broken link is noticed within this time; a command sent twice to a run that has not ended does no harm.
+	// A break may lose the commands of the last 50 ms before it; it is noticed within as long again.
 	l.AckSafetyMargin = 100 * ms
 	// The store ends calls at their deadline; this covers one that does not.
 	l.CallGrace = 200 * ms
--- a/internal/node/server/loop.go
+++ b/internal/node/server/loop.go
@@ -103,10 +103,11 @@
 // nextRound returns the round that is being filled.
 func (d *decisions) nextRound() *admission.Round { return &d.rounds[d.filling] }
 
-// finishRound releases requests that are over, after the controller's last use of them, and reopens the kernel's link
-// if requested.
+// finishRound releases requests that are over, after the controller's last use of them, has the round's commands
+// acknowledged where that is wanted, and reopens the kernel's link if requested.
 func (l *loop) finishRound() {
 	l.releaseFinished()
+	l.requestAcknowledgement()
 	if l.reconnectKernel {
 		l.reconnectKernel = false
 		l.closeLink(&l.kernel.link, errStuck)
@@ -176,6 +177,8 @@
 		l.gaugesTimedOut()
 	case timerReplay:
 		l.replayTimedOut(t.subject)
+	case timerDoubt:
+		l.recheckDoubt(t.subject)
 	case timerCall:
 		l.callTimedOut(t.subject)
 	case timerReport:
--- a/internal/node/server/scenario_test.go
+++ b/internal/node/server/scenario_test.go
@@ -40,7 +40,11 @@
 //	kernel invalid ID COMMAND        a command was not executed
 //	kernel writes TEXT               raw bytes
 //	SIDE mute | talks                SYSINFO or reports are not answered, or are again
+//	kernel hangs                     SYSINFO is not answered any more on the newest connection
 //	kernel cut | silent | boots      closes its connections; keeps events unsent; sends a delayed BOOTED
+//	kernel confirms                  each PREEMPT is confirmed with STOPPED at once, and then no SYSINFO is answered
+//	kernel crosses says|asks ID ...  sends that event behind the gauges that end the next link's replay, before it reads
+//	                                 any further command
 //	kernel gauges N N                runs that want the cores and open connections, in the gauges from now on
 //	kernel heard N COMMAND ...       N commands begin like this, once the loop has sent all
 //	store gets LINE ..., store says ID WORD [TEXT], store cut | down | up
@@ -322,6 +326,16 @@
 		locked(func() { k.unresponsive, k.withholdEvents = false, false })
 	case "silent":
 		locked(func() { k.withholdEvents = true })
+	case "hangs":
+		locked(func() { k.stuckConn = k.newest })
+	case "confirms":
+		locked(func() { k.confirmsStops = true })
+	case "crosses":
+		e := append([]string{"REAP"}, append(w[1:], "", "")...)
+		if w[0] == "asks" {
+			e = []string{"IOREQ", w[1], "", w[2]}
+		}
+		locked(func() { k.crossing = append(k.crossing, e) })
 	case "boots":
 		locked(func() { k.bootDelayed = false })
 		k.write([]byte("{\"verb\":\"BOOTED\",\"outcome\":\"COLD\",\"spent\":0}\n"))
--- a/internal/node/server/timers.go
+++ b/internal/node/server/timers.go
@@ -9,6 +9,7 @@
 	timerWake timerKind = iota
 	timerGauges
 	timerReplay
+	timerDoubt
 	timerCall
 	timerReport
 	timerKernelDial
