Kernel link: a call's reply that the kernel may have read is proven lost before it is sent again

Cause: the reply to a call does not name the call. After the replay the node sent each reply again that was not acknowledged 0.1 s before the break. If the kernel had read the first copy and the run came to its next call before the second, it took the second copy as the reply to that call. Change: replies in doubt are settled as starts are, for every class: probed where a stopped run is paused, as a run at a call ignores the stop and one that went on confirms it or asks for its next call; elsewhere sent after a wait for an event.

--- a/internal/node/server/kernel_link.go
+++ b/internal/node/server/kernel_link.go
@@ -110,6 +110,7 @@
 
 func (l *loop) sendCallResult(r *request) {
 	if r.callResult == callResultReply {
+		l.kernel.wantsAcknowledgement = true
 		l.scratch = wire.AppendKernelCallDone(l.scratch[:0], r.id, r.reply)
 	} else {
 		l.scratch = wire.AppendKernelCallSkipped(l.scratch[:0], r.id, r.callSequence)
--- a/internal/node/server/kernel_recovery.go
+++ b/internal/node/server/kernel_recovery.go
@@ -10,9 +10,9 @@
 
 // This file decides which commands are sent again after the kernel's link ended. A command is in doubt if its link ended
 // so soon after it that the kernel may or may not have read it. Its second copy can do harm: the kernel starts a run
-// again that has ended in the meantime. That no event of the run was read yet proves nothing, as the run may end before
-// the kernel reads the second copy. So a start in doubt is sent again only if its second copy does no harm, or once its
-// doubt is settled:
+// again that has ended in the meantime, and gives the reply to one call to the next. That no event of the run was read
+// yet proves nothing, as the run may end, or reach its next call, before the kernel reads the second copy. So a command
+// in doubt is sent again only if its second copy does no harm, or once its doubt is settled:
 //
 //   - Where a stopped run is paused, the run is probed: a stop, then a gauges request. A run that the kernel has either
 //     confirms the stop, and can then neither end nor call until it is resumed, or has ended or called, of which an
@@ -92,9 +92,13 @@
 // startsRun reports whether the last command about a run, stops aside, was its start.
 func (c *kernelCommands) startsRun() bool { return c.callResult == noCallResult && !c.resumeSent }
 
-// commandInDoubt returns the number of the start or resume that may or may not have been read; 0: none.
+// commandInDoubt returns the number of the start, resume or call reply that may or may not have been read; 0: none. The
+// command that skips a call names the call, so it is never in doubt.
 func (k *kernelLink) commandInDoubt(c *kernelCommands) uint64 {
-	if k.mayBeRead(c.runCommand) {
+	switch {
+	case c.callResult == callResultReply && k.mayBeRead(c.callResultCommand):
+		return c.callResultCommand
+	case k.mayBeRead(c.runCommand):
 		return c.runCommand
 	}
 	return 0
@@ -145,7 +149,8 @@
 	if r.runCommand == unsentCommand {
 		l.resendStart(r)
 	}
-	if r.callResult != noCallResult && r.callResultCommand > k.acknowledged {
+	if r.callResult != noCallResult && r.callResultCommand > k.acknowledged &&
+		(r.callResult == callResultSkipped || r.callResultCommand == unsentCommand) {
 		l.resendCallResult(r)
 	}
 	if inDoubt == 0 && (r.doubt == noDoubt || r.doubt == doubtResumed) {
