Kernel link: a link whose address changed is read to its end before it is replaced

What callers saw: the same as after a break, a second run or the reply to another call, although a link that moves by SIGHUP is whole and loses nothing. Cause: the old link was closed at once, so that the commands of the last 0.1 s were in doubt over the new one. Change: the node requests the gauges over the old link and holds its commands until the response, for 0.1 s at most; by then the kernel has read every command, so none is in doubt. Without a response the commands are in doubt as after a break.

--- a/internal/node/server/kernel_link.go
+++ b/internal/node/server/kernel_link.go
@@ -18,6 +18,7 @@
 	kernelOpened                   // connected; waits for the kernel's booted event
 	kernelReplaying                // the kernel replays the events that were missed
 	kernelLive                     // commands can be sent
+	kernelMoving                   // commands wait: the address changed, and the old link has to be read to its end
 )
 
 // unsentCommand is the number of a command that was not sent on any link yet.
@@ -38,6 +39,7 @@
 	gaugesRequest      uint64 // number of the gauges request that a wake-up waits for
 	gaugesDeadline     admission.Time
 	replayRequest      uint64 // number of the gauges request whose response ends the replay
+	moveRequest        uint64 // number of the gauges request whose response ends the old link
 	probeRequest       uint64 // number of the gauges request whose response ends the latest probes; 0: none
 	probesStarted      bool   // probeRequest has to be sent
 	lastAnswered       uint64 // number of the last gauges request that was answered
@@ -48,7 +50,7 @@
 }
 
 // kernelUp opens the protocol on a new link: it sends the sequence of the last handled event, after which the kernel
-// replays the later ones. See row "kernel link broken or moved" in docs/design/shutdown.md.
+// replays the later ones. See row "kernel link broken" in docs/design/shutdown.md.
 func (l *loop) kernelUp() {
 	k := &l.kernel
 	k.state, k.awaitsFirstEvent, k.eventsLost = kernelOpened, true, false
@@ -209,7 +211,7 @@
 // ends of runs that count twice or never after a link broke: an event that was already handled is ignored, and a gap
 // closes the link, after which the missing events are replayed. A gap before the first event of a link means that the
 // kernel no longer has those events; a run that ended in one of them stays in progress here. See row "kernel link
-// broken or moved" in docs/design/shutdown.md.
+// broken" in docs/design/shutdown.md.
 func (l *loop) acceptSequence(e *wire.KernelEvent) bool {
 	k := &l.kernel
 	switch {
@@ -285,7 +287,7 @@
 
 // gaugesReceived handles a response with gauges, which acknowledges the commands before its request; the first on a
 // link ends the replay. Guards against commands that are lost with the link although a later request was answered: an
-// acknowledgement counts only once it is AckSafetyMargin old. See row "kernel link broken or moved" in
+// acknowledgement counts only once it is AckSafetyMargin old. See row "kernel link broken" in
 // docs/design/shutdown.md.
 func (l *loop) gaugesReceived(e *wire.KernelEvent) {
 	k := &l.kernel
@@ -296,7 +298,7 @@
 	if k.state == kernelReplaying && number == k.replayRequest {
 		l.replayComplete()
 	}
-	if k.state != kernelLive || number > k.lastCommand {
+	if k.state != kernelLive && k.state != kernelMoving || number > k.lastCommand {
 		return
 	}
 	k.lastAnswered = number
@@ -312,6 +314,9 @@
 		r.Gauges = l.settings.Gauges(e.Gauges[:e.GaugeCount])
 		l.fleet.coresSampled(r.Gauges.Runnable)
 	}
+	if k.state == kernelMoving && number == k.moveRequest {
+		l.oldLinkRead()
+	}
 }
 
 // replayTimedOut closes the link if the replay or the probes that the response to the gauges request with this number
@@ -327,6 +332,40 @@
 	}
 }
 
+// moveKernelLink requests the gauges over a link whose address changed, and reports whether the link can stay until the
+// response: then the kernel has read all its commands, and none has to be sent again over the next link. Commands wait
+// meanwhile. See row "kernel link moved" in docs/design/shutdown.md.
+func (l *loop) moveKernelLink() bool {
+	k := &l.kernel
+	if k.state == kernelMoving {
+		return true
+	}
+	if k.state != kernelLive {
+		return false
+	}
+	l.scratch = wire.AppendKernelGaugesRequest(l.scratch[:0], k.lastCommand+1)
+	if k.moveRequest = l.sendToKernel(); k.moveRequest == unsentCommand {
+		return false
+	}
+	k.state = kernelMoving
+	l.timers.set(l.now+l.limits.MoveTimeout, timerKernelMove, handle(k.moveRequest))
+	return true
+}
+
+// oldLinkRead replaces a moved link of which the kernel has read every command.
+func (l *loop) oldLinkRead() {
+	k := &l.kernel
+	k.acknowledged, k.nextAcknowledged, k.nextAcknowledgedAt = k.moveRequest, k.moveRequest, l.now
+	l.closeLink(&k.link, nil)
+}
+
+// moveTimedOut replaces a moved link whose kernel does not respond; its commands may have been read or not.
+func (l *loop) moveTimedOut(request handle) {
+	if k := &l.kernel; k.state == kernelMoving && handle(k.moveRequest) == request {
+		l.closeLink(&k.link, nil)
+	}
+}
+
 // kernelParser returns the parser of kernel events.
 func kernelParser(bounds wire.Bounds) linkParser {
 	return func(from *dialAttempt, b *buffer) (event, int, error) {
--- a/internal/node/server/limits.go
+++ b/internal/node/server/limits.go
@@ -44,6 +44,7 @@
 	GaugesTimeout          admission.Time // maximum wait of a wake-up for its gauges
 	ReplayTimeout          admission.Time // maximum time of a replay; then the link is reopened
 	AckSafetyMargin        admission.Time // commands acknowledged more recently may still be lost with their link
+	MoveTimeout            admission.Time // maximum time until the kernel has read a link whose address changed
 	CallGrace              admission.Time // how long after its deadline a call without a reply is given up
 	StoreIdleTimeout       admission.Time // a store connection idle for longer gets no call
 	MaxTimestampAhead      admission.Time // a receive timestamp further in the future is invalid
@@ -170,6 +171,8 @@
 	l.ReplayTimeout = 500 * ms
 	// A break may lose the commands of the last 50 ms before it; it is noticed within as long again.
 	l.AckSafetyMargin = 100 * ms
+	// Commands wait meanwhile, and the old address is served for longer.
+	l.MoveTimeout = 100 * ms
 	// The store ends calls at their deadline; this covers one that does not.
 	l.CallGrace = 200 * ms
 	// The store may close an idle connection, and a call that crosses the close may have run.
--- a/internal/node/server/links.go
+++ b/internal/node/server/links.go
@@ -233,7 +233,7 @@
 	l.dial(k)
 }
 
-// setLinkAddress changes the address of a link and dials it at once.
+// setLinkAddress changes the address of a link and dials it at once, the kernel's once its old link is read to its end.
 func (l *loop) setLinkAddress(k *link, addr string) {
 	if k.addr == addr {
 		return
@@ -246,5 +246,8 @@
 		l.dial(k)
 		return
 	}
+	if k.peer == peerKernel && l.moveKernelLink() {
+		return
+	}
 	l.closeLink(k, nil)
 }
--- a/internal/node/server/loop.go
+++ b/internal/node/server/loop.go
@@ -177,6 +177,8 @@
 		l.gaugesTimedOut()
 	case timerReplay:
 		l.replayTimedOut(t.subject)
+	case timerKernelMove:
+		l.moveTimedOut(t.subject)
 	case timerDoubt:
 		l.recheckDoubt(t.subject)
 	case timerCall:
--- a/internal/node/server/timers.go
+++ b/internal/node/server/timers.go
@@ -9,6 +9,7 @@
 	timerWake timerKind = iota
 	timerGauges
 	timerReplay
+	timerKernelMove
 	timerDoubt
 	timerCall
 	timerReport
@@ -26,7 +27,7 @@
 	at      admission.Time
 	order   uint64 // order of setting, which breaks ties of at
 	kind    timerKind
-	subject handle // slot of a table; of timerReplay, the number of its gauges request
+	subject handle // slot of a table; of timerReplay and timerKernelMove, the number of their gauges request
 }
 
 // timers is a binary min-heap of timers by time. It belongs to the loop, which handles the timers that are due. Timers
