--- a/admission/admission_queue.go
+++ b/admission/admission_queue.go
@@ -15,11 +15,13 @@
 	return now - t.at[q.head].arrivedAt
 }
 
-// hasOnePerCore reports whether at least one request per core is queued.
+// hasOnePerCore reports whether at least one request per core is queued: a whole run then passes before the last of
+// them gets a core.
 func (q *admissionQueue) hasOnePerCore(cores float64) bool { return float64(q.length) >= cores }
 
 // admit queues a request that was just read, resolves it as a repeat of a known request, or sheds it: while draining,
-// while runs are stalled, or if its run would not fit into memory.
+// while runs are stalled, or if its run would not fit into memory. It may shed a request that a slot or memory freed a
+// moment later would have served.
 func (c *Controller) admit(i index, q *Request) {
 	r := &c.requests.at[i]
 	class := &c.classes[r.class]
--- a/admission/arrivals.go
+++ b/admission/arrivals.go
@@ -1,24 +1,26 @@
 package admission
 
 const (
-	// Window of the read delay: one second.
+	// Window of the read delay: one second, long enough for a mean and short beside every latency objective.
 	readDelayBuckets = 4
 	readDelayStep    = Second / 4
-	// Window of the fractions of shed requests and of retries: four seconds, shorter than a retry storm.
+	// Window of the fractions of shed requests and of retries: four seconds, dozens of requests at a server's rate, and
+	// shorter than a retry storm.
 	retryBuckets = 8
 	retryStep    = Second / 2
-	// maxReturnInterval is the longest time between two requests of a caller for which it counts as returning.
+	// maxReturnInterval is the longest time between two requests of a caller for which it counts as returning: above
+	// the pauses of a busy caller, below the idle timeouts that it is weighed against.
 	maxReturnInterval = 8 * Second
 	returningBuckets  = 8
 	returningStep     = Second
-	// maxCallers bounds the number of callers that are tracked. Above it the map is cleared, and the fraction of
-	// returning callers is too low for a moment.
+	// maxCallers bounds the number of callers that are tracked, several times those of a large fleet. Above it the map
+	// is cleared, and the fraction of returning callers is too low for a moment.
 	maxCallers = 4096
 	// longReadDelay is the mean read delay, as a fraction of the latency objective, above which requests queue in the
-	// sockets and the admission queue counts as long.
+	// sockets and the admission queue counts as long: above what reading takes, and early enough to act in time.
 	longReadDelay = 0.125
 	// lateReadDelay is the read delay, as a fraction of the latency objective, above which a request counts as read
-	// too late.
+	// too late: no time is left to queue and run it.
 	lateReadDelay = 0.5
 )
 
--- a/admission/calls.go
+++ b/admission/calls.go
@@ -2,7 +2,7 @@
 
 const (
 	// targetAllowanceFraction is the fraction of the call allowance that the pacer aims to have in flight. The rest
-	// absorbs bursts and slow calls.
+	// absorbs bursts and slow calls: with less the average may exceed the allowance, with more the dependency idles.
 	targetAllowanceFraction = 0.5
 	// peakAllowanceFraction is the maximum fraction of the call allowance in flight at any moment, so that no average
 	// reaches the allowance.
@@ -14,27 +14,31 @@
 	// burst to a dependency that has just recovered.
 	maxBurstCalls = 4
 	// probeRateFactor is the call rate to a next tier that rejects calls, as a multiple of the rate of successful
-	// calls. Above 1 so that the rate recovers.
+	// calls. Above 1 so that the rate recovers; far above, the tier spends its capacity on rejections.
 	probeRateFactor = 1.25
 	// minProbeCalls is the number of calls per window that a next tier gets even if none succeed, to detect its
-	// recovery.
+	// recovery: two a second.
 	minProbeCalls = 4
-	// A call gets at least minCallTimeoutFactor mean call times plus minCallTimeoutExtra.
+	// A call gets at least minCallTimeoutFactor mean call times plus minCallTimeoutExtra, as a slow call is not
+	// lost. Larger values hold slots at a dependency that has stopped.
 	minCallTimeoutFactor = 2
 	minCallTimeoutExtra  = Second / 5
-	// A rejected call that can be skipped is skipped after more than maxRejectedAttempts attempts.
+	// A rejected call that can be skipped is skipped after more than maxRejectedAttempts attempts. A
+	// larger value holds its slot, a smaller one gives up calls that a short rejection would have left.
 	maxRejectedAttempts = 2
 	// A request fails if its call may have been executed and gave no result after more than maxCallAttempts attempts.
 	// Rejected calls are retried until the deadline or skipped.
 	maxCallAttempts = 3
-	// maxBackoffDoublings bounds the backoff between call attempts to 32 timer periods.
+	// maxBackoffDoublings bounds the backoff between call attempts to 32 timer periods: enough that rejections don't
+	// become a storm, while a longer one would outlast the latency objective.
 	maxBackoffDoublings = 5
 
-	// Window of call times and outcomes: two seconds.
+	// Window of call times and outcomes: two seconds, long enough for a mean at a few calls a second, in steps that are
+	// short beside a fault of the dependency.
 	callBuckets = 8
 	callStep    = Second / 4
 	// inFlightBuckets is the number of buckets of the average of calls in flight, over the deployment's averaging
-	// time.
+	// time. With fewer the average lags by more than a tenth of that time.
 	inFlightBuckets = 10
 	// Abandoned calls are counted in quarters of the cancellation delay. The extra bucket makes each count for at
 	// least the whole delay.
@@ -217,6 +221,8 @@
 //   - a call that can be skipped is skipped, a rejected one only after more than maxRejectedAttempts attempts;
 //   - a call that was not rejected fails its request if the class is at-most-once or the attempts are used up;
 //   - any other call is retried after a backoff.
+//
+// It may fail or degrade a request whose next attempt would have succeeded.
 func (c *Controller) retryCall(i index, rejected bool) {
 	r := &c.requests.at[i]
 	class := &c.classes[r.class]
--- a/admission/class.go
+++ b/admission/class.go
@@ -22,7 +22,8 @@
 	initialWorkTime float64 // assumed run time without calls until a run has ended, in units of Time
 }
 
-// initialWorkDivisor divides the latency objective to give the assumed run time of a class before one is measured.
+// initialWorkDivisor divides the latency objective to give the assumed run time of a class before one is measured: a
+// server that meets its objectives under load has several runs per core, so a run takes a small part of them.
 const initialWorkDivisor = 8
 
 func newClass(h *Handler) class {
--- a/admission/concurrency.go
+++ b/admission/concurrency.go
@@ -4,13 +4,14 @@
 
 const (
 	// ceilingFraction is the maximum number of runs in progress as a fraction of the runs that the server survives. A
-	// server with more runs than that does not recover by itself.
+	// server with more runs than it survives does not recover by itself. A smaller fraction idles cores only where
+	// nearly all runs are at calls.
 	ceilingFraction = 0.8
 	// idleCoresFraction is the fraction of the idle cores by which the limit rises per adjustment, so that two
 	// adjustments on one gauge reading do not overshoot.
 	idleCoresFraction = 0.5
 	// overcommitFraction is the number of runnable runs in excess of the cores, as a fraction of the cores, above
-	// which the limit falls.
+	// which the limit falls. Runs that start and end together make the number swing by that much.
 	overcommitFraction = 0.5
 )
 
--- a/admission/controller.go
+++ b/admission/controller.go
@@ -1,7 +1,8 @@
 package admission
 
 const (
-	// timerPeriod is the timer's period while any request is known.
+	// timerPeriod is the timer's period while any request is known: short beside every latency objective and the half
+	// second of the gauges, long beside a round.
 	timerPeriod = 20 * millisecond
 	// idlePeriod is the timer's period while no request is known, and the period of the less urgent rules.
 	idlePeriod = 5 * timerPeriod
--- a/admission/deadlines.go
+++ b/admission/deadlines.go
@@ -1,7 +1,8 @@
 package admission
 
 const (
-	// reviewsPerObjective is the number of times per latency objective at which a changing timeout is checked.
+	// reviewsPerObjective is the number of times per latency objective at which a changing timeout is checked:
+	// a wait exceeds its timeout by a small part of the objective, and the timers stay few.
 	reviewsPerObjective = 16
 	// longCallQueueDivisor divides the latency objective to give the length of the call queue, in time at the current
 	// pace, above which calls of low value are skipped early.
@@ -23,7 +24,8 @@
 		end = min(end, c.drain.killAt-c.answerMargin())
 	}
 	if r.state == awaitingCall && !class.canSkipCall && !class.hasLateValue {
-		// Guards against a slow dependency that fills all slots with requests whose responses have no value left.
+		// Guards against a slow dependency that fills all slots with requests whose responses have no value left. Does
+		// harm where such a response is still wanted.
 		end = min(end, r.arrivedAt+class.objective)
 	}
 	switch {
@@ -80,7 +82,7 @@
 
 // reviewCall skips a call that cannot return within the latency objective, if the response still has value without
 // it. While the call queue is long, calls of low value are skipped earlier, which frees their slots and leaves the
-// pace to the others.
+// pace to the others. It may degrade a response although the call queue is about to clear.
 func (c *Controller) reviewCall(i index, end Time) {
 	r := &c.requests.at[i]
 	class := &c.classes[r.class]
--- a/admission/idempotency.go
+++ b/admission/idempotency.go
@@ -42,7 +42,8 @@
 func (c *Controller) resolveRepeat(i, original index) (resolved bool) {
 	atMostOnce := c.classes[c.requests.at[i].class].atMostOnce
 	if c.memory.full() {
-		// Guards against repeats of a hot key that fill the memory while they wait, although they need no slot.
+		// Guards against repeats of a hot key that fill the memory while they wait, although they need no slot. Does harm
+		// where their original is about to end.
 		if atMostOnce && (original == none || c.requests.at[original].executed) {
 			c.fail(i, ReasonMemory)
 		} else {
--- a/admission/idle_timeout.go
+++ b/admission/idle_timeout.go
@@ -2,7 +2,8 @@
 
 const (
 	// connectionsPerCoreThreshold is the number of connections or callers per core above which idle connections cost
-	// more than new ones, and the idle timeout is shortened.
+	// more than new ones, and the idle timeout is shortened: each open one takes its part of the cores, and a connection
+	// table holds some times this number.
 	connectionsPerCoreThreshold = 16
 	// minIdleTimeout exceeds the pauses within a caller's burst of requests.
 	minIdleTimeout = Second * 3 / 5
--- a/admission/memory.go
+++ b/admission/memory.go
@@ -1,7 +1,7 @@
 package admission
 
 // usableMemoryFraction is the fraction of memory that may be allocated. The rest is for requests of a round, which
-// are counted only after they were read.
+// are counted only after they were read: with less, one burst of large requests exceeds the memory.
 const usableMemoryFraction = 0.95
 
 // memoryAccount counts the memory of requests, runs and entries of the idempotency table, in KB.
--- a/admission/overload_signal.go
+++ b/admission/overload_signal.go
@@ -3,12 +3,14 @@
 import "math"
 
 const (
-	// targetQueuePerCore is the number of queued requests per core at which the pressure is constant.
+	// targetQueuePerCore is the number of queued requests per core at which the pressure is constant: cores
+	// stay busy and waits short.
 	targetQueuePerCore = 0.5
-	// readDelayWeight converts the read delay, as a fraction of the latency objective, to queued requests per core.
+	// readDelayWeight converts the read delay, as a fraction of the latency objective, to queued requests per core: a
+	// quarter of the objective counts as targetQueuePerCore.
 	readDelayWeight = 2
 	// secondsToFullPressure is the time from no pressure to all at the maximum rise. Callers react to a value with a
-	// delay, and a faster rise makes the load oscillate.
+	// delay and follow it for a second, and a faster rise makes the load oscillate, with idle cores in between.
 	secondsToFullPressure = 3.0
 	// maxRise and maxFall bound the excess of queued requests per core that the pressure follows. It falls slower
 	// than it rises, so that the load that was kept away does not return at once.
--- a/admission/queue_timeout.go
+++ b/admission/queue_timeout.go
@@ -8,9 +8,11 @@
 
 const (
 	// runTimeReserve is the multiple of the expected run time that the queue timeout leaves of the latency objective,
-	// as about half of all runs take longer than expected.
+	// as about half of all runs take longer than expected. A larger value sheds requests that would have been in time, a
+	// smaller one admits some that will be late.
 	runTimeReserve = 1.3
-	// maxTimeoutFraction is the maximum queue timeout as a fraction of the latency objective.
+	// maxTimeoutFraction is the maximum queue timeout as a fraction of the latency objective, so that a request that
+	// starts has time to run and to make its calls.
 	maxTimeoutFraction = 0.5
 	// minTimeoutFraction is the minimum queue timeout as a fraction of the latency objective, even if runs take
 	// longer than the objective: recovery can be observed only on admitted requests.
@@ -22,16 +24,16 @@
 	// by rank; half the number of cores if that is more. With fewer, shedding could leave a core idle.
 	minQueuedToShorten = 2.0
 	// retryTimeoutDivisor shortens the queue timeout of retries and hedged requests, whose client has used part of
-	// its time on the first attempt.
+	// its time on the first attempt; they take places from requests with more time.
 	retryTimeoutDivisor = 3.0
 	// worstClassSlope is the slope at which the extra weight of the worst class falls with the lead of another class
 	// in the fraction served: it is 0 at a lead of a tenth. Guards against classes that swap places at each ranking.
 	worstClassSlope = 10.0
 	// minUtilityRatio is the ratio of utilities above which one ranks above another; smaller differences are noise of
-	// the measured work.
+	// the measured work, which differs by a few percent from one ranking to the next.
 	minUtilityRatio = 1.05
 
-	// Window of arrivals: five seconds.
+	// Window of arrivals: five seconds, dozens of requests at a server's rate, and shorter than a surge.
 	demandBuckets = 10
 	demandStep    = Second / 2
 	// Window of the fraction served: eight seconds, since rare classes have few responses.
@@ -204,7 +206,8 @@
 }
 
 // weighCells computes the utility of each cell. Classes close to the worst fraction served gain extra utility, in
-// inverse proportion to their share of the value demanded.
+// inverse proportion to their share of the value demanded. It takes slots from the others also where a class fails for
+// a reason of its own.
 func (q *queueTimeouts) weighCells(worstFraction, valueDemanded float64) {
 	for k := range q.cells {
 		cell, c := &q.cells[k], &q.classes[k/len(q.tenants)]
--- a/admission/readiness.go
+++ b/admission/readiness.go
@@ -1,9 +1,11 @@
 package admission
 
 const (
-	// minStallTime is the shortest time without progress that counts as a stall.
+	// minStallTime is the shortest time without progress that counts as a stall. A shorter one takes a pause of the disk
+	// for a stall, a longer one keeps callers waiting on a server that does nothing.
 	minStallTime = Second
-	// stallRunTimes is the time without progress that counts as a stall, in expected run times of the slowest class.
+	// stallRunTimes is the time without progress that counts as a stall, in expected run times of the slowest class,
+	// so that a class of long runs is not taken for a stall.
 	stallRunTimes = 4
 	// stallObjectiveFraction is the minimum of that time as a fraction of the longest latency objective, since a
 	// single heavy run may take that long.
@@ -11,12 +13,13 @@
 	// stallFullRateRuns is the number of runs on the cores from which time without progress counts in full. With
 	// fewer, which may all be heavy, it counts in proportion.
 	stallFullRateRuns = 4
-	// overloadedAbove is the fraction of reads and run ends that are too late above which the server is overloaded.
+	// overloadedAbove is the fraction of reads and run ends that are too late above which the server is overloaded:
+	// most of its work is useless. With a lower one a burst takes the server out of service.
 	overloadedAbove = 0.8
 	// overloadClearedAt is the fraction at or below which the overload ends; lower than overloadedAbove, so that the
 	// state does not flap.
 	overloadClearedAt = 0.2
-	// Window of the fraction that is too late: one second.
+	// Window of the fraction that is too late: one second. A longer one acts late, a shorter one on single requests.
 	lateBuckets = 4
 	lateStep    = Second / 4
 	// stalledProbeDelay is the time without arrivals after which a stalled, empty server reports ready to get a probe
@@ -48,7 +51,7 @@
 
 // hasStalled reports whether there are at least as many runs as cores and none has made progress for much longer
 // than runs take. Guards against a stalled kernel or disk, at which each queued request would wait until its queue
-// timeout.
+// timeout. Does harm where every slot has a very heavy request at once.
 func (r *readiness) hasStalled(running int, cores float64, classes []class) bool {
 	limit := float64(minStallTime)
 	for k := range classes {
@@ -60,7 +63,7 @@
 
 // updateOverload updates the overloaded state and returns a log line if it has changed. A server is overloaded if
 // most requests are read, or most runs end, too late for their clients. Its health check then fails until few of them
-// are late, or there are none.
+// are late, or there are none. Does harm where all servers of a fleet fail their checks at once.
 func (r *readiness) updateOverload(now Time, cores float64) (line string) {
 	late, all := r.late.sums(now)
 	switch {
@@ -75,7 +78,8 @@
 }
 
 // isReady returns the reported health. A stalled server that is empty reports ready after stalledProbeDelay without
-// arrivals: otherwise callers that follow health checks would never send the request that shows its recovery.
+// arrivals: otherwise callers that follow health checks would never send the request that shows its recovery. This
+// costs one request every two seconds while the stall lasts.
 func (r *readiness) isReady(empty bool, sinceArrival Time, draining bool) bool {
 	probing := empty && sinceArrival > stalledProbeDelay
 	return (!r.stalled || probing) && !r.overloaded && !draining
--- a/admission/rejection.go
+++ b/admission/rejection.go
@@ -8,12 +8,14 @@
 	// demand.
 	fullFleetPressure = 0.5
 	// fullFleetFraction is the sum of the fractions shed and of retries above which the fleet is assumed full: a
-	// retry was shed by another server.
+	// retry was shed by another server. With a lower one callers lose the way to servers that have room, with a higher
+	// one a full fleet reads requests that it can't serve.
 	fullFleetFraction = 0.8
 )
 
 // isFinal decides whether a shed request should not be retried at another server: it reached its queue timeout or
-// deadline, and it is a retry, was delayed long, or the fleet is full.
+// deadline, and it is a retry, which two servers have now shed, was delayed long, or the fleet is full. Does harm where
+// only one of a few servers is slow.
 func isFinal(reason Reason, isRetry, delayedLong, fleetFull bool) bool {
 	return (reason == ReasonQueueTimeout || reason == ReasonDeadline) && (isRetry || delayedLong || fleetFull)
 }
--- a/admission/warmup.go
+++ b/admission/warmup.go
@@ -24,7 +24,7 @@
 	return w.coldSpeed + (1-w.coldSpeed)*float64(now-w.startedAt)/float64(w.warmAt-w.startedAt)
 }
 
-// Parameters of the platform's limit on runs during warm-up (slow start).
+// Parameters of the platform's limit on runs during warm-up (slow start): with few runs their number varies more.
 const (
 	smallBudget            = 30 // runs
 	smallBudgetSqrtFactor  = 3
--- a/internal/control/zones/evacuate.go
+++ b/internal/control/zones/evacuate.go
@@ -9,19 +9,22 @@
 
 const (
 	// maxUtilization is the part of the run capacity up to which load is moved to other zones; the rest absorbs
-	// uneven load.
+	// uneven load. With more, an evacuation could overload the other zones; with less, it would not be possible at half
+	// load.
 	maxUtilization = 0.85
 	// minEvacuationGain is the least gain in completed weight that justifies an evacuation, as a part of the zone's
-	// offered weight. Smaller differences are within the error of the reports.
+	// offered weight. Smaller differences are within the error of the reports, and each evacuation costs callers a retry.
 	minEvacuationGain = 0.1
 	// maxDrillLoss is the part of its offered weight that another zone may fail to complete during a drill.
 	maxDrillLoss = 2 * minEvacuationGain
-	// minMovedShare, of api.FullShare, is the least part of a zone's load that is worth an epoch.
+	// minMovedShare, of api.FullShare, is the least part of a zone's load that is worth an epoch, which
+	// every node has to promise.
 	minMovedShare = api.FullShare / 8
 	// maxDelayDoublings bounds the shift in rampDelayMS, which must not overflow; MaxRampDelayMS applies earlier.
 	maxDelayDoublings = 20
 	// flapWindowMS: a zone that fails within this time after its ramp ended has flapped, and its next ramp delay
-	// doubles.
+	// doubles. The window covers several ramps; with a shorter one a zone that fails at each return would take its
+	// callers along every time.
 	flapWindowMS = 600_000
 	// minRate replaces a rate of 0 as a divisor.
 	minRate = 1e-9
--- a/internal/control/zones/monitor.go
+++ b/internal/control/zones/monitor.go
@@ -27,9 +27,10 @@
 }
 
 const (
-	// minHeartbeatMS is the shortest heartbeat interval.
+	// minHeartbeatMS is the shortest heartbeat interval: short enough to evacuate a zone within a few seconds.
 	minHeartbeatMS = 1000
-	// maxHeartbeatRate is the highest rate of heartbeats of a fleet, per second; larger fleets report less often.
+	// maxHeartbeatRate is the highest rate of heartbeats of a fleet, per second; larger fleets report less often,
+	// so that the group is not busy with reports alone.
 	maxHeartbeatRate = 2500
 
 	// A node is silent after silentHeartbeats intervals and silentMarginMS. At the shortest interval a single lost
@@ -38,6 +39,7 @@
 	silentMarginMS   = 800
 
 	// A report expires after reportTTLHeartbeats intervals and reportTTLMarginMS, when two more should have arrived.
+	// With a longer time a zone is judged by its past, with a shorter one a lost heartbeat removes a node from the view.
 	reportTTLHeartbeats = 2
 	reportTTLMarginMS   = 500
 
--- a/internal/control/zones/observe.go
+++ b/internal/control/zones/observe.go
@@ -1,14 +1,17 @@
 package zones
 
 const (
-	// peakDecay is the factor by which a peak decays at an evaluation: by a tenth in a quarter of an hour.
+	// peakDecay is the factor by which a peak decays at an evaluation: by a tenth in a quarter of an hour, so
+	// that a fleet that shrank is not asked for its former load. If it fell faster, a quiet hour would slow the next ramp.
 	peakDecay = 0.99994
-	// averageWeight is the weight of a new sample in an average, which follows within half a minute.
+	// averageWeight is the weight of a new sample in an average, which follows within half a minute. If it
+	// followed faster, a failure would become the usual state before it is detected.
 	averageWeight = 1.0 / 64
 	// observationDelay, in evaluations, is the time that a zone has to stay healthy for a sample to count: runs pile
 	// up in the first seconds of a failure, before any node is unhealthy.
 	observationDelay = 8
-	// maxWarmSlowdown is the highest slowdown, see slowdown, at which a service counts as warm.
+	// maxWarmSlowdown is the highest slowdown, see slowdown, at which a service counts as warm. With a lower one a
+	// service whose times vary by a tenth would never be warm.
 	maxWarmSlowdown = 1.3
 )
 
--- a/internal/control/zones/ramp.go
+++ b/internal/control/zones/ramp.go
@@ -9,16 +9,18 @@
 const (
 	// targetLoad is the load that a step aims for: runs in flight as a part of those observed. By Little's law runs
 	// in flight are the run rate times the run time, so a service that is five times as slow gets a fifth of the
-	// rate.
+	// rate. A higher load leaves no room for uneven load, a lower one prolongs the ramp.
 	targetLoad = 0.85
-	// stepBackLoad is the load above which a ramp steps back.
+	// stepBackLoad is the load above which a ramp steps back. Closer to 1, uneven reports would cost steps.
 	stepBackLoad = 1.1
 	// stepBackTargetLoad is the load that a step back aims for. It is below targetLoad, so that the next evaluation
 	// does not step back again.
 	stepBackTargetLoad = 0.75
-	// slowdownTolerance is the highest slowdown, see slowdown, that counts as noise of the reports.
+	// slowdownTolerance is the highest slowdown, see slowdown, that counts as noise of the reports, which differ by a
+	// tenth.
 	slowdownTolerance = 1.15
-	// overloadEvaluations in a row have to show overload before a ramp steps back.
+	// overloadEvaluations in a row have to show overload before a ramp steps back, so that one uneven report does
+	// not cost a step.
 	overloadEvaluations = 3
 	// minStepRuns is the number of runs that have to end at a step before it is complete.
 	minStepRuns = 10
