--- a/internal/node/server/working_kernel_test.go
+++ b/internal/node/server/working_kernel_test.go
@@ -4,11 +4,9 @@
 
 import (
 	"bufio"
-	"bytes"
 	"encoding/base64"
 	"encoding/json"
 	"fmt"
-	"io"
 	"net"
 	"slices"
 	"strconv"
@@ -266,12 +264,11 @@
 			if len(w) != 4 || w[0] != "CALL" {
 				continue
 			}
-			n, _ := strconv.Atoi(w[3])
-			body := make([]byte, n+2)
-			if _, err := io.ReadFull(r, body); err != nil {
+			body, err := readCallBody(w, r)
+			if err != nil {
 				return
 			}
-			reply := replyTo(string(bytes.TrimSpace(body)))
+			reply := replyTo(string(body))
 			time.AfterFunc(storeReplyTime, func() {
 				s.mu.Lock()
 				defer s.mu.Unlock()
