--- a/internal/node/server/scenario_test.go
+++ b/internal/node/server/scenario_test.go
@@ -42,7 +42,8 @@
 //	SIDE mute | talks                SYSINFO or reports are not answered, or are again
 //	kernel hangs                     SYSINFO is not answered any more on the newest connection
 //	kernel cut | silent | boots      closes its connections; keeps events unsent; sends a delayed BOOTED
-//	kernel confirms                  each PREEMPT is confirmed with STOPPED at once, and then no SYSINFO is answered
+//	kernel confirms                  each PREEMPT is confirmed with STOPPED at once; then no SYSINFO is answered on that
+//	                                 connection
 //	kernel crosses says|asks ID ...  sends that event behind the gauges that end the next link's replay, before it reads
 //	                                 any further command
 //	kernel gauges N N                runs that want the cores and open connections, in the gauges from now on
