--- a/internal/harness/work_folder_test.go
+++ b/internal/harness/work_folder_test.go
@@ -3,8 +3,10 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"os"
 	"path/filepath"
+	"slices"
 	"strings"
 	"testing"
 
@@ -65,6 +67,35 @@
 	}
 }
 
+// After a violation the report has the last warnings of all logs in order, as CI keeps no logs, and the machine's delays.
+func TestViolationReportHasWarningsAndDelays(t *testing.T) {
+	t.Parallel()
+	const fenced = `{"level":"warning","msg":"node is fenced","time":"2026-12-04T08:31:26.58%dZ"}` + "\n"
+	rep, folder := &report.Report{}, ""
+	err := withWorkFolder(context.Background(), rep, func(dir string) error {
+		folder = dir
+		rep.SetBroken("a request was lost")
+		return errors.Join(
+			os.WriteFile(filepath.Join(dir, "n1.log"), []byte(fmt.Sprintf(fenced, 3)+
+				`{"level":"info","msg":"node serves","time":"2026-12-04T08:31:26.590Z"}`+"\nnot a record\n"), 0o600),
+			os.WriteFile(filepath.Join(dir, "n2.log"), []byte(strings.Repeat(fmt.Sprintf(fenced, 1), maxWarningNotes)),
+				0o600))
+	})
+	t.Cleanup(func() { os.RemoveAll(folder) })
+	if err != nil {
+		t.Fatal(err)
+	}
+	warnings := slices.DeleteFunc(slices.Clone(rep.Notes), func(s string) bool { return !strings.Contains(s, ".log: ") })
+	if len(warnings) != maxWarningNotes || !strings.HasPrefix(warnings[0], "n2.log: ") ||
+		warnings[maxWarningNotes-1] != `n1.log: {"level":"warning","msg":"node is fenced",`+
+			`"time":"2026-12-04T08:31:26.583Z"}` {
+		t.Errorf("got warnings %q, want the last %d, that of n1 at the end", warnings, maxWarningNotes)
+	}
+	if !slices.ContainsFunc(rep.Notes, func(s string) bool { return strings.HasPrefix(s, "machine: a timer") }) {
+		t.Errorf("got notes %q, want the machine's delays among them", rep.Notes)
+	}
+}
+
 // An interrupted run in virtual time returns an error and prints no verdict, as most schedules were not run.
 func TestInterruptedVirtualRunHasNoVerdict(t *testing.T) {
 	t.Parallel()
