--- a/internal/control/coordinator/append_timer.go
+++ b/internal/control/coordinator/append_timer.go
@@ -1,7 +1,8 @@
 package coordinator
 
 // appendTimeoutMS is the time in ms after which an appended entry that was not applied is considered lost and is
-// appended again.
+// appended again. A shorter time would append entries twice while commits are slow; a longer one leaves nodes without a
+// response while their leases run.
 const appendTimeoutMS = 5000
 
 // appendTimer measures the time from an entry's append to its application. The zero value is stopped. A timer that is
--- a/internal/control/coordinator/batch_timing.go
+++ b/internal/control/coordinator/batch_timing.go
@@ -5,7 +5,8 @@
 	// maxBatchIntervalMS is the maximum interval. It bounds the delay of the group's clock and of detecting silent
 	// nodes.
 	maxBatchIntervalMS = 1000
-	// minBatchIntervalMS is the minimum interval. It bounds the delay of promises and joins during a policy change.
+	// minBatchIntervalMS is the minimum interval. It bounds the delay of promises and joins during a policy change. A
+	// shorter one would cost more entries than a change gains by it.
 	minBatchIntervalMS = 100
 	// batchesPerLease divides the lease into intervals that apply while heartbeats wait, within the limits above.
 	batchesPerLease = 8
--- a/internal/control/coordinator/checksums.go
+++ b/internal/control/coordinator/checksums.go
@@ -14,7 +14,8 @@
 }
 
 // maxChecksums is the number of newest entries whose checksums are kept for comparison with the positions that nodes
-// report, some minutes' worth.
+// report, some minutes' worth: a group that was reset to an older state is at the same indexes again within seconds.
+// More would lengthen snapshots.
 const maxChecksums = 512
 
 // recordChecksum stores an entry's checksum. Checksums are not chained, so that instances agree even if they began to
--- a/internal/control/coordinator/heartbeat_pace.go
+++ b/internal/control/coordinator/heartbeat_pace.go
@@ -3,7 +3,8 @@
 import "umberwinch/internal/control/zones"
 
 const (
-	// heartbeatsPerLease is the number of heartbeats per lease. Some may be lost without the lease expiring.
+	// heartbeatsPerLease is the number of heartbeats per lease. Some may be lost without the lease expiring; more cost
+	// the leader requests.
 	heartbeatsPerLease = 4
 	// changeHeartbeatMS is the minimum heartbeat interval during a policy change, in ms.
 	changeHeartbeatMS = 200
@@ -12,7 +13,8 @@
 	// newNodeHeartbeatMS is the minimum heartbeat interval of a limited new node, in ms, so that a single restart is
 	// released within a second.
 	newNodeHeartbeatMS = 250
-	// newNodeIntervalDivisor divides the load report interval for a limited new node.
+	// newNodeIntervalDivisor divides the load report interval for a limited new node. So a fleet that restarts as a
+	// whole sends twice as many heartbeats as usual at most.
 	newNodeIntervalDivisor = 2
 )
 
--- a/internal/control/coordinator/listen.go
+++ b/internal/control/coordinator/listen.go
@@ -6,7 +6,8 @@
 )
 
 const (
-	// maxListenMS is the maximum duration of the listen phase, in ms. Reachable nodes send a heartbeat within it.
+	// maxListenMS is the maximum duration of the listen phase, in ms. Reachable nodes send a heartbeat within it. A longer
+	// phase would leave renewals without a response after each failover.
 	maxListenMS = 1500
 	// listenLeaseDivisor limits the listen phase to a quarter of a lease, after which nodes renew.
 	listenLeaseDivisor = 4
--- a/internal/control/coordinator/loss_evidence.go
+++ b/internal/control/coordinator/loss_evidence.go
@@ -66,7 +66,8 @@
 //
 // Responses carry committed state only, so a group that lacks a position reported by its nodes was reset to an older
 // state. It could decide the same change twice, and must stop until an operator restores it. Evidence from
-// nodesToProveLoss nodes within evidenceSpanMS is required, or from all nodes of a smaller fleet.
+// nodesToProveLoss nodes within evidenceSpanMS is required, or from all nodes of a smaller fleet. Nodes that are wrong
+// together would stop a healthy group.
 func (l *Leader) provenLoss(s *State) string {
 	if l.Level < LevelGenerations || len(l.evidence) == 0 {
 		return ""
--- a/internal/node/pools/canstart.go
+++ b/internal/node/pools/canstart.go
@@ -1,12 +1,13 @@
 package pools
 
 // One tenant, or one bucket of callers, may hold the limit of its class divided by ownerLimitDivisor while others of
-// the class wait.
+// the class wait. A smaller part would hold back a class that has one caller alone.
 const ownerLimitDivisor = 2
 
 // CanStart reports whether a queued request may take a run slot now. A class over its limit may start requests while no
 // class under its limit is waiting, so that no slot idles; a configured cap always holds, heavy runs excluded. The
-// class with the reserve starts before all others while it waits and runs fewer requests than the reserve.
+// class with the reserve starts before all others while it waits and runs fewer requests than the reserve. Guards
+// against costly work that holds all slots; requests of a limited class are passed by younger ones of others.
 func (p *Pools) CanStart(id uint32) bool {
 	o, ok := p.queued[id]
 	if p.config.Disabled || !ok {
--- a/internal/node/pools/heavy.go
+++ b/internal/node/pools/heavy.go
@@ -4,7 +4,8 @@
 	// heavyWorkFactor is the multiple of its class's median work from which a run is heavy. With exponentially
 	// distributed work fewer than one run in thirty is.
 	heavyWorkFactor = 5
-	// heavyFraction is the heavy slots, shared by all classes, as a fraction of the run slots.
+	// heavyFraction is the heavy slots, shared by all classes, as a fraction of the run slots. More take room from
+	// usual work; with fewer a few heavy runs fill their own class.
 	heavyFraction = 0.2
 	// One tenant may hold the heavy slots divided by heavyTenantDivisor, if there are several tenants.
 	heavyTenantDivisor = 2
@@ -27,7 +28,8 @@
 }
 
 // markHeavyRuns moves runs that have used several times their class's median work to the heavy slots while those have
-// capacity, so that a few costly requests don't use up their class's own slots.
+// capacity, so that a few costly requests don't use up their class's own slots. Heavy runs without room there stay in
+// the class's own slots. All classes have less room for it, by the heavy slots at most.
 func (p *Pools) markHeavyRuns(now Time) {
 	heavyLimit := max(1, int(heavyFraction*float64(p.slots)))
 	tenantLimit := heavyLimit
--- a/internal/node/pools/limits.go
+++ b/internal/node/pools/limits.go
@@ -11,14 +11,15 @@
 	cutFactor    = 0.85
 	growthFactor = 0.1
 	// starvedMissFraction is the fraction of a class's recent arrivals that were shed or late from which it may be
-	// starved.
+	// starved: the rate under which the reserve is to keep the cheapest class.
 	starvedMissFraction = 0.05
 	// starvedShortfall is how far below its fair slots a class has to be to be starved, as a fraction of them: a class
 	// that uses its fair slots and still sheds or is late demands too much.
 	starvedShortfall = 0.1
-	// minArrivals is the number of recent arrivals below which a class is never starved.
+	// minArrivals is the number of recent arrivals below which a class is never starved: of fewer, one shed is no sign.
 	minArrivals = 4
-	// minExcess is the mean number of slots over its fair slots from which a class's limit may be cut.
+	// minExcess is the mean number of slots over its fair slots from which a class's limit may be cut. The number at
+	// one moment swings by several.
 	minExcess = 0.5
 	// maxChanges is the maximum number of log lines kept between two calls of TakeChanges.
 	maxChanges = 16
@@ -36,7 +37,8 @@
 const noClass = -1
 
 // adjustLimits updates the limit of each class. While a class is starved, the class that exceeds its fair slots most is
-// cut; otherwise limits grow until they are removed.
+// cut; otherwise limits grow until they are removed. Requests of the class that is cut wait while younger ones of
+// others start.
 func (p *Pools) adjustLimits(now Time) {
 	starved, exceeding := p.findStarvation(now)
 	for k := range p.classes {
--- a/internal/node/pools/pools.go
+++ b/internal/node/pools/pools.go
@@ -209,7 +209,8 @@
 	p.freeRuns = append(p.freeRuns, r)
 }
 
-// adjustInterval is the time between two adjustments of limits.
+// adjustInterval is the time between two adjustments of limits: a few dozen runs end within it. A longer one would leave
+// a class starved for as long.
 const adjustInterval = Second / 2
 
 // Tick marks heavy runs, and adjusts limits and reserve every adjustInterval. slots is the concurrency limit, in runs.
--- a/internal/node/pools/recentsum.go
+++ b/internal/node/pools/recentsum.go
@@ -1,6 +1,7 @@
 package pools
 
-// Recent history is 4 s, in steps of half a second.
+// Recent history is 4 s, in steps of half a second. It holds dozens of runs of a common class, and a change of work has
+// moved the median once half of them are new.
 const (
 	historySteps = 8
 	historyStep  = Second / 2
--- a/internal/node/pools/reserve.go
+++ b/internal/node/pools/reserve.go
@@ -28,7 +28,8 @@
 var noReserve = reserve{class: noClass}
 
 // chooseReserve gives the reserve to the class whose median work is clearly the lowest, and sizes it by the class's
-// arrival rate and p95 work. Reserved slots don't idle: others use them while no request of the class is queued.
+// arrival rate and p95 work. Reserved slots don't idle: others use them while no request of the class is queued. So the
+// first cheap request after a pause waits for a run's end.
 func (p *Pools) chooseReserve(now Time) {
 	if !p.config.Reserve {
 		return
--- a/internal/node/server/limits.go
+++ b/internal/node/server/limits.go
@@ -73,7 +73,7 @@
 	// idempotencyKeyBytes is the memory of an idempotency key, in bytes.
 	idempotencyKeyBytes = 256
 	// keysMemoryDivisor and resultsMemoryDivisor give the parts of the memory for idempotency keys and for results: a
-	// twelfth each.
+	// twelfth each, so that connections and buffers have the rest.
 	keysMemoryDivisor, resultsMemoryDivisor = 12, 12
 	// buffersMemoryDivisor gives the part of the memory for messages: a quarter fits several buffers per connection and
 	// request.
