Fault tests: a delay of the machine is given for the time between two samples

The lines of the machine's delays said "within 100ms", and a run on a machine that stood still showed 22 s of stolen time there: the sample itself was late by 4.5 s, and the figure is over eight cores.

--- a/internal/harness/machine_monitor.go
+++ b/internal/harness/machine_monitor.go
@@ -19,8 +19,8 @@
 	read        delayReader
 	unavailable bool // this machine does not report it
 	last, sum   time.Duration
-	worst       time.Duration // the longest within a sample
-	worstAt     time.Time     // end of that sample
+	worst       time.Duration // the longest between two samples
+	worstAt     time.Time     // time of the later one
 }
 
 // machineMonitor measures how long the machine delayed processes during a run on processes. A process that waits for a
@@ -42,7 +42,7 @@
 		&machineDelay{name: "some processes waited for a core", read: pressure("cpu", somePressure)},
 		&machineDelay{name: "all processes waited for a disk", read: pressure("io", fullPressure)},
 		&machineDelay{name: "all processes waited for memory", read: pressure("memory", fullPressure)},
-		&machineDelay{name: "the hypervisor took a core away", read: stolenTime})
+		&machineDelay{name: "the hypervisor took cores away", read: stolenTime})
 	go m.run()
 	return m
 }
@@ -116,8 +116,8 @@
 			lines = append(lines, fmt.Sprintf("machine: not known on this machine whether %s", d.name))
 			continue
 		}
-		lines = append(lines, fmt.Sprintf("machine: %s for %v in all, within %v for up to %v%s", d.name, rounded(d.sum),
-			machineSampleInterval, rounded(d.worst), clockTime(d.worstAt)))
+		lines = append(lines, fmt.Sprintf("machine: %s for %v in all, for up to %v between two samples%s", d.name,
+			rounded(d.sum), rounded(d.worst), clockTime(d.worstAt)))
 	}
 	return lines
 }
--- a/internal/harness/machine_monitor_test.go
+++ b/internal/harness/machine_monitor_test.go
@@ -17,7 +17,7 @@
 	waited := 7 * time.Second // before the run
 	disk := &machineDelay{name: "all processes waited for a disk",
 		read: func(procfs.FS) (time.Duration, error) { return waited, nil }}
-	unknown := &machineDelay{name: "the hypervisor took a core away",
+	unknown := &machineDelay{name: "the hypervisor took cores away",
 		read: func(procfs.FS) (time.Duration, error) { return 0, errors.New("no such file") }}
 	m := newMachineMonitor(start, disk, unknown)
 	for _, sample := range []struct {
@@ -30,8 +30,8 @@
 	}
 	want := []string{
 		"machine: a timer of this process was late by up to 2.5s at 08:30:02.700Z",
-		"machine: all processes waited for a disk for 115ms in all, within 100ms for up to 90ms at 08:30:02.700Z",
-		"machine: not known on this machine whether the hypervisor took a core away",
+		"machine: all processes waited for a disk for 115ms in all, for up to 90ms between two samples at 08:30:02.700Z",
+		"machine: not known on this machine whether the hypervisor took cores away",
 	}
 	if got := m.lines(); !slices.Equal(got, want) {
 		t.Errorf("lines() = %q, want %q", got, want)
