Full-tables test: a slow machine sheds, so rounds go on until all results are kept

The test sent 2,048 requests in four rounds of 512 at once and wanted 1,024 of them served. On a machine that gives the node or the test's fake kernel little time, the node rightly sheds what waits for too long. So the test failed by the machine's speed, which is not what it checks.

That is as strict: twice as many results have to be kept as the old bound asked for, and the bounds on memory and descriptors are the same.

--- a/internal/node/server/tables_test.go
+++ b/internal/node/server/tables_test.go
@@ -282,40 +282,37 @@
 	}
 }
 
-// With the maximum number of connections and kept results, the program stays within its memory and descriptors.
+const (
+	fullConnections = 512                 // half of the sockets, the others are for the links
+	fullResults     = 4 * fullConnections // results to be kept
+	fullResultBytes = 4096                // of the largest result
+	fullTablesTime  = 12 * testTimeout    // within which the results have to be kept
+	fullMemoryKB    = 56 << 10            // of the 64 MB of the start-up file
+	fullDescriptors = 560
+)
+
+// With the maximum number of connections and kept results, the program stays within its memory and descriptors. A slow
+// machine sheds some of the simultaneous requests, so further rounds of requests are sent until the results are kept.
 func TestResourcesWithFullTables(t *testing.T) {
 	n := startNode(t, map[string]string{"memory_mb": "64", "sockets": "1024", "window": "60000000"})
 	go func() { // the kernel answers every run with the largest result
 		for line, ok := n.kernel.next("SYSINFO"); ok; line, ok = n.kernel.next("SYSINFO") {
 			if w := strings.Fields(line); w[0] == "SCHED" {
-				n.kernel.sendEvent("REAP", w[1], "OK", strings.Repeat("r", 4096))
+				n.kernel.sendEvent("REAP", w[1], "OK", strings.Repeat("r", fullResultBytes))
 			}
 		}
 	}()
+	end := time.Now().Add(fullTablesTime)
 	var conns []net.Conn
-	for range 512 {
-		conns = append(conns, n.dial())
-	}
-	succeeded := 0
-	for pass := range 4 {
-		for i, c := range conns {
-			fmt.Fprintf(c, "POST /rpc/put HTTP/1.1\r\nRequest-Id: %016x\r\nReceived-At: %d\r\nSent-By: 1\r\n"+
-				"Footprint-Kb: 1\r\nOnce-Key: %d-%d\r\nContent-Length: 2048\r\n\r\n%s", pass<<16+i+1,
-				time.Now().UnixMilli(), pass, i, strings.Repeat("b", 2048))
-		}
-		for _, c := range conns {
-			a, err := http.ReadResponse(bufio.NewReader(c), nil)
-			if err != nil {
-				t.Fatal(err)
-			}
-			body, err := io.ReadAll(a.Body)
-			if err != nil || a.StatusCode == 200 && len(body) != 4096 {
-				t.Fatalf("%d bytes, %v", len(body), err)
-			}
-			if a.StatusCode == 200 {
-				succeeded++
-			}
-		}
+	for range fullConnections {
+		c := n.dial()
+		c.SetDeadline(end)
+		conns = append(conns, c)
+	}
+	succeeded, rounds := 0, 0
+	for succeeded < fullResults && time.Now().Before(end) {
+		succeeded += putOnEach(t, conns, rounds)
+		rounds++
 	}
 	proc := fmt.Sprintf("/proc/%d/", n.cmd.Process.Pid)
 	status, err := os.ReadFile(proc + "status")
@@ -326,11 +323,36 @@
 	_, peak, _ := strings.Cut(string(status), "VmHWM:")
 	kb := 0
 	fmt.Sscan(peak, &kb)
-	t.Logf("succeeded = %d, peak memory = %d KB, descriptors = %d", succeeded, kb, len(files))
-	if succeeded < 1024 || kb == 0 || kb > 56<<10 || len(files) < 512 || len(files) > 560 {
-		t.Errorf("succeeded = %d, peak memory = %d KB, descriptors = %d, want at least 1024, 1 to %d, 512 to 560",
-			succeeded, kb, len(files), 56<<10)
+	t.Logf("succeeded = %d in %d rounds, peak memory = %d KB, descriptors = %d", succeeded, rounds, kb, len(files))
+	if succeeded < fullResults || kb == 0 || kb > fullMemoryKB || len(files) < fullConnections ||
+		len(files) > fullDescriptors {
+		t.Errorf("succeeded = %d, peak memory = %d KB, descriptors = %d, want at least %d, 1 to %d, %d to %d",
+			succeeded, kb, len(files), fullResults, fullMemoryKB, fullConnections, fullDescriptors)
+	}
+}
+
+// putOnEach sends a request with an idempotency key of its own on each connection, all at the same time, and returns how
+// many of them succeeded.
+func putOnEach(t *testing.T, conns []net.Conn, round int) (succeeded int) {
+	for i, c := range conns {
+		fmt.Fprintf(c, "POST /rpc/put HTTP/1.1\r\nRequest-Id: %016x\r\nReceived-At: %d\r\nSent-By: 1\r\n"+
+			"Footprint-Kb: 1\r\nOnce-Key: %d-%d\r\nContent-Length: 2048\r\n\r\n%s", round<<16+i+1,
+			time.Now().UnixMilli(), round, i, strings.Repeat("b", 2048))
+	}
+	for _, c := range conns {
+		a, err := http.ReadResponse(bufio.NewReader(c), nil)
+		if err != nil {
+			t.Fatal(err)
+		}
+		body, err := io.ReadAll(a.Body)
+		if err != nil || a.StatusCode == 200 && len(body) != fullResultBytes {
+			t.Fatalf("%d bytes, %v", len(body), err)
+		}
+		if a.StatusCode == 200 {
+			succeeded++
+		}
 	}
+	return succeeded
 }
 
 // With a tenth of a core the kill margin is larger, as the same work takes ten times as long; a short time to the kill
