Full-tables test: comments on its constants

fullConnections said that the other sockets are for the links, which is wrong, and fullResults that all results are kept: 2,048 of 4,096 bytes are more than the twelfth of the memory that holds results, so that table is full, and older ones are dropped. For the same reason should say that 2,048 requests have to succeed, not that 2,048 results are kept.

--- a/internal/node/server/tables_test.go
+++ b/internal/node/server/tables_test.go
@@ -283,16 +283,16 @@
 }
 
 const (
-	fullConnections = 512                 // half of the sockets, the others are for the links
-	fullResults     = 4 * fullConnections // results to be kept
+	fullConnections = 512                 // of the 1,024 sockets of the start-up file
+	fullResults     = 4 * fullConnections // more than the memory for results holds
 	fullResultBytes = 4096                // of the largest result
-	fullTablesTime  = 12 * testTimeout    // within which the results have to be kept
+	fullTablesTime  = 12 * testTimeout    // within which that many requests have to succeed
 	fullMemoryKB    = 56 << 10            // of the 64 MB of the start-up file
 	fullDescriptors = 560
 )
 
 // With the maximum number of connections and kept results, the program stays within its memory and descriptors. A slow
-// machine sheds some of the simultaneous requests, so further rounds of requests are sent until the results are kept.
+// machine sheds some of the simultaneous requests, so requests are sent in rounds until enough of them have succeeded.
 func TestResourcesWithFullTables(t *testing.T) {
 	n := startNode(t, map[string]string{"memory_mb": "64", "sockets": "1024", "window": "60000000"})
 	go func() { // the kernel answers every run with the largest result
