Command tests: no process starts while ports are checked, so it can't hold them

Two causes were possible: another program takes the port, or a listener of the check lives on. The first does not fit: outgoing connections use ports from 32768 on, and groups of ports are given out once. The second does: tests start processes in parallel, and a process holds copies of all sockets from its fork until it executes its program.

portsAreFree now holds syscall.ForkLock while its listeners are open. Nodes are not affected: they wait for an address that is in use.

--- a/internal/cli/fleet_test.go
+++ b/internal/cli/fleet_test.go
@@ -129,8 +129,11 @@
 	}
 }
 
-// portsAreFree reports whether nothing listens on the ports of a group.
+// portsAreFree reports whether nothing listens on the ports of a group. No process starts meanwhile: it would inherit a
+// listener, and so keep the port in use, until it executes its program.
 func portsAreFree(port int) bool {
+	syscall.ForkLock.RLock()
+	defer syscall.ForkLock.RUnlock()
 	for i := range portsPerGroup {
 		for _, p := range []int{port + i, port - testPeerPortOffset + i} {
 			l, err := net.Listen("tcp", fmt.Sprintf("127.0.0.1:%d", p))
@@ -160,6 +163,41 @@
 	}
 }
 
+// Ports that were found free stay free while processes start. Guards against "address already in use" when a test listens
+// on a port that it has reserved.
+func TestFreePortsStayFreeWhileProcessesStart(t *testing.T) {
+	t.Parallel()
+	const starters, checks = 4, 500
+	port, stop := reservePorts(t), make(chan struct{})
+	var wg sync.WaitGroup
+	for range starters {
+		wg.Go(func() { startProcesses(t, stop) })
+	}
+	for i := range checks {
+		if !portsAreFree(port) {
+			t.Errorf("the ports of the group at %d are in use at check %d of %d, want them free", port, i+1, checks)
+			break
+		}
+	}
+	close(stop)
+	wg.Wait()
+}
+
+// startProcesses starts short processes until stop is closed.
+func startProcesses(t *testing.T, stop chan struct{}) {
+	for {
+		select {
+		case <-stop:
+			return
+		default:
+		}
+		if err := exec.Command("true").Run(); err != nil {
+			t.Error(err)
+			return
+		}
+	}
+}
+
 // A local group must commit a write while one of its instances is down, and the restarted instance must have it.
 func TestLocalGroupRestartsKilledInstance(t *testing.T) {
 	t.Parallel()
