Review, case 7: a draining node serves the old version after a newer one has settled

Cause: a node sends its notice to leave at the start of its drain and goes on serving; the group drops its lease at once, as the notice is taken to mean that it has stopped, and the node hears of no later decision. Change: the case takes the place of an earlier form of it, which needed a one-way partition beside the drain.

--- a/review/_standins-2/group.go
+++ b/review/_standins-2/group.go
@@ -1,15 +1,10 @@
 package main
 
 import (
-	"bufio"
-	"bytes"
 	"encoding/json"
 	"fmt"
-	"io"
-	"net"
 	"net/http"
 	"strings"
-	"sync"
 	"time"
 )
 
@@ -134,122 +129,3 @@
 		return serving == len(names)
 	})
 }
-
-// link is a path from one node to one instance through a proxy of the case. It understands nothing but HTTP messages
-// with a length, which is what node and instance exchange.
-type link struct {
-	bench  *bench
-	addr   string
-	target string
-	owner  *partition
-}
-
-// partition is the state of all links of a node. While it is one-way, requests of the node arrive and no answer comes
-// back.
-type partition struct {
-	mu     sync.Mutex
-	oneWay bool
-	mark   []byte // the first request that contains it is noted
-	seen   bool   // it was delivered
-
-	answers int // that came back
-}
-
-func (p *partition) set(oneWay bool) {
-	p.mu.Lock()
-	p.oneWay = oneWay
-	p.mu.Unlock()
-}
-
-func (p *partition) answersSeen() int {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	return p.answers
-}
-
-func (p *partition) isOneWay() bool {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	return p.oneWay
-}
-
-func (p *partition) markSeen() bool {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	return p.seen
-}
-
-// newLink opens a proxy in front of an instance.
-func (b *bench) newLink(target string, owner *partition) string {
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		b.cannotRun("proxy: %v", err)
-	}
-	k := &link{bench: b, addr: l.Addr().String(), target: target, owner: owner}
-	go func() {
-		for {
-			c, err := l.Accept()
-			if err != nil {
-				return
-			}
-			go k.serve(c)
-		}
-	}()
-	return k.addr
-}
-
-func (k *link) serve(c net.Conn) {
-	defer c.Close()
-	up, err := net.DialTimeout("tcp", k.target, time.Second)
-	if err != nil {
-		return
-	}
-	defer up.Close()
-	requests, answers := bufio.NewReader(c), bufio.NewReader(up)
-	for {
-		r, err := http.ReadRequest(requests)
-		if err != nil {
-			return
-		}
-		body, err := io.ReadAll(r.Body)
-		if err != nil {
-			return
-		}
-		p := k.owner
-		head := fmt.Sprintf("%s %s HTTP/1.1\r\nHost: %s\r\nContent-Type: application/json\r\nContent-Length: %d\r\n\r\n",
-			r.Method, r.URL.RequestURI(), k.target, len(body))
-		if _, err = up.Write(append([]byte(head), body...)); err != nil {
-			return
-		}
-		p.mu.Lock()
-		if len(p.mark) > 0 && !p.seen && bytes.Contains(body, p.mark) {
-			p.seen = true
-			k.bench.note("delivered to %s: %s", k.target, body)
-		}
-		p.mu.Unlock()
-		answer, err := http.ReadResponse(answers, r)
-		if err != nil {
-			return
-		}
-		answerBody, err := io.ReadAll(answer.Body)
-		answer.Body.Close()
-		if err != nil {
-			return
-		}
-		if p.isOneWay() {
-			k.bench.note("an answer of %s is lost: %d %s", k.target, answer.StatusCode, bytes.TrimSpace(answerBody))
-			for p.isOneWay() {
-				time.Sleep(20 * time.Millisecond)
-			}
-			return
-		}
-		head = fmt.Sprintf("HTTP/1.1 %d OK\r\nContent-Type: application/json\r\nContent-Length: %d\r\n\r\n",
-			answer.StatusCode, len(answerBody))
-		if _, err = c.Write(append([]byte(head), answerBody...)); err != nil {
-			return
-		}
-		p.mu.Lock()
-		p.answers++
-		p.mu.Unlock()
-	}
-}
