--- a/review/_standins-2/platform.go
+++ b/review/_standins-2/platform.go
@@ -156,10 +156,11 @@
 	operator, registry string
 	configPath, ini    string
 	stopMS             int
+	preemption         string // empty: off
 }
 
 // settings returns the settings of a small deployment.
-func settings(classes []class) map[string]any {
+func settings(classes []class, preemption string) map[string]any {
 	var list []map[string]any
 	for _, c := range classes {
 		f := map[string]any{"name": c.name, "gain": 1.0, "give_up": c.deadline * 1000, "promise": c.aim * 1000,
@@ -171,7 +172,7 @@
 	}
 	return map[string]any{"classes": list, "customers": []any{}, "fleet_size": 2, "granularity": 2000,
 		"family_info": map[string]any{"below": "off", "cores": 6, "memory_kb": 49584.0, "run_factor": 8.0,
-			"key_kb": 1.0, "meters": []string{"core_use", "on_cores", "heap_share", "links"}, "preemption": "off",
+			"key_kb": 1.0, "meters": []string{"core_use", "on_cores", "heap_share", "links"}, "preemption": preemption,
 			"say": "off", "senders": 3, "idle": 30_000_000},
 		"invariants": map[string]any{"drain_grace": 2_500_000, "fall_multiple": 5.0},
 		"limits":     map[string]any{"retry_after": true, "max_retry_after": 5_000_000}}
@@ -179,9 +180,13 @@
 
 // writeConfig writes the node's start-up file.
 func (n *node) writeConfig(classes []class) {
+	preemption := n.preemption
+	if preemption == "" {
+		preemption = "off"
+	}
 	raw, err := json.Marshal(map[string]any{"name": n.name, "listen": n.addr, "kernel": n.kernel.addr,
 		"control": n.registry, "seed": "8c1f30d27a5be964", "stop_ms": n.stopMS,
-		"limits": map[string]any{"cores": 1.0, "memory_mb": 128, "sockets": 512}, "settings": settings(classes)})
+		"limits": map[string]any{"cores": 1.0, "memory_mb": 128, "sockets": 512}, "settings": settings(classes, preemption)})
 	if err != nil {
 		n.bench.cannotRun("%v", err)
 	}
