--- a/internal/node/server/kernel_recovery.go
+++ b/internal/node/server/kernel_recovery.go
@@ -52,6 +52,17 @@
 	acknowledgedEventWait = 1.0 / 8
 )
 
+// resendReason states in log lines why a command is sent again.
+type resendReason string
+
+const (
+	resendUnsent    resendReason = "never sent"
+	resendHarmless  resendReason = "a second copy does no harm"
+	resendUnproven  resendReason = "no event of the run in time"
+	resendAfterStop resendReason = "no event of the run after a stop"
+	resendOver      resendReason = "request is over"
+)
+
 // commandInfo is what the decision on a command in doubt depends on.
 type commandInfo struct {
 	safety        admission.RetrySafety
@@ -147,11 +158,15 @@
 	k := &l.kernel
 	inDoubt, stopLost := k.commandInDoubt(&r.kernelCommands), r.stopCommand > k.acknowledged
 	if r.runCommand == unsentCommand {
-		l.resendStart(r)
+		l.resendStart(r, resendUnsent)
 	}
 	if r.callResult != noCallResult && r.callResultCommand > k.acknowledged &&
 		(r.callResult == callResultSkipped || r.callResultCommand == unsentCommand) {
-		l.resendCallResult(r)
+		reason := resendHarmless
+		if r.callResultCommand == unsentCommand {
+			reason = resendUnsent
+		}
+		l.resendCallResult(r, reason)
 	}
 	if inDoubt == 0 && (r.doubt == noDoubt || r.doubt == doubtResumed) {
 		if stopLost {
@@ -176,7 +191,7 @@
 		over: !r.awaitsResponse()}
 	switch nextDoubtStep(l.settings.Cancellation, info) {
 	case stepResend:
-		l.resendInDoubt(h, r)
+		l.resendInDoubt(h, r, resendHarmless)
 	case stepProbe:
 		l.probe(r)
 	case stepAwaitEvent:
@@ -236,7 +251,7 @@
 			if r.doubtAcknowledged {
 				l.counters.AcknowledgedLost++
 			}
-			l.resendInDoubt(h, r)
+			l.resendInDoubt(h, r, resendAfterStop)
 		}
 	}
 }
@@ -271,25 +286,25 @@
 		l.probe(r)
 		l.requestProbeEnd()
 	case r.doubt == doubtAwaitsEvent:
-		l.resendInDoubt(h, r)
+		l.resendInDoubt(h, r, resendUnproven)
 	default:
 		// The request is over: the kernel ends a run that it does not have, and starts none.
 		r.callResult, r.resumeSent = noCallResult, false
-		l.resendInDoubt(h, r)
+		l.resendInDoubt(h, r, resendOver)
 	}
 }
 
 // resendInDoubt sends a command again whose doubt is settled, and the stop that was requested after it.
-func (l *loop) resendInDoubt(h handle, r *request) {
+func (l *loop) resendInDoubt(h handle, r *request, reason resendReason) {
 	r.doubt = noDoubt
 	switch {
 	case r.callResult != noCallResult:
-		l.resendCallResult(r)
+		l.resendCallResult(r, reason)
 	case r.resumeSent:
-		l.resendStart(r)
+		l.resendStart(r, reason)
 		l.awaitInDoubt(h, r, doubtResumed, l.limits.AckSafetyMargin)
 	default:
-		l.resendStart(r)
+		l.resendStart(r, reason)
 	}
 	if r.isStopRequested() {
 		l.resendStop(r)
@@ -297,43 +312,43 @@
 }
 
 // resendStart sends the start or the resume of a run again.
-func (l *loop) resendStart(r *request) {
+func (l *loop) resendStart(r *request, reason resendReason) {
 	if r.resumeSent {
-		l.traceResend(r, wire.KernelResume, r.runCommand)
+		l.traceResend(r, wire.KernelResume, r.runCommand, reason)
 		l.sendResume(r)
 	} else {
-		l.traceResend(r, wire.KernelRun, r.runCommand)
+		l.traceResend(r, wire.KernelRun, r.runCommand, reason)
 		l.sendRun(r)
 	}
 	l.counters.CommandsResent++
 }
 
 // resendCallResult sends the result of a call again.
-func (l *loop) resendCallResult(r *request) {
+func (l *loop) resendCallResult(r *request, reason resendReason) {
 	command := wire.KernelCallDone
 	if r.callResult == callResultSkipped {
 		command = wire.KernelCallSkipped
 	}
-	l.traceResend(r, command, r.callResultCommand)
+	l.traceResend(r, command, r.callResultCommand, reason)
 	l.sendCallResult(r)
 	l.counters.CommandsResent++
 }
 
 // resendStop sends the stop of a run again; a second copy does no harm.
 func (l *loop) resendStop(r *request) {
-	l.traceResend(r, wire.KernelStop, r.stopCommand)
+	l.traceResend(r, wire.KernelStop, r.stopCommand, resendHarmless)
 	l.sendStop(r)
 	l.counters.CommandsResent++
 }
 
-// traceResend logs a command that is sent again, with the number of its earlier copy and what the kernel has certainly
-// read: together with the run's events they show whether the kernel had read that copy.
-func (l *loop) traceResend(r *request, command string, number uint64) {
+// traceResend logs a command that is sent again and why, with the number of its earlier copy and what the kernel has
+// certainly read: together with the run's events they show whether the kernel had read that copy.
+func (l *loop) traceResend(r *request, command string, number uint64, reason resendReason) {
 	if !l.debug {
 		return
 	}
 	fields := logrus.Fields{logging.Command: command, logging.Acknowledged: l.kernel.acknowledged,
-		logging.LastSequence: l.kernel.lastSequence}
+		logging.LastSequence: l.kernel.lastSequence, logging.Reason: string(reason)}
 	if number != unsentCommand {
 		fields[logging.CommandNumber] = number
 	}
