--- a/internal/node/server/counters.go
+++ b/internal/node/server/counters.go
@@ -27,6 +27,7 @@
 	StoreConnectionsLost                    uint64 // while calls were sent on them or queued for them
 	StrayReplies                            uint64 // replies that match no call
 	CommandsResent, CommandsRefused         uint64 // to the kernel
+	CommandsDelayed                         uint64 // until the kernel had responded to earlier ones
 	CommandsInDoubt                         uint64 // that the kernel may or may not have read before its link ended
 	AcknowledgedLost                        uint64 // not read although a later gauges request had been answered
 	Reports, ReportsLost                    uint64 // to service discovery
@@ -64,7 +65,7 @@
 		"dropped": c.CallsCancelled, "kernel_links": c.KernelLinks, "store_links": c.StoreLinks,
 		"control_links": c.DiscoveryLinks, "wires_lost": c.StoreConnectionsLost, "strays": c.StrayReplies,
 		"reloads": c.Reloads, "silent": c.ClosedSilent, "evicted": c.Evicted, "resent": c.CommandsResent,
-		"refused": c.CommandsRefused, "in_doubt": c.CommandsInDoubt, "acked_lost": c.AcknowledgedLost,
+		"delayed": c.CommandsDelayed, "refused": c.CommandsRefused, "in_doubt": c.CommandsInDoubt, "acked_lost": c.AcknowledgedLost,
 		"reports": c.Reports, "reports_lost": c.ReportsLost,
 		"clock_steps": c.ClockSteps, "rounds": c.Rounds, "wakes": c.WakeUps, "ungauged": c.WakeUpsWithoutGauges,
 		"slow": c.LateWakeUps}
--- a/internal/node/server/kernel_link.go
+++ b/internal/node/server/kernel_link.go
@@ -46,7 +46,7 @@
 	awaitsFirstEvent   bool   // no event was handled on this link yet
 	eventsLost         bool   // the kernel no longer had all events that were missed before this link
 
-	wantsAcknowledgement bool // a command of the round must not be read twice: a gauges request has to follow
+	window commandWindow // limits the commands that must not be read twice
 }
 
 // kernelUp opens the protocol on a new link: it sends the sequence of the last handled event, after which the kernel
@@ -61,6 +61,7 @@
 func (l *loop) kernelDown() {
 	k := &l.kernel
 	k.state, k.gaugesRequest, k.probeRequest, k.probesStarted = kernelDisconnected, 0, 0, false
+	k.window = commandWindow{}
 	l.wakeWithoutGauges()
 }
 
@@ -81,14 +82,21 @@
 }
 
 func (l *loop) sendRun(r *request) {
-	l.scratch = wire.AppendKernelRun(l.scratch[:0], r.id, l.names[r.handler], r.body)
-	r.runCommand, r.resumeSent = l.sendToKernel(), false
-	if l.settings.Deployment.Handlers[r.handler].RetrySafety != admission.Retryable {
-		l.kernel.wantsAcknowledgement = true
+	r.resumeSent = false
+	if l.settings.Deployment.Handlers[r.handler].RetrySafety != admission.Retryable && l.mustWait(r) {
+		r.runCommand = unsentCommand
+		return
 	}
+	l.scratch = wire.AppendKernelRun(l.scratch[:0], r.id, l.names[r.handler], r.body)
+	r.runCommand = l.sendToKernel()
 }
 
+// sendStop sends the stop of a run, behind its earlier commands.
 func (l *loop) sendStop(r *request) {
+	if r.hasUnsentCommand() {
+		r.stopCommand = unsentCommand
+		return
+	}
 	l.scratch = wire.AppendKernelCommand(l.scratch[:0], wire.KernelStop, r.id)
 	r.stopCommand = l.sendToKernel()
 }
@@ -112,7 +120,10 @@
 
 func (l *loop) sendCallResult(r *request) {
 	if r.callResult == callResultReply {
-		l.kernel.wantsAcknowledgement = true
+		if l.mustWait(r) {
+			r.callResultCommand = unsentCommand
+			return
+		}
 		l.scratch = wire.AppendKernelCallDone(l.scratch[:0], r.id, r.reply)
 	} else {
 		l.scratch = wire.AppendKernelCallSkipped(l.scratch[:0], r.id, r.callSequence)
@@ -302,7 +313,9 @@
 		return
 	}
 	k.lastAnswered = number
+	k.window.answered(number)
 	l.probesEnded(number)
+	l.sendWaiting()
 	if l.now >= k.nextAcknowledgedAt+l.limits.AckSafetyMargin {
 		// The pending acknowledgement is old enough to count; this one becomes the pending one.
 		k.acknowledged, k.nextAcknowledged, k.nextAcknowledgedAt = k.nextAcknowledged, number, l.now
--- a/internal/node/server/kernel_recovery.go
+++ b/internal/node/server/kernel_recovery.go
@@ -19,8 +19,7 @@
 //     event comes before the response with gauges. Without any event the kernel does not have the command.
 //   - Where a stopped run is dropped, a start is probed in the same way, after an event of the run was awaited for a
 //     while: a dropped run is not started again. Other commands can't be probed, and are sent again after that wait.
-//   - A command is probably read if a gauges request after it was answered; one ends each round with commands that must
-//     not be read twice. It is probed after a wait where a stopped run is paused, and not sent again elsewhere.
+//   - A command is probably read if a gauges request after it was answered (kernel_window.go). It is probed after a wait where a stopped run is paused, and not sent again elsewhere.
 //   - If the kernel no longer had all events of the missed ones, the run may have ended in one, and nothing is proven.
 //   - Once the request is over the kernel starts nothing for it, and a start that it does not need ends the run.
 
@@ -56,7 +55,6 @@
 type resendReason string
 
 const (
-	resendUnsent    resendReason = "never sent"
 	resendHarmless  resendReason = "a second copy does no harm"
 	resendUnproven  resendReason = "no event of the run in time"
 	resendAfterStop resendReason = "no event of the run after a stop"
@@ -115,21 +113,6 @@
 	return 0
 }
 
-// requestAcknowledgement requests the gauges after the commands of a round, unless each may be sent twice or the gauges
-// were requested since.
-func (l *loop) requestAcknowledgement() {
-	k := &l.kernel
-	if !k.wantsAcknowledgement || k.state != kernelLive {
-		return
-	}
-	k.wantsAcknowledgement = false
-	if k.gaugesRequest == k.lastCommand || k.probeRequest == k.lastCommand {
-		return
-	}
-	l.scratch = wire.AppendKernelGaugesRequest(l.scratch[:0], k.lastCommand+1)
-	l.sendToKernel()
-}
-
 // settle records that an event of the run was read: its commands were read by the kernel, or are no longer needed.
 func (c *kernelCommands) settle() {
 	c.runCommand, c.callResultCommand, c.stopCommand = 0, 0, 0
@@ -156,18 +139,11 @@
 // about one that it may have read.
 func (l *loop) recoverCommands(h handle, r *request) {
 	k := &l.kernel
-	inDoubt, stopLost := k.commandInDoubt(&r.kernelCommands), r.stopCommand > k.acknowledged
-	if r.runCommand == unsentCommand {
-		l.resendStart(r, resendUnsent)
-	}
-	if r.callResult != noCallResult && r.callResultCommand > k.acknowledged &&
-		(r.callResult == callResultSkipped || r.callResultCommand == unsentCommand) {
-		reason := resendHarmless
-		if r.callResultCommand == unsentCommand {
-			reason = resendUnsent
-		}
-		l.resendCallResult(r, reason)
+	inDoubt, stopLost := k.commandInDoubt(&r.kernelCommands), k.mayBeRead(r.stopCommand)
+	if r.callResult == callResultSkipped && k.mayBeRead(r.callResultCommand) {
+		l.resendCallResult(r, resendHarmless)
 	}
+	l.sendUnsent(r)
 	if inDoubt == 0 && (r.doubt == noDoubt || r.doubt == doubtResumed) {
 		if stopLost {
 			l.resendStop(r)
--- a/internal/node/server/limits.go
+++ b/internal/node/server/limits.go
@@ -44,6 +44,7 @@
 	GaugesTimeout          admission.Time // maximum wait of a wake-up for its gauges
 	ReplayTimeout          admission.Time // maximum time of a replay; then the link is reopened
 	AckSafetyMargin        admission.Time // commands acknowledged more recently may still be lost with their link
+	MaxCommandDelay        admission.Time // how long a command that must not be read twice waits for the kernel to respond
 	MoveTimeout            admission.Time // maximum time until the kernel has read a link whose address changed
 	CallGrace              admission.Time // how long after its deadline a call without a reply is given up
 	StoreIdleTimeout       admission.Time // a store connection idle for longer gets no call
@@ -171,6 +172,8 @@
 	l.ReplayTimeout = 500 * ms
 	// A break may lose the commands of the last 50 ms before it; it is noticed within as long again.
 	l.AckSafetyMargin = 100 * ms
+	// A kernel that is silent for as long as a break may lose commands is slow, not about to break.
+	l.MaxCommandDelay = 50 * ms
 	// Commands wait meanwhile, and the old address is served for longer.
 	l.MoveTimeout = 100 * ms
 	// The store ends calls at their deadline; this covers one that does not.
--- a/internal/node/server/log_messages.go
+++ b/internal/node/server/log_messages.go
@@ -53,6 +53,7 @@
 	traceRun          traceStep = "run"
 	traceStopped      traceStep = "stop"
 	traceResent       traceStep = "command sent again"
+	traceSentLate     traceStep = "command sent late"
 	traceProbed       traceStep = "probed"
 	traceCallAsked    traceStep = "call asked"
 	traceCallStarted  traceStep = "call started"
--- a/internal/node/server/loop.go
+++ b/internal/node/server/loop.go
@@ -179,6 +179,8 @@
 		l.replayTimedOut(t.subject)
 	case timerKernelMove:
 		l.moveTimedOut(t.subject)
+	case timerCommandWindow:
+		l.sendWaiting()
 	case timerDoubt:
 		l.recheckDoubt(t.subject)
 	case timerCall:
--- a/internal/node/server/request.go
+++ b/internal/node/server/request.go
@@ -45,6 +45,11 @@
 	recheckAt         admission.Time // when a doubt that waits is looked at again
 }
 
+// hasUnsentCommand reports whether the run's start, or the result of its call, waits to be sent.
+func (c *kernelCommands) hasUnsentCommand() bool {
+	return c.runCommand == unsentCommand || c.callResult != noCallResult && c.callResultCommand == unsentCommand
+}
+
 // storeCall is the store call that a run is waiting for, or its last one.
 type storeCall struct {
 	callBody                  []byte
--- a/internal/node/server/timers.go
+++ b/internal/node/server/timers.go
@@ -10,6 +10,7 @@
 	timerGauges
 	timerReplay
 	timerKernelMove
+	timerCommandWindow
 	timerDoubt
 	timerCall
 	timerReport
