--- a/internal/node/server/kernel_window_test.go
+++ b/internal/node/server/kernel_gate_test.go
@@ -61,33 +61,31 @@
 	l.gaugesReceived(&wire.KernelEvent{Nonce: []byte(fmt.Sprint(number))})
 }
 
-// Commands that must not be read twice are sent one round at a time. Guards against many of them that are lost with the
-// link of a kernel that has stopped reading; each would cost its request an error.
-func TestCommandsWaitForKernel(t *testing.T) {
+// Commands that must not be read twice are sent once the kernel has responded. Guards against many of them that are lost
+// with the link of a kernel that has stopped reading; each would cost its request an error.
+func TestCommandsWaitForResponse(t *testing.T) {
 	l := loopWithKernel()
-	k := &l.kernel
 	_, first := l.startRunOf(keyedHandler)
 	_, second := l.startRunOf(nonRetryableHandler)
-	if first.runCommand == unsentCommand || second.runCommand == unsentCommand {
-		t.Errorf("start commands of one round = %d, %d, want both sent", first.runCommand, second.runCommand)
+	second.stop()
+	l.sendStop(second)
+	_, third := l.startRunOf(retryableHandler)
+	third.callResult = callResultReply
+	l.sendCallResult(third)
+	if third.runCommand != 1 || first.runCommand != unsentCommand || second.runCommand != unsentCommand ||
+		second.stopCommand != unsentCommand || third.callResultCommand != unsentCommand {
+		t.Errorf("before the response: starts = %d, %d, stop = %d, retryable start = %d, its reply = %d, want only the retryable "+
+			"start sent", first.runCommand, second.runCommand, second.stopCommand, third.runCommand, third.callResultCommand)
 	}
 	l.finishRound()
-	_, waiting := l.startRunOf(keyedHandler)
-	waiting.stop()
-	l.sendStop(waiting)
-	_, retryable := l.startRunOf(retryableHandler)
-	first.callResult = callResultReply
-	l.sendCallResult(first)
-	if waiting.runCommand != unsentCommand || waiting.stopCommand != unsentCommand ||
-		retryable.runCommand == unsentCommand || first.callResultCommand != unsentCommand {
-		t.Errorf("before the response: start = %d, its stop = %d, retryable start = %d, reply = %d, want only the retryable sent",
-			waiting.runCommand, waiting.stopCommand, retryable.runCommand, first.callResultCommand)
+	l.now++
+	l.answerGauges(l.kernel.gate.request)
+	if first.runCommand != 3 || second.runCommand != 4 || second.stopCommand != 5 || third.callResultCommand != 6 {
+		t.Errorf("after the response: starts = %d, %d, stop = %d, reply = %d, want 3 to 6", first.runCommand, second.runCommand,
+			second.stopCommand, third.callResultCommand)
 	}
-	l.answerGauges(k.window.request)
-	if waiting.runCommand != retryable.runCommand+1 || waiting.stopCommand != waiting.runCommand+1 ||
-		first.callResultCommand != waiting.stopCommand+1 {
-		t.Errorf("after the response: start = %d, its stop = %d, reply = %d, want %d and the following numbers",
-			waiting.runCommand, waiting.stopCommand, first.callResultCommand, retryable.runCommand+1)
+	if _, next := l.startRunOf(keyedHandler); next.runCommand != 7 {
+		t.Errorf("start in the round of the response = %d, want 7", next.runCommand)
 	}
 }
 
@@ -95,31 +93,29 @@
 // never sent, and go out over the next one.
 func TestCommandDelayIsLimited(t *testing.T) {
 	l := loopWithKernel()
-	l.startRunOf(keyedHandler)
-	l.finishRound()
 	_, slow := l.startRunOf(keyedHandler)
+	l.finishRound()
 	l.now += l.limits.MaxCommandDelay
 	l.fireTimers()
 	if slow.runCommand == unsentCommand {
 		t.Errorf("start waits for longer than %d", l.limits.MaxCommandDelay)
 	}
-	l.finishRound()
 	if _, next := l.startRunOf(keyedHandler); next.runCommand == unsentCommand {
 		t.Error("start waits although the kernel is known to be slow")
 	}
+	l.answerGauges(l.kernel.gate.request)
+	l.now++
+	_, unsent := l.startRunOf(keyedHandler)
 	l.finishRound()
-	l.answerGauges(l.kernel.window.request)
-	l.startRunOf(keyedHandler)
-	l.finishRound()
-	h, unsent := l.startRunOf(keyedHandler)
 	if unsent.runCommand != unsentCommand {
 		t.Fatal("start does not wait although the kernel responds again")
 	}
 	l.kernelDown()
-	l.kernel.state = kernelReplaying
-	l.replayComplete()
-	if r := l.requests.get(h); r.runCommand == unsentCommand || l.counters.CommandsInDoubt == 0 {
-		t.Errorf("over the next link: start = %d, commands in doubt = %d, want it sent, and earlier ones in doubt", r.runCommand,
-			l.counters.CommandsInDoubt)
+	l.kernel.state, l.kernel.replayRequest = kernelReplaying, l.kernel.lastCommand
+	l.now++
+	l.answerGauges(l.kernel.replayRequest)
+	if unsent.runCommand == unsentCommand || l.counters.CommandsInDoubt != 2 || l.counters.CommandsResent != 0 {
+		t.Errorf("over the next link: start = %d, commands in doubt = %d, resent = %d, want it sent, and only 2 earlier ones in doubt",
+			unsent.runCommand, l.counters.CommandsInDoubt, l.counters.CommandsResent)
 	}
 }
--- a/internal/node/server/kernel_link.go
+++ b/internal/node/server/kernel_link.go
@@ -46,7 +46,7 @@
 	awaitsFirstEvent   bool   // no event was handled on this link yet
 	eventsLost         bool   // the kernel no longer had all events that were missed before this link
 
-	window commandWindow // limits the commands that must not be read twice
+	gate commandGate // for commands that must not be read twice
 }
 
 // kernelUp opens the protocol on a new link: it sends the sequence of the last handled event, after which the kernel
@@ -61,7 +61,7 @@
 func (l *loop) kernelDown() {
 	k := &l.kernel
 	k.state, k.gaugesRequest, k.probeRequest, k.probesStarted = kernelDisconnected, 0, 0, false
-	k.window = commandWindow{}
+	k.gate = commandGate{}
 	l.wakeWithoutGauges()
 }
 
@@ -138,8 +138,7 @@
 		l.wakeWithoutGauges()
 		return
 	}
-	l.scratch = wire.AppendKernelGaugesRequest(l.scratch[:0], k.lastCommand+1)
-	if number := l.sendToKernel(); number != unsentCommand {
+	if number := l.sendGaugesRequest(); number != unsentCommand {
 		k.gaugesRequest, k.gaugesDeadline = number, l.now+l.limits.GaugesTimeout
 		l.timers.set(k.gaugesDeadline, timerGauges, 0)
 		return
@@ -306,6 +305,7 @@
 	if err != nil {
 		return
 	}
+	k.gate.responded(number, l.now)
 	if k.state == kernelReplaying && number == k.replayRequest {
 		l.replayComplete()
 	}
@@ -313,7 +313,6 @@
 		return
 	}
 	k.lastAnswered = number
-	k.window.answered(number)
 	l.probesEnded(number)
 	l.sendWaiting()
 	if l.now >= k.nextAcknowledgedAt+l.limits.AckSafetyMargin {
@@ -356,8 +355,7 @@
 	if k.state != kernelLive {
 		return false
 	}
-	l.scratch = wire.AppendKernelGaugesRequest(l.scratch[:0], k.lastCommand+1)
-	if k.moveRequest = l.sendToKernel(); k.moveRequest == unsentCommand {
+	if k.moveRequest = l.sendGaugesRequest(); k.moveRequest == unsentCommand {
 		return false
 	}
 	k.state = kernelMoving
--- a/internal/node/server/kernel_recovery.go
+++ b/internal/node/server/kernel_recovery.go
@@ -19,7 +19,8 @@
 //     event comes before the response with gauges. Without any event the kernel does not have the command.
 //   - Where a stopped run is dropped, a start is probed in the same way, after an event of the run was awaited for a
 //     while: a dropped run is not started again. Other commands can't be probed, and are sent again after that wait.
-//   - A command is probably read if a gauges request after it was answered (kernel_window.go). It is probed after a wait where a stopped run is paused, and not sent again elsewhere.
+//   - A command is probably read if a gauges request after it was answered. It is probed after a wait where a stopped run
+//     is paused, and not sent again elsewhere.
 //   - If the kernel no longer had all events of the missed ones, the run may have ended in one, and nothing is proven.
 //   - Once the request is over the kernel starts nothing for it, and a start that it does not need ends the run.
 
@@ -207,8 +208,7 @@
 		return
 	}
 	k.probesStarted = false
-	l.scratch = wire.AppendKernelGaugesRequest(l.scratch[:0], k.lastCommand+1)
-	if number := l.sendToKernel(); number != unsentCommand {
+	if number := l.sendGaugesRequest(); number != unsentCommand {
 		k.probeRequest = number
 		l.timers.set(l.now+l.limits.ReplayTimeout, timerReplay, handle(number))
 	}
--- a/internal/node/server/loop.go
+++ b/internal/node/server/loop.go
@@ -103,11 +103,11 @@
 // nextRound returns the round that is being filled.
 func (d *decisions) nextRound() *admission.Round { return &d.rounds[d.filling] }
 
-// finishRound releases requests that are over, after the controller's last use of them, has the round's commands
-// acknowledged where that is wanted, and reopens the kernel's link if requested.
+// finishRound releases requests that are over, after the controller's last use of them, requests the response
+// that commands wait for, and reopens the kernel's link if requested.
 func (l *loop) finishRound() {
 	l.releaseFinished()
-	l.requestAcknowledgement()
+	l.requestResponse()
 	if l.reconnectKernel {
 		l.reconnectKernel = false
 		l.closeLink(&l.kernel.link, errStuck)
@@ -179,7 +179,7 @@
 		l.replayTimedOut(t.subject)
 	case timerKernelMove:
 		l.moveTimedOut(t.subject)
-	case timerCommandWindow:
+	case timerCommandGate:
 		l.sendWaiting()
 	case timerDoubt:
 		l.recheckDoubt(t.subject)
--- a/internal/node/server/timers.go
+++ b/internal/node/server/timers.go
@@ -10,7 +10,7 @@
 	timerGauges
 	timerReplay
 	timerKernelMove
-	timerCommandWindow
+	timerCommandGate
 	timerDoubt
 	timerCall
 	timerReport
