--- a/internal/node/server/kernel_recovery.go
+++ b/internal/node/server/kernel_recovery.go
@@ -14,15 +14,15 @@
 // yet proves nothing, as the run may end, or reach its next call, before the kernel reads the second copy. So a command
 // in doubt is sent again only if its second copy does no harm, or once its doubt is settled:
 //
-//   - Where a stopped run is paused, the run is probed: a stop, then a gauges request. A run that the kernel has either
-//     confirms the stop, and can then neither end nor call until it is resumed, or has ended or called, of which an
-//     event comes before the response with gauges. Without any event the kernel does not have the command.
-//   - Where a stopped run is dropped, a start is probed in the same way, after an event of the run was awaited for a
-//     while: a dropped run is not started again. Other commands can't be probed, and are sent again after that wait.
-//   - A command is probably read if a gauges request after it was answered. It is probed after a wait where a stopped run
-//     is paused, and not sent again elsewhere.
+//   - The start of a request that must not run twice is sent again only once the request is over, when the kernel starts
+//     nothing for it, and ends a run that it does not have. Until then an event of the run may come, and is its result.
+//     A stop proves nothing: a run that waits for a disk does not confirm it, and neither does any run while the cores
+//     stand still, so a run without an event may still be there and end at any moment.
+//   - The reply to a call, where a stopped run is paused, is probed: a stop, then a gauges request. Without any event the
+//     run still waits at the call. Elsewhere it is sent again after a wait without an event.
+//   - A reply is probably read if a gauges request after it was answered. It is probed after a wait
+//     where a stopped run is paused, and not sent again elsewhere.
 //   - If the kernel no longer had all events of the missed ones, the run may have ended in one, and nothing is proven.
-//   - Once the request is over the kernel starts nothing for it, and a start that it does not need ends the run.
 
 // doubtState is the state of a run with a command in doubt.
 type doubtState uint8
@@ -72,17 +72,13 @@
 	over          bool // its request was answered, or the client has left
 }
 
-// canProbe reports whether a stop shows if the kernel has read a command. A run that waits at a call is not paused, but
-// is dropped.
-func canProbe(cancellation admission.Cancellation, startsRun bool) bool {
-	return cancellation == admission.CancelPause || cancellation == admission.CancelDrop && startsRun
-}
-
 // nextDoubtStep decides on a command in doubt.
 func nextDoubtStep(cancellation admission.Cancellation, c commandInfo) doubtStep {
 	switch {
 	case c.startsRun && c.safety == admission.Retryable:
 		return stepResend
+	case c.startsRun:
+		return stepAwaitOver // nothing proves that the kernel does not have the run
 	case c.stopRequested && cancellation != admission.CancelNever:
 		return stepProbe // the stop is wanted
 	case c.over:
@@ -145,17 +141,21 @@
 		l.resendCallResult(r, resendHarmless)
 	}
 	l.sendUnsent(r)
-	if inDoubt == 0 && (r.doubt == noDoubt || r.doubt == doubtResumed) {
-		if stopLost {
-			l.resendStop(r)
-		}
-		return
+	if inDoubt != 0 || r.doubt != noDoubt && r.doubt != doubtResumed {
+		l.recoverInDoubt(h, r, inDoubt)
+	}
+	if stopLost && r.isRunning() {
+		l.resendStop(r)
 	}
+}
+
+// recoverInDoubt continues a doubt, or begins one about the command with this number.
+func (l *loop) recoverInDoubt(h handle, r *request, command uint64) {
 	if r.doubt == noDoubt || r.doubt == doubtResumed {
 		l.counters.CommandsInDoubt++
-		r.doubtAcknowledged = inDoubt <= k.lastAnswered
+		r.doubtAcknowledged = command <= l.kernel.lastAnswered
 	}
-	r.doubtEventsLost = r.doubtEventsLost || k.eventsLost
+	r.doubtEventsLost = r.doubtEventsLost || l.kernel.eventsLost
 	if r.doubt != doubtAwaitsEvent && r.doubt != doubtAwaitsOver {
 		l.startDoubt(h, r)
 	}
@@ -174,10 +174,16 @@
 	case stepAwaitEvent:
 		l.awaitInDoubt(h, r, doubtAwaitsEvent, l.eventWaitOf(r))
 	case stepAwaitOver:
-		l.awaitInDoubt(h, r, doubtAwaitsOver, l.limits.AckSafetyMargin)
+		l.awaitOver(h, r)
 	}
 }
 
+// awaitOver leaves a command in doubt until the kernel certainly knows that the request is over: its client waits until
+// the deadline at most.
+func (l *loop) awaitOver(h handle, r *request) {
+	l.awaitInDoubt(h, r, doubtAwaitsOver, max(r.deadline-l.now, 0)+l.limits.AckSafetyMargin)
+}
+
 // eventWaitOf returns how long an event of a run is awaited.
 func (l *loop) eventWaitOf(r *request) admission.Time {
 	timeout := float64(l.settings.Deployment.Handlers[r.handler].Timeout)
@@ -255,10 +261,11 @@
 	switch {
 	case r.doubt == noDoubt || r.doubt == doubtProbed:
 	case r.doubt != doubtAwaitsOver && over:
-		l.awaitInDoubt(h, r, doubtAwaitsOver, l.limits.AckSafetyMargin)
-	case r.doubt == doubtResumed || l.kernel.state != kernelLive || r.doubt == doubtAwaitsEvent && !mayRepeat:
+		l.awaitOver(h, r)
+	case r.doubt == doubtResumed || l.kernel.state != kernelLive || r.doubt == doubtAwaitsOver && !over ||
+		r.doubt == doubtAwaitsEvent && !mayRepeat:
 		l.awaitInDoubt(h, r, r.doubt, l.limits.AckSafetyMargin)
-	case r.doubt == doubtAwaitsEvent && canProbe(l.settings.Cancellation, r.startsRun()):
+	case r.doubt == doubtAwaitsEvent && l.settings.Cancellation == admission.CancelPause:
 		l.probe(r)
 		l.requestProbeEnd()
 	case r.doubt == doubtAwaitsEvent:
@@ -270,21 +277,21 @@
 	}
 }
 
-// resendInDoubt sends a command again whose doubt is settled, and the stop that was requested after it.
+// resendInDoubt sends a command again whose doubt is settled.
 func (l *loop) resendInDoubt(h handle, r *request, reason resendReason) {
 	r.doubt = noDoubt
 	switch {
 	case r.callResult != noCallResult:
 		l.resendCallResult(r, reason)
+		if r.isStopRequested() {
+			l.resendStop(r)
+		}
 	case r.resumeSent:
 		l.resendStart(r, reason)
 		l.awaitInDoubt(h, r, doubtResumed, l.limits.AckSafetyMargin)
 	default:
 		l.resendStart(r, reason)
 	}
-	if r.isStopRequested() {
-		l.resendStop(r)
-	}
 }
 
 // resendStart sends the start or the resume of a run again.
--- a/internal/node/server/kernel_soak_test.go
+++ b/internal/node/server/kernel_soak_test.go
@@ -12,6 +12,8 @@
 	"net"
 	"net/http"
 	"os"
+	"slices"
+	"strings"
 	"sync"
 	"sync/atomic"
 	"syscall"
@@ -26,8 +28,13 @@
 	soakTimeout    = 2 * time.Second       // of a request
 	soakMaxLoss    = 50 * time.Millisecond // commands before a break that may be lost
 	soakCallShare  = 0.4                   // of requests whose runs make two calls
+	soakDiskShare  = 0.3                   // of the others, whose runs wait for a disk
+	soakDiskWait   = 150                   // longest wait for a disk in milliseconds
 	soakLeaveShare = 0.02                  // of requests whose clients leave before the response
 
+	// soakCountsInterval is the time between two looks at the node's counters.
+	soakCountsInterval = 50 * time.Millisecond
+
 	// soakFailureLimit is the share of requests that may end without a result in time: the platform's 3 in 1,000.
 	soakFailureLimit = 0.003
 )
@@ -96,12 +103,26 @@
 		t.Errorf("seed %d: all runs ended = %v, served = %d, breaks = %d, want true, at least %d and 10", seed, ended, served,
 			counts.breaks.Load(), least)
 	}
-	n.cmd.Process.Signal(syscall.SIGUSR1)
-	if !n.waitForLog("msg=counters", " running=0 ") {
+	if !waitUntil(n.countsNoRuns) {
 		t.Errorf("seed %d: the node still counts runs in progress", seed)
 	}
 }
 
+// countsNoRuns reports whether no run is in progress by the node's counters. The start of a run that was lost counts
+// until its request is over, shortly after its deadline.
+func (n *node) countsNoRuns() bool {
+	n.signal(syscall.SIGUSR1)
+	time.Sleep(soakCountsInterval)
+	n.log.mu.Lock()
+	defer n.log.mu.Unlock()
+	for _, line := range slices.Backward(n.log.lines) {
+		if strings.Contains(line, "msg=counters") {
+			return strings.Contains(line, " running=0 ")
+		}
+	}
+	return false
+}
+
 // breakLinks breaks the kernel's link again and again, and moves it now and then.
 func breakLinks(n *node, kernel *workingKernel, counts *soakCounts, random *rand.Rand, stop chan struct{}) {
 	for {
@@ -156,6 +177,9 @@
 		keyField = "Once-Key: " + id + "\r\n"
 	}
 	body := fmt.Sprintf("%.1f", 2+28*c.random.Float64())
+	if c.random.Float64() < soakDiskShare {
+		body = fmt.Sprintf("%.1f,%s%.1f", 10*c.random.Float64(), diskStep, soakDiskWait*c.random.Float64())
+	}
 	if c.random.Float64() < soakCallShare {
 		body = fmt.Sprintf("%.1f,c,%.1f,c,%.1f", 10*c.random.Float64(), 10*c.random.Float64(), 10*c.random.Float64())
 	}
--- a/internal/node/server/working_kernel_test.go
+++ b/internal/node/server/working_kernel_test.go
@@ -16,7 +16,8 @@
 )
 
 // workingKernel executes runs as the protocol says. The body of a request lists the steps of its run, separated by
-// commas: milliseconds of work, or callStep. A run has a core to itself. A request is over once endRequest was called.
+// commas: milliseconds of work, the same after diskStep to wait for a disk, where a stop has no effect, or callStep. A run
+// has a core to itself. A request is over once endRequest was called.
 type workingKernel struct {
 	*fakeServer
 	preemption string   // pause, drop or off, as in the settings
@@ -45,12 +46,17 @@
 
 const (
 	stateOnCore workingState = iota
+	stateAtDisk
 	statePaused
 	stateAtCall
 	stateEnded
 )
 
-const callStep = "c"
+// Steps of a run other than work.
+const (
+	callStep = "c"
+	diskStep = "d"
+)
 
 // newWorkingKernel starts a kernel.
 func newWorkingKernel(t testing.TB, preemption string) *workingKernel {
@@ -110,7 +116,7 @@
 		k.stopRun(m, run)
 	case "RESCHED":
 		if run != nil && run.state == statePaused {
-			k.work(run, run.left)
+			k.wait(run, stateOnCore, run.left)
 		}
 	case "IODONE":
 		if run == nil || run.state != stateAtCall {
@@ -149,6 +155,7 @@
 	case k.preemption == "off":
 		k.violate("run %s is stopped, where no run can be", testID(m.Task))
 	case run == nil || run.state == stateEnded:
+	case run.state == stateAtDisk:
 	case k.preemption == "drop" || run.state == stateOnCore && k.over[m.Task]:
 		k.endRun(run, "STOPPED")
 	case run.state == stateOnCore:
@@ -183,8 +190,13 @@
 	case run.at >= len(run.steps):
 		k.endRun(run, "OK")
 	case run.steps[run.at] != callStep:
-		ms, _ := strconv.ParseFloat(run.steps[run.at], 64)
-		k.work(run, time.Duration(ms*float64(time.Millisecond)))
+		text, atDisk := strings.CutPrefix(run.steps[run.at], diskStep)
+		ms, _ := strconv.ParseFloat(text, 64)
+		state := stateOnCore
+		if atDisk {
+			state = stateAtDisk
+		}
+		k.wait(run, state, time.Duration(ms*float64(time.Millisecond)))
 	default:
 		run.state, run.asked = stateAtCall, len(k.events)+1
 		k.sendEvent("IOREQ", run.id, "", run.callBody())
@@ -197,15 +209,15 @@
 // callBody is the body of the call that a run waits for.
 func (run *workingRun) callBody() string { return fmt.Sprint(testID(run.id), "/", run.at) }
 
-// work lets a run use its core for a time and then move on, unless it is paused before.
-func (k *workingKernel) work(run *workingRun, d time.Duration) {
+// wait lets a run use its core or wait for a disk for a time and then move on, unless it is paused before.
+func (k *workingKernel) wait(run *workingRun, state workingState, d time.Duration) {
 	run.timer++
-	run.state, run.endsAt = stateOnCore, time.Now().Add(d)
+	run.state, run.endsAt = state, time.Now().Add(d)
 	timer := run.timer
 	time.AfterFunc(d, func() {
 		k.mu.Lock()
 		defer k.mu.Unlock()
-		if run.timer == timer && run.state == stateOnCore {
+		if run.timer == timer && run.state == state {
 			k.nextStep(run)
 		}
 	})
