--- a/internal/node/server/kernel_gate.go
+++ b/internal/node/server/kernel_gate.go
@@ -19,8 +19,8 @@
 	waiting     []handle       // runs with a command that waits, in the order of their commands
 }
 
-// isOpen reports whether commands that must not be read twice may be sent: the kernel has responded in this round, or is
-// slow.
+// isOpen reports whether commands that must not be read twice may be sent: the kernel has responded in this round, or
+// is slow.
 func (g *commandGate) isOpen(now admission.Time) bool {
 	return now == g.respondedAt || g.request != 0 && now >= g.openAt
 }
--- a/internal/node/server/kernel_gate_test.go
+++ b/internal/node/server/kernel_gate_test.go
@@ -61,8 +61,8 @@
 	l.gaugesReceived(&wire.KernelEvent{Nonce: []byte(fmt.Sprint(number))})
 }
 
-// Commands that must not be read twice are sent once the kernel has responded. Guards against many of them that are lost
-// with the link of a kernel that has stopped reading; each would cost its request an error.
+// Commands that must not be read twice are sent once the kernel has responded. Guards against many of them that are
+// lost with the link of a kernel that has stopped reading; each would cost its request an error.
 func TestCommandsWaitForResponse(t *testing.T) {
 	l := loopWithKernel()
 	_, first := l.startRunOf(keyedHandler)
@@ -74,15 +74,16 @@
 	l.sendCallResult(third)
 	if third.runCommand != 1 || first.runCommand != unsentCommand || second.runCommand != unsentCommand ||
 		second.stopCommand != unsentCommand || third.callResultCommand != unsentCommand {
-		t.Errorf("before the response: starts = %d, %d, stop = %d, retryable start = %d, its reply = %d, want only the retryable "+
-			"start sent", first.runCommand, second.runCommand, second.stopCommand, third.runCommand, third.callResultCommand)
+		t.Errorf("before the response: starts = %d, %d, stop = %d, retryable start = %d, its reply = %d, want only the "+
+			"retryable start sent", first.runCommand, second.runCommand, second.stopCommand, third.runCommand,
+			third.callResultCommand)
 	}
 	l.finishRound()
 	l.now++
 	l.answerGauges(l.kernel.gate.request)
 	if first.runCommand != 3 || second.runCommand != 4 || second.stopCommand != 5 || third.callResultCommand != 6 {
-		t.Errorf("after the response: starts = %d, %d, stop = %d, reply = %d, want 3 to 6", first.runCommand, second.runCommand,
-			second.stopCommand, third.callResultCommand)
+		t.Errorf("after the response: starts = %d, %d, stop = %d, reply = %d, want 3 to 6", first.runCommand,
+			second.runCommand, second.stopCommand, third.callResultCommand)
 	}
 	if _, next := l.startRunOf(keyedHandler); next.runCommand != 7 {
 		t.Errorf("start in the round of the response = %d, want 7", next.runCommand)
@@ -115,7 +116,7 @@
 	l.now++
 	l.answerGauges(l.kernel.replayRequest)
 	if unsent.runCommand == unsentCommand || l.counters.CommandsInDoubt != 2 || l.counters.CommandsResent != 0 {
-		t.Errorf("over the next link: start = %d, commands in doubt = %d, resent = %d, want it sent, and only 2 earlier ones in doubt",
+		t.Errorf("over the next link: start = %d, commands in doubt = %d, resent = %d, want it sent, and 2 and 0",
 			unsent.runCommand, l.counters.CommandsInDoubt, l.counters.CommandsResent)
 	}
 }
--- a/internal/node/server/kernel_link.go
+++ b/internal/node/server/kernel_link.go
@@ -40,8 +40,6 @@
 	gaugesDeadline     admission.Time
 	replayRequest      uint64 // number of the gauges request whose response ends the replay
 	moveRequest        uint64 // number of the gauges request whose response ends the old link
-	probeRequest       uint64 // number of the gauges request whose response ends the latest probes; 0: none
-	probesStarted      bool   // probeRequest has to be sent
 	lastAnswered       uint64 // number of the last gauges request that was answered
 	awaitsFirstEvent   bool   // no event was handled on this link yet
 	eventsLost         bool   // the kernel no longer had all events that were missed before this link
@@ -60,7 +58,7 @@
 // kernelDown handles the loss of the link: a wake-up that waits for gauges proceeds without them.
 func (l *loop) kernelDown() {
 	k := &l.kernel
-	k.state, k.gaugesRequest, k.probeRequest, k.probesStarted = kernelDisconnected, 0, 0, false
+	k.state, k.gaugesRequest = kernelDisconnected, 0
 	k.gate = commandGate{}
 	l.wakeWithoutGauges()
 }
@@ -203,13 +201,15 @@
 	if r == nil || !r.isRunning() {
 		return
 	}
-	wasProbed := r.doubt == doubtProbed
+	startAcknowledged := r.startAcknowledged
 	r.settle()
 	switch string(e.Kind) {
 	case wire.KernelRunEnded:
-		if outcome := runOutcome(e); !l.resumeProbed(h, r, wasProbed, outcome) {
-			l.runEnded(h, r, outcome, e.RunMS, e.Body)
+		outcome := runOutcome(e)
+		if outcome == admission.Superseded && startAcknowledged {
+			l.counters.AcknowledgedLost++
 		}
+		l.runEnded(h, r, outcome, e.RunMS, e.Body)
 	case wire.KernelCallAsked:
 		l.trace(r, traceCallAsked)
 		r.callBody, r.callSequence = append(r.callBody[:0], e.Body...), e.Sequence
@@ -313,7 +313,6 @@
 		return
 	}
 	k.lastAnswered = number
-	l.probesEnded(number)
 	l.sendWaiting()
 	if l.now >= k.nextAcknowledgedAt+l.limits.AckSafetyMargin {
 		// The pending acknowledgement is old enough to count; this one becomes the pending one.
@@ -331,15 +330,12 @@
 	}
 }
 
-// replayTimedOut closes the link if the replay or the probes that the response to the gauges request with this number
-// ends do not end in time; the link is then dialed again. Guards against starting a run twice: resending commands before
-// all events are known could restart a run that has ended. See row "kernel that does not respond" in
-// docs/design/shutdown.md.
+// replayTimedOut closes the link if the replay that the response to the gauges request with this number ends does not
+// end in time; the link is then dialed again. Guards against starting a run twice: resending commands before all events
+// are known could restart a run that has ended. See row "kernel that does not respond" in docs/design/shutdown.md.
 func (l *loop) replayTimedOut(request handle) {
 	k := &l.kernel
-	replays := k.state == kernelReplaying && handle(k.replayRequest) == request
-	probes := k.state == kernelLive && k.probeRequest != 0 && handle(k.probeRequest) == request
-	if replays || probes {
+	if k.state == kernelReplaying && handle(k.replayRequest) == request {
 		l.closeLink(&k.link, errNoAnswer)
 	}
 }
--- a/internal/node/server/kernel_recovery_test.go
+++ b/internal/node/server/kernel_recovery_test.go
@@ -4,40 +4,123 @@
 	"testing"
 
 	"umberwinch/admission"
+	"umberwinch/internal/node/wire"
 )
 
-// A command in doubt is sent again at once only if its second copy does no harm; guards against a run that starts twice
-// and against a run that gets the reply to another call.
-func TestNextDoubtStep(t *testing.T) {
-	const pause, drop, never = admission.CancelPause, admission.CancelDrop, admission.CancelNever
-	keyed, atMostOnce := admission.IdempotencyKeyed, admission.NonRetryable
-	for name, c := range map[string]struct {
-		cancellation admission.Cancellation
-		info         commandInfo
-		want         doubtStep
-	}{
-		"retryable start":           {pause, commandInfo{startsRun: true}, stepResend},
-		"retryable start, no stops": {never, commandInfo{startsRun: true, acknowledged: true}, stepResend},
-		"retryable start, over":     {drop, commandInfo{startsRun: true, over: true}, stepResend},
-		"retryable reply":           {pause, commandInfo{}, stepProbe},
-		"keyed start":               {pause, commandInfo{safety: keyed, startsRun: true}, stepAwaitOver},
-		"at-most-once start":        {pause, commandInfo{safety: atMostOnce, startsRun: true}, stepAwaitOver},
-		"acknowledged start":        {pause, commandInfo{safety: keyed, startsRun: true, acknowledged: true}, stepAwaitOver},
-		"start, events lost":        {pause, commandInfo{safety: keyed, startsRun: true, eventsLost: true}, stepAwaitOver},
-		"resume":                    {pause, commandInfo{safety: keyed}, stepProbe},
-		"start, runs are dropped":   {drop, commandInfo{safety: keyed, startsRun: true}, stepAwaitOver},
-		"reply, runs are dropped":   {drop, commandInfo{safety: keyed}, stepAwaitEvent},
-		"start, no stops":           {never, commandInfo{safety: atMostOnce, startsRun: true}, stepAwaitOver},
-		"retryable reply, no stops": {never, commandInfo{}, stepAwaitEvent},
-		"start, over":               {pause, commandInfo{safety: keyed, startsRun: true, over: true}, stepAwaitOver},
-		"reply, over, no stops":     {never, commandInfo{safety: keyed, over: true}, stepAwaitOver},
-		"start to be stopped": {drop,
-			commandInfo{safety: keyed, startsRun: true, over: true, stopRequested: true}, stepAwaitOver},
-		"start to be stopped, no stops": {never,
-			commandInfo{safety: keyed, startsRun: true, over: true, stopRequested: true}, stepAwaitOver},
-	} {
-		if got := nextDoubtStep(c.cancellation, c.info); got != c.want {
-			t.Errorf("%s: nextDoubtStep(%d, %+v) = %d, want %d", name, c.cancellation, c.info, got, c.want)
+// inDoubt describes a run with a command that the kernel may or may not have read, and what is sent again.
+type inDoubt struct {
+	handler     int
+	isResume    bool
+	isReply     bool
+	isSkip      bool
+	isStopped   bool
+	wantStart   bool // the start or the resume is sent again
+	wantSkip    bool // the call is skipped
+	wantStop    bool
+	wantAwaited bool // the start is sent again once the request is over
+}
+
+// Of the commands in doubt only those are sent again whose second copy does no harm, in each way of stopping and
+// whether they were acknowledged or not. Guards against a run that starts twice, as a stop without an event or a wait
+// proves nothing (review/6), and against a run that gets the reply to another call.
+func TestCommandsInDoubt(t *testing.T) {
+	cases := map[string]inDoubt{
+		"retryable start":               {handler: retryableHandler, wantStart: true},
+		"retryable start to be stopped": {handler: retryableHandler, isStopped: true, wantStart: true, wantStop: true},
+		"keyed start":                   {handler: keyedHandler, wantAwaited: true},
+		"non-retryable start":           {handler: nonRetryableHandler, wantAwaited: true},
+		"keyed start to be stopped":     {handler: keyedHandler, isStopped: true, wantStop: true, wantAwaited: true},
+		"resume":                        {handler: keyedHandler, isResume: true, wantStart: true},
+		"reply that can be skipped":     {handler: retryableHandler, isReply: true, wantSkip: true},
+		"reply":                         {handler: keyedHandler, isReply: true},
+		"reply to be stopped":           {handler: nonRetryableHandler, isReply: true, isStopped: true, wantStop: true},
+		"skip":                          {handler: retryableHandler, isReply: true, isSkip: true, wantSkip: true},
+	}
+	for name, c := range cases {
+		for _, way := range []admission.Cancellation{admission.CancelNever, admission.CancelDrop, admission.CancelPause} {
+			for _, acknowledged := range []bool{false, true} {
+				l, r, last := breakAfter(c, way, acknowledged)
+				got := inDoubt{handler: c.handler, isResume: c.isResume, isReply: c.isReply, isSkip: c.isSkip,
+					isStopped: c.isStopped, wantStart: r.runCommand > last, wantStop: r.stopCommand > last,
+					wantSkip:    r.callResultCommand > last && r.callResult == callResultSkipped,
+					wantAwaited: r.startInDoubt}
+				if got != c || l.kernel.lastCommand-last > 2 {
+					t.Errorf("%s, cancellation %d, acknowledged %v: got %+v and %d commands, want %+v", name, way, acknowledged,
+						got, l.kernel.lastCommand-last, c)
+				}
+			}
+		}
+	}
+}
+
+// breakAfter breaks the link after the command of a case, and returns the run after the next link is up and the number
+// of the last command before.
+func breakAfter(c inDoubt, way admission.Cancellation, acknowledged bool) (l *loop, r *request, lastCommand uint64) {
+	l = loopWithKernel()
+	l.settings.Deployment.Cancellation = way
+	l.answerGauges(l.sendGaugesRequest()) // opens the gate
+	_, r = l.startRunOf(c.handler)
+	l.sendInDoubt(r, c)
+	if acknowledged {
+		l.answerGauges(l.sendGaugesRequest())
+	}
+	return l, r, l.reconnect()
+}
+
+// sendInDoubt sends the command of a case; earlier ones were read by the kernel.
+func (l *loop) sendInDoubt(r *request, c inDoubt) {
+	if c.isResume || c.isReply {
+		r.settle()
+	}
+	switch {
+	case c.isResume:
+		l.sendResume(r)
+	case c.isSkip:
+		l.sendCallSkipped(r)
+	case c.isReply:
+		l.sendCallReply(r, []byte("reply"))
+	}
+	if c.isStopped {
+		r.stop()
+		l.sendStop(r)
+	}
+}
+
+// reconnect breaks the kernel's link and opens the next one, without any event. It returns the number of the last
+// command before.
+func (l *loop) reconnect() (lastCommand uint64) {
+	lastCommand = l.kernel.lastCommand
+	l.kernelDown()
+	l.kernel.state, l.kernel.replayRequest = kernelReplaying, lastCommand
+	l.now++
+	l.answerGauges(lastCommand)
+	return lastCommand
+}
+
+// A start in doubt is sent again only once its request is over, and its client certainly knows. Guards against a second
+// run while the kernel still takes the request for open.
+func TestStartInDoubtAwaitsEndOfRequest(t *testing.T) {
+	l := loopWithKernel()
+	l.answerGauges(l.sendGaugesRequest())
+	h, r := l.startRunOf(keyedHandler)
+	l.reconnect()
+	r.abandon() // its client has left long before the deadline
+	for _, step := range []struct {
+		at   admission.Time
+		sent bool
+	}{{l.now + l.limits.AckSafetyMargin, false}, {r.deadline, false}, {r.deadline + l.limits.AckSafetyMargin, true}} {
+		before := l.kernel.lastCommand
+		l.now = step.at
+		l.kernel.gate.respondedAt = l.now
+		l.fireTimers()
+		if sent := r.runCommand > before; sent != step.sent {
+			t.Errorf("at %d, deadline %d: start sent again = %v, want %v", l.now, r.deadline, sent, step.sent)
 		}
 	}
+	l.runEvent(&wire.KernelEvent{Kind: []byte(wire.KernelRunEnded), RunID: []byte(r.id),
+		Outcome: []byte(wire.RunSuperseded), Sequence: 1})
+	if r := l.requests.get(h); r.isRunning() || len(l.nextRound().RunEnds) != 1 {
+		t.Errorf("after the kernel said that it has no run: running = %v, ends = %v, want the run ended", r.isRunning(),
+			l.nextRound().RunEnds)
+	}
 }
--- a/internal/node/server/log_messages.go
+++ b/internal/node/server/log_messages.go
@@ -54,7 +54,6 @@
 	traceStopped      traceStep = "stop"
 	traceResent       traceStep = "command sent again"
 	traceSentLate     traceStep = "command sent late"
-	traceProbed       traceStep = "probed"
 	traceCallAsked    traceStep = "call asked"
 	traceCallStarted  traceStep = "call started"
 	traceCallEnded    traceStep = "call ended"
--- a/internal/node/server/loop.go
+++ b/internal/node/server/loop.go
@@ -182,7 +182,7 @@
 	case timerCommandGate:
 		l.sendWaiting()
 	case timerDoubt:
-		l.recheckDoubt(t.subject)
+		l.resendOverStart(t.subject)
 	case timerCall:
 		l.callTimedOut(t.subject)
 	case timerReport:
--- a/internal/node/server/request.go
+++ b/internal/node/server/request.go
@@ -34,15 +34,12 @@
 	// Sequence numbers of the last commands; 0: none that may have been lost.
 	runCommand, callResultCommand, stopCommand uint64
 
-	resumeSent bool       // the last start command was a resume, after a probe; the controller sends none, see loop.Stop
+	resumeSent bool       // the last start command was a resume; the controller sends none, see loop.Stop
 	callResult callResult // the last result of a call sent to the kernel
 	reply      []byte     // the store's reply, as sent to the kernel
 
-	doubt             doubtState
-	doubtAcknowledged bool           // a gauges request after the command in doubt was answered
-	doubtEventsLost   bool           // the kernel no longer had all events that were missed
-	probeCommand      uint64         // number of the stop that probes the run
-	recheckAt         admission.Time // when a doubt that waits is looked at again
+	startInDoubt      bool // the kernel may or may not have read the start, which must not be sent again yet
+	startAcknowledged bool // a gauges request after the start in doubt was answered
 }
 
 // hasUnsentCommand reports whether the run's start, or the result of its call, waits to be sent.
