--- a/internal/node/server/idempotency_table.go
+++ b/internal/node/server/idempotency_table.go
@@ -127,6 +127,12 @@
 	}
 }
 
+// isRunOf reports whether the run of a request determines its key's result.
+func (t *idempotencyTable) isRunOf(key string, id uint32) bool {
+	e := t.find(key)
+	return e != nil && e.run == id
+}
+
 // runEnded records the end of that run and returns the requests that wait for its result.
 func (t *idempotencyTable) runEnded(key string, id uint32, ok bool, result []byte) (waiters []handle) {
 	e := t.find(key)
--- a/internal/node/server/kernel_recovery.go
+++ b/internal/node/server/kernel_recovery.go
@@ -115,6 +115,12 @@
 		return
 	}
 	r.startInDoubt = false
+	if r.repeatKey != "" && !l.idempotency.isRunOf(r.repeatKey, uint32(h)) {
+		// Another attempt of the key may have run since. Guards against a late start by a kernel that still takes the
+		// request for open.
+		l.runEnded(h, r, admission.Unknown, 0, nil)
+		return
+	}
 	l.resendStart(r, resendOver)
 }
 
--- a/internal/node/server/kernel_recovery_test.go
+++ b/internal/node/server/kernel_recovery_test.go
@@ -124,3 +124,30 @@
 			l.nextRound().RunEnds)
 	}
 }
+
+// A start in doubt is not sent again once its key has expired, as another attempt may have run since. Guards against a
+// key that runs twice at a kernel that still takes the first attempt for open.
+func TestStartInDoubtOfExpiredKeyIsNotSent(t *testing.T) {
+	for _, expired := range []bool{false, true} {
+		l := loopWithKernel()
+		l.idempotency = newIdempotencyTable(8, 1<<10, admission.Second)
+		l.answerGauges(l.sendGaugesRequest()) // opens the gate
+		h, r := l.startRunOf(keyedHandler)
+		r.repeatKey = "key"
+		l.idempotency.remember(r.repeatKey, uint32(h), l.now+admission.Second, &l.timers)
+		l.idempotency.runStarted(r.repeatKey, uint32(h))
+		l.reconnect()
+		r.respond()
+		if expired {
+			l.idempotency.forget(r.repeatKey, uint32(h))
+		}
+		before := l.kernel.lastCommand
+		l.now = l.overAt(r)
+		l.kernel.gate.respondedAt = l.now
+		l.resendOverStart(h)
+		if sent := r.runCommand > before; sent == expired || r.isRunning() == expired {
+			t.Errorf("key expired = %v: start sent again = %v, running = %v, want %v, %v", expired, sent, r.isRunning(),
+				!expired, !expired)
+		}
+	}
+}
