--- a/internal/node/server/kernel_link.go
+++ b/internal/node/server/kernel_link.go
@@ -187,7 +187,7 @@
 	}
 	if h, r := l.findRequest(e.RunID); r != nil && string(e.InvalidCommand()) == wire.KernelRun && r.isRunning() {
 		r.closeAfter = true
-		l.runEnded(h, r, admission.NotExecuted, 0, nil)
+		l.runEnded(h, r, l.endOutcome(&r.kernelCommands, admission.NotExecuted), 0, nil)
 	}
 }
 
@@ -201,15 +201,11 @@
 	if r == nil || !r.isRunning() {
 		return
 	}
-	startAcknowledged := r.startAcknowledged
+	commands := r.kernelCommands
 	r.settle()
 	switch string(e.Kind) {
 	case wire.KernelRunEnded:
-		outcome := runOutcome(e)
-		if outcome == admission.Superseded && startAcknowledged {
-			l.counters.AcknowledgedLost++
-		}
-		l.runEnded(h, r, outcome, e.RunMS, e.Body)
+		l.runEnded(h, r, l.endOutcome(&commands, runOutcome(e)), e.RunMS, e.Body)
 	case wire.KernelCallAsked:
 		l.trace(r, traceCallAsked)
 		r.callBody, r.callSequence = append(r.callBody[:0], e.Body...), e.Sequence
--- a/internal/node/server/kernel_recovery.go
+++ b/internal/node/server/kernel_recovery.go
@@ -38,7 +38,7 @@
 // settle records that an event of the run was read: its commands were read by the kernel, or are no longer needed.
 func (c *kernelCommands) settle() {
 	c.runCommand, c.callResultCommand, c.stopCommand = 0, 0, 0
-	c.callResult, c.startInDoubt, c.startAcknowledged = noCallResult, false, false
+	c.callResult, c.startInDoubt, c.startAcknowledged, c.eventsLost = noCallResult, false, false, false
 }
 
 // replayComplete makes the link live. Commands that were never sent are sent; those that the previous link may have
@@ -59,6 +59,7 @@
 // recoverCommands sends a run's commands, in their original order: those that were never sent, and of those that the
 // kernel may or may not have read the ones that may be sent twice.
 func (l *loop) recoverCommands(h handle, r *request) {
+	r.eventsLost = r.eventsLost || l.kernel.eventsLost
 	stopInDoubt := l.kernel.mayBeRead(r.stopCommand)
 	if l.kernel.mayBeRead(r.runCommand) {
 		l.recoverStart(h, r)
@@ -124,6 +125,22 @@
 	l.resendStart(r, resendOver)
 }
 
+// endOutcome returns the outcome of a run's end. A run that the kernel does not have may have run nevertheless if it may
+// have ended in an event that is lost. Guards against a key that runs again because its first run is taken as never
+// executed.
+func (l *loop) endOutcome(c *kernelCommands, outcome admission.Outcome) admission.Outcome {
+	if outcome != admission.Superseded && outcome != admission.NotExecuted {
+		return outcome
+	}
+	if c.eventsLost {
+		return admission.Unknown
+	}
+	if c.startAcknowledged {
+		l.counters.AcknowledgedLost++
+	}
+	return outcome
+}
+
 // resendStart sends the start or the resume of a run again.
 func (l *loop) resendStart(r *request, reason resendReason) {
 	if r.resumeSent {
--- a/internal/node/server/kernel_recovery_test.go
+++ b/internal/node/server/kernel_recovery_test.go
@@ -151,3 +151,33 @@
 		}
 	}
 }
+
+// A start that the kernel does not need, or does not know, proves that its request never ran, unless events were lost
+// with which a run may have ended. Guards against a key that runs again after that.
+func TestLostEventsProveNothing(t *testing.T) {
+	for _, c := range []struct {
+		kind, outcome string
+		eventsLost    bool
+		want          admission.Outcome
+	}{
+		{wire.KernelRunEnded, wire.RunSuperseded, false, admission.Superseded},
+		{wire.KernelRunEnded, wire.RunSuperseded, true, admission.Unknown},
+		{wire.KernelInvalid, wire.KernelRun, false, admission.NotExecuted},
+		{wire.KernelInvalid, wire.KernelRun, true, admission.Unknown},
+	} {
+		l := loopWithKernel()
+		l.answerGauges(l.sendGaugesRequest()) // opens the gate
+		_, r := l.startRunOf(keyedHandler)
+		l.kernel.eventsLost = c.eventsLost
+		l.reconnect()
+		l.kernel.eventsLost = false // as on a later link
+		r.respond()
+		l.now = l.overAt(r)
+		l.fireTimers()
+		l.kernelEvent(&wire.KernelEvent{Kind: []byte(c.kind), RunID: []byte(r.id), Sequence: 1,
+			Outcome: []byte(c.outcome)})
+		if ends := l.nextRound().RunEnds; len(ends) != 1 || ends[0].Outcome != c.want {
+			t.Errorf("%s, events lost = %v: run ends = %v, want outcome %d", c.kind, c.eventsLost, ends, c.want)
+		}
+	}
+}
--- a/internal/node/server/request.go
+++ b/internal/node/server/request.go
@@ -40,6 +40,7 @@
 
 	startInDoubt      bool // the kernel may or may not have read the start, which must not be sent again yet
 	startAcknowledged bool // a gauges request after the start in doubt was answered
+	eventsLost        bool // the kernel no longer had all events since the run's last one
 }
 
 // hasUnsentCommand reports whether the run's start, or the result of its call, waits to be sent.
