--- a/internal/node/server/client_peer.go
+++ b/internal/node/server/client_peer.go
@@ -158,15 +158,6 @@
 	return true
 }
 
-// hasUnread reports whether bytes wait in a socket's receive buffer; the end of the stream does not count. An
-// interrupted call counts as bytes, so that the close is tried again later. See row "recv with MSG_PEEK: EINTR" in
-// docs/design/failures.md.
-func hasUnread(fd int) bool {
-	var b [1]byte
-	n, _, err := syscall.Recvfrom(fd, b[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
-	return n > 0 || err == syscall.EINTR
-}
-
 // shutDownWrite shuts down the sending side: the client reads the end of the stream after the last response. A plain
 // close with unread bytes would send a reset, which could discard that response. See row "response that closes
 // (client's request, invalid input, a run that the kernel rejects)" in docs/design/shutdown.md.
--- a/internal/node/server/kernel_gate_test.go
+++ b/internal/node/server/kernel_gate_test.go
@@ -6,7 +6,6 @@
 	"sync/atomic"
 	"testing"
 
-	"github.com/cloudwego/netpoll"
 	"github.com/sirupsen/logrus"
 
 	"umberwinch/admission"
@@ -14,12 +13,6 @@
 	"umberwinch/internal/node/wire"
 )
 
-// discardConn is a connection that accepts everything.
-type discardConn struct{ netpoll.Connection }
-
-func (discardConn) Write(b []byte) (int, error) { return len(b), nil }
-func (discardConn) Close() error                { return nil }
-
 // The handlers of loopWithKernel.
 const (
 	retryableHandler = iota
@@ -40,12 +33,25 @@
 		inFlightRequests: inFlightRequests{requests: newTable[request](16), byRequestID: map[string]handle{}}}
 	l.requests.slots = make([]slot[request], 0, l.requests.capacity) // requests stay where they are
 	l.pool.capacity = l.limits.Buffers
-	l.kernel.dialed = &dialAttempt{peer: peerKernel,
-		writer: &writer{conn: discardConn{}, pool: &l.pool, busy: &atomic.Int64{}}}
+	l.kernel.peer = peerKernel
+	l.connectKernel()
 	l.kernel.state = kernelLive
 	return l
 }
 
+// connectKernel opens a link to the kernel.
+func (l *loop) connectKernel() {
+	l.kernel.dialed = &dialAttempt{peer: peerKernel,
+		writer: &writer{conn: discardingConn{}, pool: &l.pool, busy: &atomic.Int64{}}}
+	l.kernelUp()
+}
+
+// awaitSent waits until the kernel's link has sent its queue.
+func (l *loop) awaitSent() {
+	writer := l.kernel.dialed.writer
+	waitUntil(func() bool { return writer.busy.Load() == 0 })
+}
+
 // startRunOf adds a request of a handler and sends its start to the kernel.
 func (l *loop) startRunOf(handler int) (handle, *request) {
 	h, r, _ := l.requests.take()
@@ -111,10 +117,7 @@
 	if unsent.runCommand != unsentCommand {
 		t.Fatal("start does not wait although the kernel responds again")
 	}
-	l.kernelDown()
-	l.kernel.state, l.kernel.replayRequest = kernelReplaying, l.kernel.lastCommand
-	l.now++
-	l.answerGauges(l.kernel.replayRequest)
+	l.reconnect()
 	if unsent.runCommand == unsentCommand || l.counters.CommandsInDoubt != 2 || l.counters.CommandsResent != 0 {
 		t.Errorf("over the next link: start = %d, commands in doubt = %d, resent = %d, want it sent, and 2 and 0",
 			unsent.runCommand, l.counters.CommandsInDoubt, l.counters.CommandsResent)
--- a/internal/node/server/kernel_link.go
+++ b/internal/node/server/kernel_link.go
@@ -44,7 +44,8 @@
 	awaitsFirstEvent   bool   // no event was handled on this link yet
 	eventsLost         bool   // the kernel no longer had all events that were missed before this link
 
-	gate commandGate // for commands that must not be read twice
+	sent sentCommands // on the link
+	gate commandGate  // for commands that must not be read twice
 }
 
 // kernelUp opens the protocol on a new link: it sends the sequence of the last handled event, after which the kernel
@@ -52,7 +53,8 @@
 func (l *loop) kernelUp() {
 	k := &l.kernel
 	k.state, k.awaitsFirstEvent, k.eventsLost = kernelOpened, true, false
-	k.dialed.writer.send(wire.AppendKernelOpen(l.scratch[:0], k.lastSequence), l.limits.LinkQueue)
+	k.sent = sentCommands{first: k.lastCommand + 1}
+	l.writeToKernel(wire.AppendKernelOpen(l.scratch[:0], k.lastSequence))
 }
 
 // kernelDown handles the loss of the link: a wake-up that waits for gauges proceeds without them.
@@ -60,6 +62,7 @@
 	k := &l.kernel
 	k.state, k.gaugesRequest = kernelDisconnected, 0
 	k.gate = commandGate{}
+	l.recallUnsentCommands()
 	l.wakeWithoutGauges()
 }
 
@@ -69,16 +72,27 @@
 	if k.state != kernelLive {
 		return unsentCommand
 	}
-	if !k.dialed.writer.send(l.scratch, l.limits.LinkQueue) {
+	if !l.writeToKernel(l.scratch) {
 		// The link is closed after the round, and lost commands are resent on the next link. See row "link whose peer
 		// does not read" in docs/design/shutdown.md.
 		l.reconnectKernel = true
 		return unsentCommand
 	}
 	k.lastCommand++
+	k.sent.add()
 	return k.lastCommand
 }
 
+// writeToKernel queues a message for the kernel. It returns false if the link can't take it.
+func (l *loop) writeToKernel(message []byte) bool {
+	k := &l.kernel
+	if !k.dialed.writer.send(message, l.limits.LinkQueue) {
+		return false
+	}
+	k.sent.bytes += uint64(len(message))
+	return true
+}
+
 func (l *loop) sendRun(r *request) {
 	r.resumeSent = false
 	if l.settings.Deployment.Handlers[r.handler].RetrySafety != admission.Retryable && l.mustWait(r) {
@@ -284,10 +298,11 @@
 	k.state, k.delay = kernelReplaying, 0
 	k.lastCommand++
 	k.replayRequest = k.lastCommand
-	if !k.dialed.writer.send(wire.AppendKernelGaugesRequest(l.scratch[:0], k.replayRequest), l.limits.LinkQueue) {
+	if !l.writeToKernel(wire.AppendKernelGaugesRequest(l.scratch[:0], k.replayRequest)) {
 		l.closeLink(&k.link, errStuck)
 		return
 	}
+	k.sent.add()
 	l.timers.set(l.now+l.limits.ReplayTimeout, timerReplay, handle(k.replayRequest))
 }
 
@@ -309,6 +324,7 @@
 		return
 	}
 	k.lastAnswered = number
+	k.sent.answered(number)
 	l.sendWaiting()
 	if l.now >= k.nextAcknowledgedAt+l.limits.AckSafetyMargin {
 		// The pending acknowledgement is old enough to count; this one becomes the pending one.
--- a/internal/node/server/kernel_recovery.go
+++ b/internal/node/server/kernel_recovery.go
@@ -125,9 +125,9 @@
 	l.resendStart(r, resendOver)
 }
 
-// endOutcome returns the outcome of a run's end. A run that the kernel does not have may have run nevertheless if it may
-// have ended in an event that is lost. Guards against a key that runs again because its first run is taken as never
-// executed.
+// endOutcome returns the outcome of a run's end. A run that the kernel does not have may have run nevertheless if it
+// may have ended in an event that is lost. Guards against a key that runs again because its first run is taken as
+// never executed.
 func (l *loop) endOutcome(c *kernelCommands, outcome admission.Outcome) admission.Outcome {
 	if outcome != admission.Superseded && outcome != admission.NotExecuted {
 		return outcome
--- a/internal/node/server/kernel_recovery_test.go
+++ b/internal/node/server/kernel_recovery_test.go
@@ -86,11 +86,13 @@
 	}
 }
 
-// reconnect breaks the kernel's link and opens the next one, without any event. It returns the number of the last
-// command before.
+// reconnect breaks the kernel's link, after everything on it was sent, and opens the next one, without any event. It
+// returns the number of the last command before.
 func (l *loop) reconnect() (lastCommand uint64) {
 	lastCommand = l.kernel.lastCommand
-	l.kernelDown()
+	l.awaitSent()
+	l.closeLink(&l.kernel.link, errClosed)
+	l.connectKernel()
 	l.kernel.state, l.kernel.replayRequest = kernelReplaying, lastCommand
 	l.now++
 	l.answerGauges(lastCommand)
@@ -169,8 +171,9 @@
 		l.answerGauges(l.sendGaugesRequest()) // opens the gate
 		_, r := l.startRunOf(keyedHandler)
 		l.kernel.eventsLost = c.eventsLost
-		l.reconnect()
+		l.recoverCommands(l.byRequestID[r.id], r)
 		l.kernel.eventsLost = false // as on a later link
+		l.reconnect()
 		r.respond()
 		l.now = l.overAt(r)
 		l.fireTimers()
--- a/internal/node/server/links.go
+++ b/internal/node/server/links.go
@@ -41,6 +41,7 @@
 	writer    *writer // nil until the connection is open
 	err       error   // why the connection ended, maybe before the loop has handled its linkDialed
 	parser    linkParser
+	socket    socket
 }
 
 // backoff is the wait before the next dial to one address.
@@ -110,7 +111,9 @@
 		}
 		c.SetWriteTimeout(l.limits.WriteTimeout)
 		in := &intake{pool: &l.pool}
+		n.socket.fd = c.(netpoll.Conn).Fd()
 		c.AddCloseCallback(func(netpoll.Connection) error {
+			n.socket.release()
 			in.drop()
 			l.post(&linkClosed{dialed: n, err: errClosed})
 			return nil
@@ -160,6 +163,9 @@
 	current := l.isCurrent(n)
 	if current && err == nil {
 		n.writer = l.newWriter(e.conn)
+		if n.peer == peerKernel {
+			n.writer.peerEnded = n.socket.streamEnded
+		}
 		l.linkOpened(n)
 		return
 	}
@@ -214,7 +220,7 @@
 		return
 	}
 	if k.dialed.writer != nil {
-		k.dialed.writer.close()
+		l.endWriter(k)
 	}
 	k.dialed = nil // its late events are ignored
 	if err == nil {
@@ -233,6 +239,15 @@
 	l.dial(k)
 }
 
+// endWriter closes the connection of a link. Commands to the kernel that were not sent by then never are.
+func (l *loop) endWriter(k *link) {
+	if k.peer == peerKernel {
+		l.kernel.sent.end(k.dialed.writer.abort())
+		return
+	}
+	k.dialed.writer.close()
+}
+
 // setLinkAddress changes the address of a link and dials it at once, the kernel's once its old link is read to its end.
 func (l *loop) setLinkAddress(k *link, addr string) {
 	if k.addr == addr {
--- a/internal/node/server/writer.go
+++ b/internal/node/server/writer.go
@@ -28,6 +28,10 @@
 
 	sendsResponses bool   // responses, which get a buffer beyond the pool's capacity
 	shutDown       func() // shuts down the sending side
+
+	peerEnded func() bool // nil, or reports whether the peer can read nothing any more: then nothing is sent
+	aborted   bool
+	begun     uint64 // bytes that were sent, or may have been
 }
 
 // newWriter returns the writer of an outgoing connection.
@@ -96,6 +100,37 @@
 	w.startFlush()
 }
 
+// abort closes the connection without sending the rest of the queue. Of all bytes that were queued on it, the peer may
+// have read the first begun ones; the others were never sent.
+func (w *writer) abort() (begun uint64) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.closed, w.aborted, w.ending = true, true, closeWhenSent
+	for _, b := range w.queue {
+		w.pool.put(b)
+	}
+	w.queue = w.queue[:0]
+	w.startFlush()
+	return w.begun
+}
+
+// begin counts the bytes of buffers that are about to be sent. It returns false if they must not be sent, as the
+// connection was aborted or its peer has ended it.
+func (w *writer) begin(out []*buffer) bool {
+	if w.peerEnded != nil && w.peerEnded() {
+		return false
+	}
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if w.aborted {
+		return false
+	}
+	for _, b := range out {
+		w.begun += uint64(b.length)
+	}
+	return true
+}
+
 // startFlush starts a flush unless one is in progress.
 func (w *writer) startFlush() {
 	if !w.flushing {
@@ -128,6 +163,9 @@
 			return
 		}
 		w.mu.Unlock()
+		if writeErr == nil && !w.begin(out) {
+			writeErr = errClosed
+		}
 		for _, b := range out {
 			if writeErr == nil {
 				writeErr = w.write(b.bytes())
